--- a/src/bin/sageline-simhost.rs
+++ b/src/bin/lilacbank-adapter.rs
@@ -1,7 +1,7 @@
 //! Hosts decision instances for the simulator: batches on standard input, replies on standard output.
 #![forbid(unsafe_code)]
 
-use sageline::wire::Host;
+use lilacbank::wire::Host;
 use std::io;
 use std::process::ExitCode;
 
@@ -12,7 +12,7 @@
     match Host::default().run(input, io::stdout().lock()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
-            eprintln!("sageline-simhost: {e}");
+            eprintln!("lilacbank-adapter: {e}");
             ExitCode::FAILURE
         }
     }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,8 +1,8 @@
 //! A host for scripts of events, with a rule checker that watches every action.
 #![allow(dead_code)]
 
-use sageline::api::*;
-use sageline::Brain;
+use lilacbank::api::*;
+use lilacbank::Brain;
 use std::collections::{BTreeMap, VecDeque};
 
 pub const SLACK: Ms = 20.0;
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use sageline::api::*;
+use lilacbank::api::*;
 
 fn closes(w: &Watched) -> usize {
     w.actions.iter().filter(|a| matches!(a, Action::CloseIdle(_))).count()
--- a/tests/incidents.rs
+++ b/tests/incidents.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use sageline::api::*;
+use lilacbank::api::*;
 
 fn deliver_all(w: &mut Watched) {
     let open: Vec<_> = w.seen.keys().copied().filter(|id| w.out(*id).is_some()).collect();
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use sageline::api::*;
+use lilacbank::api::*;
 
 fn two_routes() -> Watched {
     Watched::new(settings(), vec![row(0, 1, 0, 0), row(1, 1, 1, 0)])
--- a/tests/size.rs
+++ b/tests/size.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use sageline::api::*;
+use lilacbank::api::*;
 
 /// `count` senders of `senders`, each with a list of one route.
 fn crowd(count: u64, senders: usize) -> Vec<Watched> {
@@ -211,7 +211,7 @@
         let mut w =
             Watched::new(Settings { senders: 50, ..settings() }, vec![row(0, 1, 0, 0), row(1, 1, 1, 0)]);
         w.now = start;
-        w.brain = sageline::Brain::new(w.s.clone());
+        w.brain = lilacbank::Brain::new(w.s.clone());
         w.timers.clear();
         w.give(vec![Event::List { rows: vec![row(0, 1, 0, 0), row(1, 1, 1, 0)], whole: true, cached: true }]);
         let mut sent = Vec::new();
--- a/tests/watchdog.rs
+++ b/tests/watchdog.rs
@@ -1,7 +1,7 @@
 //! θ against cases worked by hand.
 
-use sageline::brain::watchdog;
-use sageline::curve::Curve;
+use lilacbank::brain::watchdog;
+use lilacbank::curve::Curve;
 
 fn answered(times: &[f64]) -> Curve {
     Curve::product_limit(&times.iter().map(|t| (*t, true)).collect::<Vec<_>>())
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -6,7 +6,7 @@
 const SETTINGS: &str = r#"{"balancers":1,"unknown_key":[1],"round":5.0,"ceilings":{"most_tries":6,"max_open":50,"retry_after":true,"max_retry_after":2000.0,"connect_timeout":1000.0},"classes":[{"name":"note","deadline":16000.0,"promise":2000.0,"effect":"idempotent","late_worth":0.3,"worth":1.0}],"family_info":{"slots":4,"kind_apart":[true],"batch_by_kind":[1]},"guarantees":{"answer_slack":20.0,"cold":9000.0,"cold_from":0.2,"drain_grace":250.0,"overload_factor":2.0,"overload_for":2000.0},"kinds":["k"],"zones":["z"],"zone":"z","discovery":"pushed"}"#;
 
 fn host(input: &str) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_sageline-simhost"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_lilacbank-adapter"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
