--- a/src/api.rs
+++ b/src/api.rs
@@ -144,6 +144,8 @@
     pub cold: Ms,
     /// Rest of a key after an attempt that may still run.
     pub key_quiet: Ms,
+    /// A message that the module ends is over only once its client has heard: [`Event::Heard`].
+    pub ends_confirmed: bool,
 }
 
 impl Settings {
@@ -284,6 +286,21 @@
     pub report: Report,
 }
 
+/// A message that an earlier process of this sender had taken on. Given in the order of taking.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Resumed {
+    /// The message.
+    pub message: Message,
+    /// Attempts made so far.
+    pub attempts: u32,
+    /// Send time and zone of the first attempt that may have run.
+    pub ran: Option<(Ms, usize)>,
+    /// An attempt was out when the process ended: it may run still.
+    pub cut_off: bool,
+    /// Its end was decided, and its client has not heard yet.
+    pub ended: bool,
+}
+
 /// Something the sender is told.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Event {
@@ -300,6 +317,12 @@
     ListFailed,
     /// A message came in.
     Arrived(Message),
+    /// A message of an earlier process is held again.
+    Resumed(Resumed),
+    /// The client of a message that the module ended has heard of it, where ends are confirmed.
+    Heard(MsgId),
+    /// This process ends at that time and leaves what it holds to the next one.
+    Closing(Ms),
     /// An attempt ended.
     Ended(Ended),
     /// A probe ended.
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -120,6 +120,9 @@
     watch_gap: Ms,
     wake: Cell<Ms>,
     armed: Option<Ms>,
+    /// Keys of messages that were ended here, whose clients have not heard of it.
+    owed: BTreeMap<MsgId, u64>,
+    closing: Option<Ms>,
 }
 
 impl Brain {
@@ -176,6 +179,11 @@
                 self.watch_gap = (self.watch_gap * 2.0).min(WATCH_GAP_MOST);
             }
             Event::Arrived(m) => self.arrived(now, m, out),
+            Event::Resumed(r) => self.resumed(now, r, out),
+            Event::Heard(id) => {
+                self.owed.remove(id).into_iter().for_each(|k| self.keys.leave(k, *id));
+            }
+            Event::Closing(at) => self.closing = Some(*at),
             Event::Ended(e) => self.ended(now, e, out),
             Event::Probed { route, outcome, report, .. } => self.probed(now, *route, *outcome, report),
             Event::ClientGone(id) => self.end(*id),
@@ -243,6 +251,22 @@
         self.held.insert(m.id, Held { not_before: now, ..fresh });
     }
 
+    /// Guards against a restart that forgets what may have run: such a message keeps its count of attempts and
+    /// its group, its key rests, and one whose end was decided holds its key until that has been heard.
+    fn resumed(&mut self, now: Ms, r: &Resumed, out: &mut Vec<Action>) {
+        let (id, key) = (r.message.id, r.message.key);
+        if !r.ended {
+            self.arrived(now, &r.message, out);
+            self.held.entry(id).and_modify(|h| (h.attempts, h.ran) = (r.attempts, r.ran));
+        } else if let Some(k) = key {
+            self.keys.enter(k, id);
+            self.owed.insert(id, k);
+        }
+        if let Some(k) = key.filter(|_| r.cut_off) {
+            self.keys.rest(k, now + self.s.key_quiet);
+        }
+    }
+
     /// What a message beyond its tenant's quota is worth; each sender counts on an even part of the quota.
     fn tenant_share(&mut self, now: Ms, tenant: Option<usize>) -> f64 {
         let Some(t) = tenant.filter(|t| *t < self.quota.len()) else { return 1.0 };
@@ -290,7 +314,7 @@
 
     fn forget(&mut self, id: MsgId) {
         let key = self.held.remove(&id).and_then(|h| h.m.key);
-        key.into_iter().for_each(|k| self.keys.leave(k, id));
+        key.into_iter().filter(|_| !self.owed.contains_key(&id)).for_each(|k| self.keys.leave(k, id));
     }
 
     /// Gives a message up at once: handed back, with advice, where repeating is harmless.
@@ -307,6 +331,9 @@
         } else {
             out.push(Action::Fail(id));
         }
+        if let Some(k) = h.m.key.filter(|_| self.s.ends_confirmed) {
+            self.owed.insert(id, k);
+        }
         self.end(id);
     }
 
@@ -867,6 +894,15 @@
         }
     }
 
+    /// Guards against calls cut off by the end of this process: an unsafe message would be lost by it, so it
+    /// starts only if a slow call would still be answered; others start while a usual one would.
+    fn can_finish(&self, now: Ms, h: &Held) -> bool {
+        let Some(closing) = self.closing else { return true };
+        let usual = self.routes_to(h).map(|r| self.typical(r)).fold(0.0, f64::max);
+        let slow = self.routes_to(h).map(|r| self.hang_span(r)).fold(0.0, f64::max);
+        now + if self.class(h).effect == Effect::Unsafe { slow } else { usual } < closing
+    }
+
     /// Messages that may be sent, by what a delay would cost them for each unit of slot time that they need.
     fn ranked(&self, now: Ms) -> Vec<MsgId> {
         let mut order: Vec<(f64, Ms, MsgId)> = Vec::new();
@@ -891,6 +927,9 @@
         waiting.keys().for_each(|dest| self.refill(now, *dest));
         for id in self.ranked(now) {
             let h = &self.held[&id];
+            if !self.can_finish(now, h) {
+                continue;
+            }
             let free = self.key_free(now, h).max(h.not_before).max(self.next_chance(now, h));
             if free > now {
                 self.wake_at(free);
--- /dev/null
+++ b/src/config.rs
@@ -0,0 +1,405 @@
+//! The one place where configuration is read, checked and given defaults.
+//!
+//! The platform tells a dispatcher what it is by `ROUTER_*` variables and a JSON file; the simulator hands the same
+//! settings to the adapter. Every complaint names the key at fault. Keys that are not known are skipped.
+
+use crate::api::*;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use tinyjson::JsonValue;
+
+/// What is wrong with which key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ConfigError {
+    /// The key, with the keys above it: `settings.classes[1].deadline`.
+    pub key: String,
+    /// What is wrong.
+    pub what: String,
+}
+
+impl std::fmt::Display for ConfigError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}: {}", self.key, self.what)
+    }
+}
+
+impl std::error::Error for ConfigError {}
+
+/// A result that names the key at fault.
+pub type Checked<T> = Result<T, ConfigError>;
+
+fn fault<T>(key: impl Into<String>, what: impl Into<String>) -> Checked<T> {
+    Err(ConfigError { key: key.into(), what: what.into() })
+}
+
+static NULL: JsonValue = JsonValue::Null;
+
+/// A JSON value that knows the keys above it.
+#[derive(Debug, Clone)]
+pub struct Node<'a> {
+    path: String,
+    value: &'a JsonValue,
+}
+
+impl<'a> Node<'a> {
+    /// The top of a document, under a name for complaints.
+    pub fn root(name: &str, value: &'a JsonValue) -> Node<'a> {
+        Node { path: name.into(), value }
+    }
+
+    /// The value under a key; null if there is none.
+    pub fn get(&self, key: &str) -> Node<'a> {
+        let value = match self.value {
+            JsonValue::Object(map) => map.get(key).unwrap_or(&NULL),
+            _ => &NULL,
+        };
+        let path = if self.path.is_empty() { key.to_string() } else { format!("{}.{key}", self.path) };
+        Node { path, value }
+    }
+
+    /// Complains about this key.
+    pub fn fault<T>(&self, what: impl Into<String>) -> Checked<T> {
+        fault(self.path.clone(), what)
+    }
+
+    /// Is it absent or null?
+    pub fn absent(&self) -> bool {
+        matches!(self.value, JsonValue::Null)
+    }
+
+    /// A number, or the default where it is absent; a boolean counts as 1 or 0.
+    pub fn num(&self, absent: f64) -> Checked<f64> {
+        match self.value {
+            JsonValue::Null => Ok(absent),
+            JsonValue::Boolean(b) => Ok(f64::from(u8::from(*b))),
+            JsonValue::Number(n) if n.is_finite() => Ok(*n),
+            _ => self.fault("a number was expected"),
+        }
+    }
+
+    /// A number that is not negative.
+    pub fn amount(&self, absent: f64) -> Checked<f64> {
+        let n = self.num(absent)?;
+        if n < 0.0 {
+            return self.fault("a negative number makes no sense here");
+        }
+        Ok(n)
+    }
+
+    /// A yes or no; absent is no.
+    pub fn flag(&self) -> Checked<bool> {
+        Ok(self.num(0.0)? != 0.0)
+    }
+
+    /// A text; absent is empty.
+    pub fn text(&self) -> Checked<&'a str> {
+        match self.value {
+            JsonValue::Null => Ok(""),
+            JsonValue::String(s) => Ok(s),
+            _ => self.fault("a text was expected"),
+        }
+    }
+
+    /// The items of a list; absent is empty.
+    pub fn items(&self) -> Checked<Vec<Node<'a>>> {
+        match self.value {
+            JsonValue::Null => Ok(Vec::new()),
+            JsonValue::Array(all) => {
+                let item = |(i, value)| Node { path: format!("{}[{i}]", self.path), value };
+                Ok(all.iter().enumerate().map(item).collect())
+            }
+            _ => self.fault("a list was expected"),
+        }
+    }
+
+    fn object(&self) -> Checked<()> {
+        match self.value {
+            JsonValue::Object(_) => Ok(()),
+            _ => self.fault("an object was expected"),
+        }
+    }
+
+    fn texts(&self) -> Checked<Vec<String>> {
+        self.items()?.iter().map(|n| Ok(n.text()?.to_string())).collect()
+    }
+}
+
+/// Names that the settings give to numbers: a class, zone, kind or tenant is its place in its list.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Names {
+    /// The classes of message.
+    pub classes: Vec<String>,
+    /// The zones.
+    pub zones: Vec<String>,
+    /// The kinds of destination.
+    pub kinds: Vec<String>,
+    /// The tenants.
+    pub tenants: Vec<String>,
+}
+
+/// The place of a name in its list.
+pub fn place(names: &[String], name: &str) -> Option<usize> {
+    names.iter().position(|n| n == name)
+}
+
+fn class(v: &Node) -> Checked<Class> {
+    let effect = match v.get("effect").text()? {
+        "idempotent" => Effect::Safe,
+        "deduplicated" => Effect::Keyed { by_zone: v.get("group").text()? != "all" },
+        "at_most_once" | "" => Effect::Unsafe,
+        other => return v.get("effect").fault(format!("unknown effect '{other}'")),
+    };
+    let deadline = v.get("deadline").amount(0.0)?;
+    Ok(Class {
+        promise: v.get("promise").amount(deadline)?,
+        deadline,
+        effect,
+        window: v.get("window").amount(0.0)?,
+        in_order: v.get("in_order").flag()?,
+        late_worth: v.get("late_worth").num(0.0)?,
+        worth: v.get("worth").num(1.0)?,
+        aim_stretch: v.get("aim_stretch").num(0.0)?,
+    })
+}
+
+/// Reads the settings object; absent keys get the documented meaning.
+pub fn settings(seed: u64, v: &Node) -> Checked<(Settings, Names)> {
+    v.object()?;
+    let (limits, rules) = (v.get("ceilings"), v.get("guarantees"));
+    let (family, prices) = (v.get("family_info"), v.get("prices"));
+    let names = |key: &str| -> Checked<Vec<String>> {
+        v.get(key).items()?.iter().map(|c| Ok(c.get("name").text()?.to_string())).collect()
+    };
+    let names = Names {
+        classes: names("classes")?,
+        tenants: names("tenants")?,
+        zones: v.get("zones").texts()?,
+        kinds: v.get("kinds").texts()?,
+    };
+    let (apart, batch) = (family.get("kind_apart").items()?, family.get("batch_by_kind").items()?);
+    let kind = |i: usize| -> Checked<Kind> {
+        let apart = apart.get(i).or(apart.last()).map_or(Ok(false), |n| n.flag())?;
+        let batch = batch.get(i).or(batch.last()).map_or(Ok(1.0), |n| n.num(1.0))?;
+        Ok(Kind { apart, batch: batch.max(1.0) as usize })
+    };
+    let advice =
+        if limits.get("retry_after").flag()? { limits.get("max_retry_after").amount(0.0)? } else { 0.0 };
+    let zone = v.get("zone").text()?;
+    let s = Settings {
+        seed,
+        senders: v.get("balancers").num(1.0)?.max(1.0) as usize,
+        round: v.get("round").amount(0.0)?,
+        classes: v.get("classes").items()?.iter().map(class).collect::<Checked<_>>()?,
+        decay: if family.get("decay").text()? == "halves" { Decay::Halves } else { Decay::Line },
+        kinds: (0..names.kinds.len().max(1)).map(kind).collect::<Checked<_>>()?,
+        zone_fees: family.get("route_fee").items()?.iter().map(|f| f.num(0.0)).collect::<Checked<_>>()?,
+        zone: place(&names.zones, zone).unwrap_or(names.zones.len()),
+        cross_zone: prices.get("cross_zone").num(0.0)?,
+        refused_price: family.get("turned_away_price").num(0.0)?,
+        handshake_price: prices.get("handshake").num(0.0)?,
+        keep_idle: limits.get("keepalive").amount(0.0)?,
+        tenant_quota: v
+            .get("tenants")
+            .items()?
+            .iter()
+            .map(|t| t.get("quota_per_s").amount(0.0))
+            .collect::<Checked<_>>()?,
+        over_share_worth: v.get("over_share_worth").num(1.0)?,
+        marks_again: v.get("callers").get("marks_retry").flag()?,
+        slots: family.get("slots").amount(1.0)? as usize,
+        max_held: limits.get("max_open").amount(1e9)? as usize,
+        most_attempts: limits.get("most_tries").amount(1e9)? as u32,
+        can_cancel: limits.get("cancel").flag()?,
+        can_probe: limits.get("probes").flag()?,
+        max_advice: advice,
+        connect_timeout: limits.get("connect_timeout").amount(0.0)?,
+        list_on_request: v.get("discovery").text()? == "on_request",
+        ask_within: rules.get("ask_within").amount(0.0)?,
+        weights: match v.get("weights").text()? {
+            "nominal" => Weights::Rate,
+            "rough" => Weights::RoughRate,
+            _ => Weights::None,
+        },
+        answer_slack: rules.get("answer_slack").amount(0.0)?,
+        drain_grace: rules.get("drain_grace").amount(0.0)?,
+        overload_factor: rules.get("overload_factor").num(1.0)?,
+        overload_for: rules.get("overload_for").amount(0.0)?,
+        cold_from: rules.get("cold_from").num(1.0)?,
+        cold: rules.get("cold").amount(0.0)?,
+        key_quiet: rules.get("key_quiet").amount(0.0)?,
+        ends_confirmed: false,
+    };
+    Ok((s, names))
+}
+
+/// One entry of the registry's list.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Worker {
+    /// Its id, the same at every dispatcher.
+    pub uid: String,
+    /// Where it is reached.
+    pub address: String,
+    /// Its zone, by number.
+    pub zone: usize,
+    /// Its destination's kind, by number.
+    pub kind: usize,
+    /// Its destination.
+    pub dest: DestId,
+    /// Whether it takes calls.
+    pub listing: Listing,
+    /// See [`Weights`].
+    pub weight: f64,
+}
+
+/// News of the registry: its version, and the entries, which may be the whole list.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct WorkerList {
+    /// The version.
+    pub rev: u64,
+    /// These are all that there are.
+    pub whole: bool,
+    /// The entries.
+    pub workers: Vec<Worker>,
+}
+
+/// Reads the registry's list.
+pub fn worker_list(v: &Node, names: &Names) -> Checked<WorkerList> {
+    v.object()?;
+    let worker = |t: &Node| -> Checked<Worker> {
+        let uid = t.get("uid").text()?.to_string();
+        if uid.is_empty() {
+            return t.get("uid").fault("missing");
+        }
+        Ok(Worker {
+            uid,
+            address: t.get("endpoint").text()?.to_string(),
+            zone: place(&names.zones, t.get("az").text()?).unwrap_or(names.zones.len()),
+            kind: place(&names.kinds, t.get("model").text()?).unwrap_or(names.kinds.len()),
+            dest: t.get("pod_group").amount(0.0)? as DestId,
+            listing: match t.get("state").text()? {
+                "in_service" | "" => Listing::Ready,
+                "terminating" => Listing::Draining,
+                "terminated" => Listing::Gone,
+                other => return t.get("state").fault(format!("unknown state '{other}'")),
+            },
+            weight: t.get("capacity_hint").num(1.0)?,
+        })
+    };
+    Ok(WorkerList {
+        rev: v.get("rev").amount(0.0)? as u64,
+        whole: v.get("all").flag()?,
+        workers: v.get("targets").items()?.iter().map(worker).collect::<Checked<_>>()?,
+    })
+}
+
+/// Reads a JSON text.
+pub fn json(name: &str, text: &str) -> Checked<JsonValue> {
+    text.parse().or_else(|e| fault(name, format!("not JSON: {e}")))
+}
+
+/// What the dispatcher may use.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Limits {
+    /// File descriptors.
+    pub sockets: usize,
+    /// Bytes in the folder that lasts.
+    pub disk: u64,
+    /// Memory in bytes.
+    pub memory: u64,
+}
+
+/// All that a dispatcher is told at its start.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Config {
+    /// Its name.
+    pub name: String,
+    /// Where acceptors connect.
+    pub listen: SocketAddr,
+    /// Where the registry is.
+    pub registry: SocketAddr,
+    /// The folder that lasts.
+    pub state: PathBuf,
+    /// What it may use.
+    pub limits: Limits,
+    /// The list as it was last held.
+    pub known: WorkerList,
+    /// The module's settings.
+    pub settings: Settings,
+    /// Their names.
+    pub names: Names,
+}
+
+/// Where a value of the environment comes from; tests pass their own.
+pub type Lookup<'a> = &'a dyn Fn(&str) -> Option<String>;
+
+impl Config {
+    /// Reads the environment and the file that `ROUTER_CONFIG` names. A variable wins over the file's key.
+    pub fn read(env: Lookup) -> Checked<Config> {
+        let text = match env("ROUTER_CONFIG") {
+            None => return fault("ROUTER_CONFIG", "missing"),
+            Some(path) => std::fs::read_to_string(&path)
+                .or_else(|e| fault("ROUTER_CONFIG", format!("cannot read '{path}': {e}")))?,
+        };
+        Config::from_json(&text, env)
+    }
+
+    /// The same from the file's text.
+    pub fn from_json(text: &str, env: Lookup) -> Checked<Config> {
+        let value = json("ROUTER_CONFIG", text)?;
+        let v = Node::root("", &value);
+        v.object().or_else(|_| fault("ROUTER_CONFIG", "an object was expected"))?;
+        let told = |variable: &str, key: &str| -> Checked<(String, String)> {
+            match env(variable).filter(|t| !t.is_empty()) {
+                Some(t) => Ok((variable.to_string(), t)),
+                None => Ok((key.to_string(), v.get(key).text()?.to_string())),
+            }
+        };
+        let address = |variable: &str, key: &str| -> Checked<SocketAddr> {
+            let (key, text) = told(variable, key)?;
+            text.parse().or_else(|_| fault(key, format!("'{text}' is not an address with a port")))
+        };
+        let state = told("ROUTER_STATE", "state")?.1;
+        if state.is_empty() {
+            return fault("ROUTER_STATE", "missing");
+        }
+        let seed_text = v.get("seed").text()?;
+        let seed = u64::from_str_radix(seed_text, 16);
+        let seed = match seed {
+            Ok(s) => s,
+            Err(_) if seed_text.is_empty() => 0,
+            Err(_) => return v.get("seed").fault("hex digits were expected"),
+        };
+        let limits = v.get("limits");
+        let (mut settings, names) = settings(seed, &v.get("settings"))?;
+        settings.ends_confirmed = true;
+        if settings.classes.is_empty() {
+            return v.get("settings").get("classes").fault("at least one class is needed");
+        }
+        let known = v.get("known");
+        Ok(Config {
+            name: told("ROUTER_NAME", "name")?.1,
+            listen: address("ROUTER_LISTEN", "listen")?,
+            registry: address("ROUTER_DISCOVERY", "discovery")?,
+            state: PathBuf::from(state),
+            limits: Limits {
+                sockets: limits.get("sockets").amount(1024.0)? as usize,
+                disk: (limits.get("disk_mb").amount(3.0)? * 1e6) as u64,
+                memory: (limits.get("memory_mb").amount(192.0)? * 1e6) as u64,
+            },
+            known: if known.absent() { WorkerList::default() } else { worker_list(&known, &names)? },
+            settings,
+            names,
+        })
+    }
+}
+
+/// The environment of this process.
+pub fn environment(name: &str) -> Option<String> {
+    std::env::var(name).ok()
+}
+
+/// Options of the form `name=value,name=value`; the last of a name wins.
+pub fn options(text: &str) -> Option<HashMap<&str, &str>> {
+    text.split(',').filter(|p| !p.is_empty()).map(|p| p.split_once('=')).collect()
+}
--- /dev/null
+++ b/src/dispatch/admit.rs
@@ -0,0 +1,168 @@
+//! Admit: a call is written down and numbered before anything is done for it; after a restart it is read back.
+
+use super::{Call, Core, Known, Ticket, Verdict};
+use crate::api::*;
+use crate::config::place;
+use crate::journal::{CallNo, Ending, Identity, Record, Taken};
+use std::collections::BTreeMap;
+
+/// What a call needs in the journal beside its first record.
+const MARGIN: u64 = 192;
+/// How long an identity is remembered after its call's time is up.
+const MEMORY: Ms = 15_000.0;
+/// Identities remembered at most, beside those of calls that are held.
+const KNOWN_MOST: usize = 4_096;
+
+impl Core {
+    /// Writes the call down and gives it to the module; false if there is no room for it.
+    pub(super) fn admit(&mut self, class: usize, taken: Taken, again: bool, ticket: Ticket) -> bool {
+        let record = Record::Taken(taken);
+        let size = record.size() + MARGIN;
+        if self.calls.len() >= self.settings.max_held || !self.journal.has_room(self.live_bytes + size) {
+            return false;
+        }
+        self.compact_if_full();
+        if let Err(e) = self.journal.append(&record) {
+            log::error!("the journal takes nothing more: {e}");
+            return false;
+        }
+        let Record::Taken(taken) = record else { return false };
+        let no = taken.no;
+        self.next_no = no + 1;
+        self.live_bytes += size;
+        self.counters.taken += 1;
+        self.events.push(Event::Arrived(self.message(class, &taken, again)));
+        let known = Known { no, verdict: Verdict::Taken, ending: None, until: taken.valid_until + MEMORY };
+        self.remember(taken.identity.clone(), known);
+        self.calls.insert(no, Call { taken, attempts: 0, ran: None, out: None, ending: None, size });
+        self.asking.push((no, ticket));
+        true
+    }
+
+    fn message(&self, class: usize, t: &Taken, again: bool) -> Message {
+        Message {
+            id: t.no,
+            class,
+            tenant: place(&self.names.tenants, &t.tenant),
+            key: t.key,
+            valid_until: t.valid_until,
+            dest: t.dest,
+            again,
+            work: 0.0,
+        }
+    }
+
+    /// Remembers an identity until its time; it outlives its call, so that a repeat makes no second one.
+    pub(super) fn remember(&mut self, identity: Identity, known: Known) {
+        self.fading.insert((known.until as u64, identity.clone()));
+        self.known.insert(identity, known);
+    }
+
+    /// Forgets identities whose time is up, and the oldest beyond the most.
+    pub(super) fn fade(&mut self, now: Ms) {
+        while let Some((until, identity)) = self.fading.first().cloned() {
+            let held = self.known.get(&identity).is_some_and(|k| self.calls.contains_key(&k.no));
+            let crowded = self.fading.len() > KNOWN_MOST + self.calls.len();
+            if (until as Ms) > now && !crowded {
+                return;
+            }
+            self.fading.pop_first();
+            if held {
+                // Its final answer is not confirmed: it is asked about again later.
+                self.fading.insert(((now + MEMORY) as u64, identity));
+                return;
+            }
+            self.known.remove(&identity);
+        }
+    }
+
+    /// Takes up what an earlier process left. A delegation without an outcome may have run; the module learns so.
+    pub fn restore(&mut self, now: Ms, records: Vec<Record>) {
+        let mut left: BTreeMap<CallNo, (Call, bool)> = BTreeMap::new();
+        for record in records {
+            match record {
+                Record::Taken(taken) => {
+                    self.next_no = self.next_no.max(taken.no + 1);
+                    let size = Record::Taken(taken.clone()).size() + MARGIN;
+                    let call = Call { taken, attempts: 0, ran: None, out: None, ending: None, size };
+                    left.insert(call.taken.no, (call, false));
+                }
+                Record::State { no, attempts, ran, out } => {
+                    if let Some((c, cut)) = left.get_mut(&no) {
+                        *cut = out.is_some();
+                        (c.attempts, c.ran) = (attempts, ran.or(out));
+                    }
+                }
+                Record::Ended { no, ending } => {
+                    if let Some((c, cut)) = left.get_mut(&no) {
+                        (c.ending, *cut) = (Some(ending), false);
+                    }
+                }
+                Record::Over { no, until } => {
+                    if let Some((c, _)) = left.remove(&no) {
+                        let ending = c.ending.unwrap_or(Ending::Delivered);
+                        self.recall(now, c.taken.identity, no, Some(ending), until);
+                    }
+                }
+                Record::Known { identity, ending, until } => {
+                    self.recall(now, identity, 0, Some(ending), until)
+                }
+            }
+        }
+        for (no, (call, cut_off)) in left {
+            let Some(class) = place(&self.names.classes, &call.taken.class) else {
+                log::error!("the class '{}' of a call in the journal is gone", call.taken.class);
+                continue;
+            };
+            let zone = |name: &str| place(&self.names.zones, name).unwrap_or(self.names.zones.len());
+            self.events.push(Event::Resumed(Resumed {
+                message: self.message(class, &call.taken, true),
+                attempts: call.attempts,
+                ran: call.ran.as_ref().map(|s| (s.at, zone(&s.zone))),
+                cut_off,
+                ended: call.ending.is_some(),
+            }));
+            let until = call.taken.valid_until + MEMORY;
+            self.recall(now, call.taken.identity.clone(), no, call.ending, until.max(now + MEMORY));
+            self.live_bytes += call.size;
+            self.counters.resumed += 1;
+            self.calls.insert(no, call);
+            self.tell(no);
+        }
+    }
+
+    fn recall(&mut self, now: Ms, identity: Identity, no: CallNo, ending: Option<Ending>, until: Ms) {
+        if until > now {
+            self.remember(identity, Known { no, verdict: Verdict::Taken, ending, until });
+        }
+    }
+
+    /// A client that comes back for a call that is held wants its answer where it asks now.
+    pub(super) fn move_reply(&mut self, no: CallNo, reply: Vec<u8>) {
+        if let Some(c) = self.calls.get_mut(&no).filter(|c| !c.taken.identity.0.is_empty()) {
+            c.taken.reply = reply;
+        }
+    }
+
+    /// Writes the journal anew with what still matters, once it has grown.
+    pub(super) fn compact_if_full(&mut self) {
+        if !self.journal.is_full() {
+            return;
+        }
+        let mut records = Vec::new();
+        for (no, c) in &self.calls {
+            records.push(Record::Taken(c.taken.clone()));
+            if c.attempts > 0 {
+                records.push(self.state(*no, c));
+            }
+            records.extend(c.ending.map(|ending| Record::Ended { no: *no, ending }));
+        }
+        for (identity, k) in self.known.iter().filter(|(_, k)| !self.calls.contains_key(&k.no)) {
+            let known = |ending| Record::Known { identity: identity.clone(), ending, until: k.until };
+            records.extend(k.ending.map(known));
+        }
+        if let Err(e) = self.journal.compact(records.into_iter()) {
+            log::error!("the journal cannot be compacted: {e}");
+        }
+    }
+}
--- /dev/null
+++ b/src/dispatch/book.rs
@@ -0,0 +1,117 @@
+//! Book: a call ends once; its client is told until it has heard, and only then is the call over.
+
+use super::{Core, Counters, Order, Told, Verdict};
+use crate::api::*;
+use crate::journal::{CallNo, Ending, Record};
+
+/// How long an identity is remembered after its call is over.
+const MEMORY: Ms = 20_000.0;
+
+impl Counters {
+    pub(super) fn note(&mut self, outcome: Outcome) {
+        let count = match outcome {
+            Outcome::Delivered => return,
+            Outcome::Error => &mut self.errors,
+            Outcome::Refused => &mut self.refused,
+            Outcome::Late => &mut self.late,
+            Outcome::NoConnection => &mut self.unconnected,
+            Outcome::Reset => &mut self.resets,
+            Outcome::Cancelled => &mut self.cancelled,
+            Outcome::NotSent => &mut self.unsent,
+        };
+        *count += 1;
+    }
+}
+
+impl Core {
+    pub(super) fn hand_back(&mut self, now: Ms, no: CallNo, retry_in: Ms) {
+        self.finish(now, no, Ending::HandedBack(retry_in));
+    }
+
+    pub(super) fn give_up(&mut self, now: Ms, no: CallNo) {
+        self.finish(now, no, Ending::GivenUp);
+    }
+
+    /// Ends a call: its client, if it still waits for the verdict, hears that; else it is told the end.
+    pub(super) fn finish(&mut self, now: Ms, no: CallNo, ending: Ending) {
+        let Some(c) = self.calls.get_mut(&no).filter(|c| c.ending.is_none()) else { return };
+        c.ending = Some(ending);
+        let identity = c.taken.identity.clone();
+        let platform = identity.0.is_empty();
+        self.note(&Record::Ended { no, ending });
+        let asking = self.asking.iter().any(|a| a.0 == no);
+        if let Some(k) = self.known.get_mut(&identity) {
+            k.ending = Some(ending);
+            k.verdict = match ending {
+                Ending::HandedBack(wait) if asking => Verdict::Busy(wait),
+                Ending::GivenUp if asking => Verdict::Failed("given up".into()),
+                _ => Verdict::Taken,
+            };
+        }
+        match ending {
+            Ending::Delivered => self.counters.delivered += 1,
+            _ if asking => {}
+            Ending::GivenUp => self.counters.given_up += 1,
+            Ending::HandedBack(_) => self.counters.handed_back += 1,
+        }
+        // The platform's client of a delivered call hears of it by itself.
+        if asking || (platform && ending == Ending::Delivered) {
+            self.close_over(now, no);
+        } else {
+            self.tell(no);
+        }
+    }
+
+    /// Orders the final answer of a call to be told, if it has ended.
+    pub(super) fn tell(&mut self, no: CallNo) {
+        let Some(c) = self.calls.get(&no) else { return };
+        let Some(ending) = c.ending else { return };
+        let (identity, reply) = (c.taken.identity.clone(), c.taken.reply.clone());
+        self.orders.push(Order::Tell(Told { no, identity, ending, reply }));
+    }
+
+    /// The client has the final answer.
+    pub fn confirmed(&mut self, now: Ms, no: CallNo) {
+        if self.calls.get(&no).is_some_and(|c| c.ending.is_some()) {
+            self.counters.confirmed += 1;
+            self.close_over(now, no);
+        }
+    }
+
+    /// Nothing more is owed for the call; a later one of its key may go.
+    pub(super) fn close_over(&mut self, now: Ms, no: CallNo) {
+        let Some(c) = self.calls.remove(&no) else { return };
+        self.live_bytes -= c.size;
+        self.events.push(Event::Heard(no));
+        let until = now + MEMORY;
+        if let Some(k) = self.known.get_mut(&c.taken.identity) {
+            let (old, ending) = (k.until as u64, k.ending.or(Some(Ending::GivenUp)));
+            (k.until, k.ending) = (until, ending);
+            self.fading.remove(&(old, c.taken.identity.clone()));
+            self.fading.insert((until as u64, c.taken.identity));
+        }
+        self.note(&Record::Over { no, until });
+    }
+
+    /// Clients that asked in this turn hear what became of their calls.
+    pub(super) fn give_verdicts(&mut self) {
+        for (no, ticket) in std::mem::take(&mut self.asking) {
+            let verdict = match self.calls.contains_key(&no) {
+                true => Verdict::Taken,
+                false => {
+                    self.known.values().find(|k| k.no == no).map_or(Verdict::Taken, |k| k.verdict.clone())
+                }
+            };
+            self.counters.busy += u64::from(matches!(verdict, Verdict::Busy(_)));
+            self.orders.push(Order::Answer { ticket, verdict });
+        }
+    }
+
+    /// Writes a record that a restart could do without, at a price.
+    pub(super) fn note(&mut self, record: &Record) {
+        self.compact_if_full();
+        if let Err(e) = self.journal.append(record) {
+            log::error!("the journal misses a record: {e}");
+        }
+    }
+}
--- /dev/null
+++ b/src/dispatch/mod.rs
@@ -0,0 +1,244 @@
+//! The core of the dispatcher. It knows calls, delegations and workers, and no wire.
+//!
+//! A call passes a chain of stages, one unit each: [`take_in`] checks what a front handed over, [`admit`] writes it
+//! down and numbers it, [`route`] lets the decision module choose, [`send`] starts a delegation, [`relay`] takes its
+//! outcome back and [`book`] ends the call. Fronts and worker connections put events in by methods and carry out the
+//! [`Order`]s that come back from [`Core::turn`].
+
+mod admit;
+mod book;
+mod counters;
+mod relay;
+mod route;
+mod send;
+mod take_in;
+
+use crate::api::*;
+use crate::brain::Brain;
+use crate::config::{Names, Worker};
+use crate::journal::{CallNo, Ending, Identity, Journal, Sent};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+pub use counters::Counters;
+pub use take_in::Submission;
+
+/// By which a front finds again who asked.
+pub type Ticket = u64;
+
+/// What a front tells a client at once.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Verdict {
+    /// Taken on: its end is owed.
+    Taken,
+    /// Not taken; the client may come again after so many milliseconds (0 tells nothing).
+    Busy(Ms),
+    /// Not taken and not wanted again.
+    Failed(String),
+}
+
+/// A delegation to carry out: one attempt to hand a call to a worker.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Delegation {
+    /// The call.
+    pub no: CallNo,
+    /// Which of its delegations, from 0.
+    pub attempt: u32,
+    /// The worker.
+    pub route: RouteId,
+    /// Where the worker is reached.
+    pub address: String,
+    /// What shares waits with this worker.
+    pub dest: DestId,
+    /// The id that the client gave.
+    pub id: String,
+    /// Its idempotency key; may be empty.
+    pub idempotency: String,
+    /// The body.
+    pub body: Vec<u8>,
+    /// How long the dispatcher waits for the answer.
+    pub patience: Ms,
+}
+
+/// The final answer of a call that was taken on, to be told until it is confirmed.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Told {
+    /// The call; confirm with this number.
+    pub no: CallNo,
+    /// Who handed it in, and under which id.
+    pub identity: Identity,
+    /// How it ended.
+    pub ending: Ending,
+    /// What its front had left with it.
+    pub reply: Vec<u8>,
+}
+
+/// Something that the core wants done on a wire.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Order {
+    /// Tell a client that waits.
+    Answer {
+        /// Who.
+        ticket: Ticket,
+        /// What.
+        verdict: Verdict,
+    },
+    /// Start a delegation; its end is told by [`Core::outcome`].
+    Delegate(Delegation),
+    /// Break a delegation off; nothing more is to be told of it.
+    Abandon {
+        /// The call.
+        no: CallNo,
+        /// Which delegation.
+        attempt: u32,
+    },
+    /// What shares this wait is told to wait: delegations that were not written yet must not go out.
+    Hold {
+        /// The destination.
+        dest: DestId,
+        /// The worker, where its waits are its own.
+        route: Option<RouteId>,
+    },
+    /// Check a worker; its end is told by [`Core::probed`].
+    Probe {
+        /// The worker.
+        route: RouteId,
+        /// Where it is reached.
+        address: String,
+    },
+    /// Close idle connections to a worker.
+    CloseIdle {
+        /// Where it is reached.
+        address: String,
+    },
+    /// Tell the final answer, until [`Core::confirmed`].
+    Tell(Told),
+    /// Ask the registry anew.
+    Watch,
+}
+
+/// A delegation that is out.
+#[derive(Debug, Clone)]
+struct Out {
+    attempt: u32,
+    route: RouteId,
+    sent: Ms,
+    until: Ms,
+    /// Its last byte has been written: from then on it may run.
+    written: bool,
+}
+
+/// A call that was taken on.
+#[derive(Debug, Clone)]
+struct Call {
+    taken: crate::journal::Taken,
+    attempts: u32,
+    ran: Option<Sent>,
+    out: Option<Out>,
+    ending: Option<Ending>,
+    /// Bytes that it needs in a compacted journal.
+    size: u64,
+}
+
+/// What is remembered of an identity: the call that it named, or how that call ended.
+#[derive(Debug, Clone)]
+struct Known {
+    no: CallNo,
+    verdict: Verdict,
+    ending: Option<Ending>,
+    until: Ms,
+}
+
+/// What the core is built from.
+pub struct Parts {
+    /// The decision module's settings.
+    pub settings: Settings,
+    /// Their names.
+    pub names: Names,
+    /// The journal.
+    pub journal: Journal,
+}
+
+/// The dispatcher without its wires.
+pub struct Core {
+    brain: Brain,
+    settings: Settings,
+    names: Names,
+    journal: Journal,
+    workers: Vec<Worker>,
+    worker_of: HashMap<String, RouteId>,
+    calls: BTreeMap<CallNo, Call>,
+    known: HashMap<Identity, Known>,
+    /// Identities by when they may be forgotten.
+    fading: BTreeSet<(u64, Identity)>,
+    next_no: CallNo,
+    live_bytes: u64,
+    /// Clients that wait for the verdict of this turn.
+    asking: Vec<(CallNo, Ticket)>,
+    events: Vec<Event>,
+    orders: Vec<Order>,
+    /// When the module wants to be woken.
+    alarms: Vec<(Ms, u64)>,
+    closing: Option<Ms>,
+    /// What was done so far.
+    pub counters: Counters,
+}
+
+impl Core {
+    /// A core that holds nothing yet.
+    pub fn new(parts: Parts) -> Core {
+        Core {
+            brain: Brain::new(parts.settings.clone()),
+            settings: parts.settings,
+            names: parts.names,
+            journal: parts.journal,
+            workers: Vec::new(),
+            worker_of: HashMap::new(),
+            calls: BTreeMap::new(),
+            known: HashMap::new(),
+            fading: BTreeSet::new(),
+            next_no: 1,
+            live_bytes: 0,
+            asking: Vec::new(),
+            events: Vec::new(),
+            orders: Vec::new(),
+            alarms: Vec::new(),
+            closing: None,
+            counters: Counters::default(),
+        }
+    }
+
+    /// The settings that it runs under.
+    pub fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
+    /// Their names.
+    pub fn names(&self) -> &Names {
+        &self.names
+    }
+
+    /// Calls whose end is still open or not yet confirmed.
+    pub fn holds(&self) -> usize {
+        self.calls.len()
+    }
+
+    /// Delegations that are out.
+    pub fn out(&self) -> usize {
+        self.calls.values().filter(|c| c.out.is_some()).count()
+    }
+
+    /// When [`Core::turn`] has something to do of itself.
+    pub fn next_due(&self) -> Option<Ms> {
+        if !self.events.is_empty() || !self.orders.is_empty() || !self.asking.is_empty() {
+            return Some(0.0);
+        }
+        let outs = self.calls.values().filter_map(|c| c.out.as_ref()).map(|o| o.until);
+        outs.chain(self.alarms.iter().map(|a| a.0)).min_by(f64::total_cmp)
+    }
+
+    /// This process ends at that time: what cannot finish until then is left to the next one.
+    pub fn close(&mut self, at: Ms) {
+        self.closing = Some(at);
+        self.events.push(Event::Closing(at));
+    }
+}
--- /dev/null
+++ b/src/dispatch/relay.rs
@@ -0,0 +1,89 @@
+//! Relay: the outcome of a delegation goes back to the module, and into the journal.
+
+use super::{Core, Order};
+use crate::api::*;
+use crate::journal::{CallNo, Ending, Sent};
+
+impl Core {
+    /// A delegation ended. Exactly one outcome counts for each; later ones are passed over.
+    #[allow(clippy::too_many_arguments)]
+    pub fn outcome(
+        &mut self,
+        now: Ms,
+        no: CallNo,
+        attempt: u32,
+        outcome: Outcome,
+        wait: Ms,
+        report: Report,
+        over: bool,
+    ) {
+        let Some(c) = self.calls.get_mut(&no) else { return };
+        let Some(out) = c.out.take_if(|o| o.attempt == attempt) else { return };
+        self.counters.note(outcome);
+        let delivered = outcome == Outcome::Delivered;
+        let ended = Ended {
+            id: no,
+            attempt,
+            route: out.route,
+            outcome,
+            took: now - out.sent,
+            over: over || delivered,
+            wait,
+            report,
+        };
+        self.events.push(Event::Ended(ended));
+        if !outcome.never_ran() {
+            let sent = Sent { at: out.sent, zone: self.zone(out.route) };
+            self.calls.entry(no).and_modify(|c| {
+                c.ran.get_or_insert(sent);
+            });
+        }
+        if wait > 0.0 {
+            self.hold(out.route);
+        }
+        if delivered {
+            self.finish(now, no, Ending::Delivered);
+        } else if over {
+            self.close_over(now, no);
+        } else if let Some(record) = self.calls.get(&no).map(|c| self.state(no, c)) {
+            // Without this record a restart takes the delegation for one that may have run: safe, if slower.
+            self.note(&record);
+        }
+    }
+
+    /// Guards against a call that was decided before a wait was told and is written after it has begun.
+    fn hold(&mut self, route: RouteId) {
+        let Some(w) = self.workers.get(route as usize) else { return };
+        let apart = self.settings.kind(w.kind).apart;
+        self.orders.push(Order::Hold { dest: w.dest, route: apart.then_some(route) });
+    }
+
+    /// A probe ended.
+    pub fn probed(&mut self, route: RouteId, outcome: Outcome, took: Ms, report: Report) {
+        self.events.push(Event::Probed { route, outcome, took, report });
+    }
+
+    /// The module calls a delegation off: its connection is closed, and it may have run.
+    pub(super) fn cancel(&mut self, now: Ms, no: CallNo, attempt: u32) {
+        self.break_off(now, no, attempt, Outcome::Cancelled);
+    }
+
+    /// Delegations whose time is up.
+    pub(super) fn expire(&mut self, now: Ms) {
+        let up = |(no, c): (&CallNo, &super::Call)| {
+            c.out.as_ref().filter(|o| o.until <= now).map(|o| (*no, o.attempt))
+        };
+        let due: Vec<_> = self.calls.iter().filter_map(up).collect();
+        due.into_iter().for_each(|(no, attempt)| self.break_off(now, no, attempt, Outcome::Late));
+    }
+
+    fn break_off(&mut self, now: Ms, no: CallNo, attempt: u32, outcome: Outcome) {
+        let out = self.calls.get(&no).and_then(|c| c.out.as_ref()).filter(|o| o.attempt == attempt);
+        if let Some(out) = out {
+            // What was not written to the end cannot have run.
+            let outcome = if out.written { outcome } else { Outcome::NoConnection };
+            self.orders.push(Order::Abandon { no, attempt });
+            self.outcome(now, no, attempt, outcome, 0.0, Report::default(), false);
+        }
+    }
+}
--- /dev/null
+++ b/src/dispatch/send.rs
@@ -0,0 +1,56 @@
+//! Send: a delegation is written down before its first byte goes out, and has a time at which it ends.
+
+use super::{Call, Core, Delegation, Order, Out};
+use crate::api::*;
+use crate::journal::{CallNo, Record, Sent};
+
+impl Core {
+    /// Starts a delegation. What cannot be written down is not sent.
+    pub(super) fn send(&mut self, now: Ms, no: CallNo, route: RouteId, cap: Option<Ms>) {
+        let address = self.address(route);
+        let Some(c) = self.calls.get_mut(&no).filter(|c| c.ending.is_none()) else { return };
+        let attempt = c.attempts;
+        let left = c.taken.valid_until - now;
+        let patience = cap.map_or(left, |cap| cap.min(left)).max(0.0);
+        c.attempts += 1;
+        c.out = Some(Out { attempt, route, sent: now, until: now + patience, written: false });
+        let delegation = Delegation {
+            no,
+            attempt,
+            route,
+            address,
+            dest: c.taken.dest,
+            id: c.taken.identity.1.clone(),
+            idempotency: c.taken.idempotency.clone(),
+            body: c.taken.body.clone(),
+            patience,
+        };
+        self.compact_if_full();
+        let record = self.calls.get(&no).map(|c| self.state(no, c));
+        if let Some(Err(e)) = record.map(|r| self.journal.append(&r)) {
+            log::error!("a delegation cannot be written down and is not sent: {e}");
+            return self.outcome(now, no, attempt, Outcome::NotSent, 0.0, Report::default(), false);
+        }
+        self.counters.sent += 1;
+        self.orders.push(Order::Delegate(delegation));
+    }
+
+    /// The last byte of a delegation has been written.
+    pub fn written(&mut self, no: CallNo, attempt: u32) {
+        if let Some(o) = self.calls.get_mut(&no).and_then(|c| c.out.as_mut()) {
+            o.written |= o.attempt == attempt;
+        }
+    }
+
+    /// What the journal must know of a call's delegations.
+    pub(super) fn state(&self, no: CallNo, c: &Call) -> Record {
+        let out = c.out.as_ref().map(|o| Sent { at: o.sent, zone: self.zone(o.route) });
+        Record::State { no, attempts: c.attempts, ran: c.ran.clone(), out }
+    }
+
+    /// The name of a worker's zone.
+    pub(super) fn zone(&self, route: RouteId) -> String {
+        let zone = self.workers.get(route as usize).map(|w| w.zone);
+        zone.and_then(|z| self.names.zones.get(z)).cloned().unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/src/dispatch/take_in.rs
@@ -0,0 +1,114 @@
+//! Take in: checks what a front hands over, and answers at once what needs no decision.
+
+use super::{Core, Order, Ticket, Verdict};
+use crate::api::{Effect, Ms};
+use crate::config::place;
+use crate::journal::{Identity, Taken};
+
+/// The largest body.
+pub const BODY_MOST: usize = 64 * 1024;
+/// The longest id, idempotency key or client name.
+const NAME_MOST: usize = 256;
+/// Advice to a client when there is no room and nothing better is known.
+const NO_ROOM_ADVICE: Ms = 500.0;
+
+/// A call as a front reads it off its wire.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Submission {
+    /// Who hands it in (empty for the platform), and under which id.
+    pub identity: Identity,
+    /// The name of its class.
+    pub class: String,
+    /// The name of its tenant; empty if it has none.
+    pub tenant: String,
+    /// The key of its order; passed over in classes without order.
+    pub key: Option<u64>,
+    /// Its idempotency key.
+    pub idempotency: String,
+    /// Its destination.
+    pub dest: u64,
+    /// How long it may still be delivered; none: the class's deadline.
+    pub left: Option<Ms>,
+    /// It was handed in before.
+    pub again: bool,
+    /// Where its final answer goes; only its front reads this.
+    pub reply: Vec<u8>,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+impl Core {
+    /// Takes a call in. The verdict comes as an [`Order::Answer`] of the next [`Core::turn`].
+    pub fn submit(&mut self, now: Ms, ticket: Ticket, s: Submission) {
+        if let Some(k) = self.known.get(&s.identity) {
+            self.counters.repeated += 1;
+            if self.asking.iter().any(|(no, _)| *no == k.no) {
+                self.asking.push((k.no, ticket));
+                return;
+            }
+            // The platform hears of an end once; a session asks again because it may have missed it.
+            let told = k.ending.filter(|_| !s.identity.0.is_empty());
+            let (no, verdict) = (k.no, k.verdict.clone());
+            self.orders.push(Order::Answer { ticket, verdict });
+            if let Some(ending) = told {
+                self.orders.push(Order::Tell(super::Told {
+                    no,
+                    identity: s.identity,
+                    ending,
+                    reply: s.reply,
+                }));
+            } else {
+                self.move_reply(no, s.reply);
+            }
+            return;
+        }
+        let verdict = match self.check(&s) {
+            Err(why) => {
+                self.counters.malformed += 1;
+                Verdict::Failed(why)
+            }
+            Ok(class) => {
+                let deadline = self.settings.classes[class].deadline;
+                let left = s.left.unwrap_or(deadline).min(deadline);
+                let taken = Taken {
+                    no: self.next_no,
+                    identity: s.identity,
+                    key: s.key.filter(|_| self.settings.classes[class].in_order),
+                    class: s.class,
+                    tenant: s.tenant,
+                    idempotency: s.idempotency,
+                    dest: s.dest,
+                    valid_until: now + left,
+                    reply: s.reply,
+                    body: s.body,
+                };
+                match self.admit(class, taken, s.again, ticket) {
+                    true => return,
+                    false => Verdict::Busy(NO_ROOM_ADVICE.min(self.settings.max_advice)),
+                }
+            }
+        };
+        self.counters.busy += u64::from(matches!(verdict, Verdict::Busy(_)));
+        self.orders.push(Order::Answer { ticket, verdict });
+    }
+
+    /// The class of a call that makes sense.
+    fn check(&self, s: &Submission) -> Result<usize, String> {
+        let class = place(&self.names.classes, &s.class).ok_or("unknown class")?;
+        let keyed = matches!(self.settings.classes[class].effect, Effect::Keyed { .. });
+        let printable = |t: &str| t.bytes().all(|b| b.is_ascii_graphic());
+        if !s.tenant.is_empty() && place(&self.names.tenants, &s.tenant).is_none() {
+            Err("unknown tenant".into())
+        } else if s.identity.1.is_empty() || s.identity.1.len() > NAME_MOST || !printable(&s.identity.1) {
+            Err("bad id".into())
+        } else if s.idempotency.len() > NAME_MOST || !printable(&s.idempotency) {
+            Err("bad idempotency key".into())
+        } else if keyed && s.idempotency.is_empty() {
+            Err("an idempotency key is needed in this class".into())
+        } else if s.body.len() > BODY_MOST {
+            Err("the body is too large".into())
+        } else {
+            Ok(class)
+        }
+    }
+}
--- /dev/null
+++ b/src/journal.rs
@@ -0,0 +1,416 @@
+//! The lasting folder: one file of checksummed records, which a restart replays.
+//!
+//! A record is its length, its checksum and its body. What a process wrote outlasts it, also when it is killed, so
+//! nothing is synced. A torn tail is cut off. When the file has grown, the records that still matter are written to
+//! a second file, which then takes the first one's name; both together stay within the folder's limit.
+
+use crate::api::Ms;
+use std::fs::{File, OpenOptions};
+use std::io::{self, Read, Write};
+use std::path::{Path, PathBuf};
+
+/// Number of a call in the journal; grows with each call taken.
+pub type CallNo = u64;
+
+/// Where and when a delegation was sent.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Sent {
+    /// Wall-clock time.
+    pub at: Ms,
+    /// The worker's zone, by name.
+    pub zone: String,
+}
+
+/// How a call ended.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Ending {
+    /// A worker took it.
+    Delivered,
+    /// Given up, with no promise about its effect.
+    GivenUp,
+    /// Never ran, or may be repeated: the client may come again after so many milliseconds; 0 tells nothing.
+    HandedBack(Ms),
+}
+
+/// What a call is known by: who handed it in, and under which id.
+pub type Identity = (String, String);
+
+/// A call as it was handed in.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Taken {
+    /// Its number.
+    pub no: CallNo,
+    /// Who handed it in and under which id; the platform's clients have no name.
+    pub identity: Identity,
+    /// Class, by name.
+    pub class: String,
+    /// Tenant, by name; may be empty.
+    pub tenant: String,
+    /// The key of its order.
+    pub key: Option<u64>,
+    /// Passed on to workers.
+    pub idempotency: String,
+    /// Its destination.
+    pub dest: u64,
+    /// It may be delivered until then, by the wall clock.
+    pub valid_until: Ms,
+    /// Where its final answer goes; only its front reads this.
+    pub reply: Vec<u8>,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+/// One record.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Record {
+    /// A call was taken on.
+    Taken(Taken),
+    /// The state of its delegations from now on.
+    State {
+        /// The call.
+        no: CallNo,
+        /// How many were started.
+        attempts: u32,
+        /// The first one that may have run.
+        ran: Option<Sent>,
+        /// The one that is out.
+        out: Option<Sent>,
+    },
+    /// Its end was decided; the client may not have heard.
+    Ended {
+        /// The call.
+        no: CallNo,
+        /// How.
+        ending: Ending,
+    },
+    /// Nothing is owed any more; its identity is remembered.
+    Over {
+        /// The call.
+        no: CallNo,
+        /// Until when.
+        until: Ms,
+    },
+    /// A call that is over, for the memory of identities.
+    Known {
+        /// Who and which.
+        identity: Identity,
+        /// How it ended.
+        ending: Ending,
+        /// Until when it is remembered.
+        until: Ms,
+    },
+}
+
+#[derive(Default)]
+struct Out(Vec<u8>);
+
+impl Out {
+    fn u64(&mut self, n: u64) {
+        self.0.extend_from_slice(&n.to_le_bytes());
+    }
+    fn ms(&mut self, t: Ms) {
+        self.u64(t.to_bits());
+    }
+    fn bytes(&mut self, b: &[u8]) {
+        self.u64(b.len() as u64);
+        self.0.extend_from_slice(b);
+    }
+    fn sent(&mut self, s: &Option<Sent>) {
+        self.0.push(u8::from(s.is_some()));
+        if let Some(s) = s {
+            self.ms(s.at);
+            self.bytes(s.zone.as_bytes());
+        }
+    }
+    fn ending(&mut self, e: Ending) {
+        let (code, wait) = match e {
+            Ending::Delivered => (0, 0.0),
+            Ending::GivenUp => (1, 0.0),
+            Ending::HandedBack(wait) => (2, wait),
+        };
+        self.0.push(code);
+        self.ms(wait);
+    }
+    fn identity(&mut self, i: &Identity) {
+        self.bytes(i.0.as_bytes());
+        self.bytes(i.1.as_bytes());
+    }
+}
+
+struct In<'a>(&'a [u8]);
+
+impl<'a> In<'a> {
+    fn take(&mut self, n: usize) -> Option<&'a [u8]> {
+        let (head, rest) = self.0.split_at_checked(n)?;
+        self.0 = rest;
+        Some(head)
+    }
+    fn u8(&mut self) -> Option<u8> {
+        Some(self.take(1)?[0])
+    }
+    fn u64(&mut self) -> Option<u64> {
+        Some(u64::from_le_bytes(self.take(8)?.try_into().ok()?))
+    }
+    fn ms(&mut self) -> Option<Ms> {
+        self.u64().map(f64::from_bits).filter(|t| t.is_finite())
+    }
+    fn bytes(&mut self) -> Option<Vec<u8>> {
+        let n = usize::try_from(self.u64()?).ok()?;
+        Some(self.take(n)?.to_vec())
+    }
+    fn text(&mut self) -> Option<String> {
+        String::from_utf8(self.bytes()?).ok()
+    }
+    fn sent(&mut self) -> Option<Option<Sent>> {
+        Some(if self.u8()? == 0 { None } else { Some(Sent { at: self.ms()?, zone: self.text()? }) })
+    }
+    fn ending(&mut self) -> Option<Ending> {
+        let (code, wait) = (self.u8()?, self.ms()?);
+        Some(match code {
+            0 => Ending::Delivered,
+            1 => Ending::GivenUp,
+            2 => Ending::HandedBack(wait),
+            _ => return None,
+        })
+    }
+    fn identity(&mut self) -> Option<Identity> {
+        Some((self.text()?, self.text()?))
+    }
+}
+
+impl Record {
+    fn encode(&self) -> Vec<u8> {
+        let mut o = Out(vec![0; 8]);
+        match self {
+            Record::Taken(t) => {
+                o.0.push(b'T');
+                o.u64(t.no);
+                o.identity(&t.identity);
+                o.bytes(t.class.as_bytes());
+                o.bytes(t.tenant.as_bytes());
+                o.0.push(u8::from(t.key.is_some()));
+                o.u64(t.key.unwrap_or(0));
+                o.bytes(t.idempotency.as_bytes());
+                o.u64(t.dest);
+                o.ms(t.valid_until);
+                o.bytes(&t.reply);
+                o.bytes(&t.body);
+            }
+            Record::State { no, attempts, ran, out } => {
+                o.0.push(b'S');
+                o.u64(*no);
+                o.u64(u64::from(*attempts));
+                o.sent(ran);
+                o.sent(out);
+            }
+            Record::Ended { no, ending } => {
+                o.0.push(b'E');
+                o.u64(*no);
+                o.ending(*ending);
+            }
+            Record::Over { no, until } => {
+                o.0.push(b'O');
+                o.u64(*no);
+                o.ms(*until);
+            }
+            Record::Known { identity, ending, until } => {
+                o.0.push(b'K');
+                o.identity(identity);
+                o.ending(*ending);
+                o.ms(*until);
+            }
+        }
+        let len = (o.0.len() - 8) as u32;
+        let sum = crc32fast::hash(&o.0[8..]);
+        o.0[..4].copy_from_slice(&len.to_le_bytes());
+        o.0[4..8].copy_from_slice(&sum.to_le_bytes());
+        o.0
+    }
+
+    fn decode(body: &[u8]) -> Option<Record> {
+        let mut i = In(body);
+        let record = match i.u8()? {
+            b'T' => Record::Taken(Taken {
+                no: i.u64()?,
+                identity: i.identity()?,
+                class: i.text()?,
+                tenant: i.text()?,
+                key: match (i.u8()?, i.u64()?) {
+                    (0, _) => None,
+                    (_, k) => Some(k),
+                },
+                idempotency: i.text()?,
+                dest: i.u64()?,
+                valid_until: i.ms()?,
+                reply: i.bytes()?,
+                body: i.bytes()?,
+            }),
+            b'S' => Record::State {
+                no: i.u64()?,
+                attempts: u32::try_from(i.u64()?).ok()?,
+                ran: i.sent()?,
+                out: i.sent()?,
+            },
+            b'E' => Record::Ended { no: i.u64()?, ending: i.ending()? },
+            b'O' => Record::Over { no: i.u64()?, until: i.ms()? },
+            b'K' => Record::Known { identity: i.identity()?, ending: i.ending()?, until: i.ms()? },
+            _ => return None,
+        };
+        i.0.is_empty().then_some(record)
+    }
+
+    /// Bytes that the record takes in the file.
+    pub fn size(&self) -> u64 {
+        self.encode().len() as u64
+    }
+}
+
+/// Share of the limit that live records may fill before nothing more is taken in,
+const LIVE_SHARE: f64 = 0.38;
+/// and that the file may fill before it is compacted. Both copies together stay under the limit.
+const FILE_SHARE: f64 = 0.48;
+
+/// The open journal.
+#[derive(Debug)]
+pub struct Journal {
+    path: PathBuf,
+    file: File,
+    size: u64,
+    limit: u64,
+}
+
+/// Reads whole records; returns them and where the last good one ends.
+fn scan(bytes: &[u8]) -> (Vec<Record>, usize) {
+    let mut records = Vec::new();
+    let mut at = 0;
+    while let Some(head) = bytes.get(at..at + 8) {
+        let number = |b: &[u8]| b.iter().rev().fold(0u32, |n, x| n << 8 | u32::from(*x));
+        let (len, sum) = (number(&head[..4]) as usize, number(&head[4..]));
+        let Some(body) = bytes.get(at + 8..at + 8 + len) else { break };
+        let Some(record) = Some(body).filter(|b| crc32fast::hash(b) == sum).and_then(Record::decode) else {
+            break;
+        };
+        records.push(record);
+        at += 8 + len;
+    }
+    (records, at)
+}
+
+impl Journal {
+    /// Opens the folder's journal and reads what it holds; creates what is missing.
+    pub fn open(folder: &Path, limit: u64) -> io::Result<(Journal, Vec<Record>)> {
+        std::fs::create_dir_all(folder)?;
+        let path = folder.join("journal");
+        // A compaction that was cut short left this; the journal itself is still whole.
+        let _ = std::fs::remove_file(folder.join("journal.new"));
+        let mut file = OpenOptions::new().read(true).append(true).create(true).open(&path)?;
+        let mut bytes = Vec::new();
+        file.read_to_end(&mut bytes)?;
+        let (records, good) = scan(&bytes);
+        if good < bytes.len() {
+            log::warn!("the journal's tail of {} bytes is torn and cut off", bytes.len() - good);
+            file.set_len(good as u64)?;
+        }
+        Ok((Journal { path, file, size: good as u64, limit }, records))
+    }
+
+    /// Writes a record; after a failure the file is as it was before.
+    pub fn append(&mut self, record: &Record) -> io::Result<()> {
+        let bytes = record.encode();
+        if let Err(e) = self.file.write_all(&bytes) {
+            // Half a record would hide all that follow it.
+            self.file.set_len(self.size)?;
+            return Err(e);
+        }
+        self.size += bytes.len() as u64;
+        Ok(())
+    }
+
+    /// Would live records of so many bytes still fit?
+    pub fn has_room(&self, live: u64) -> bool {
+        (live as f64) < self.limit as f64 * LIVE_SHARE
+    }
+
+    /// The file has grown so far that it should be compacted.
+    pub fn is_full(&self) -> bool {
+        self.size as f64 > self.limit as f64 * FILE_SHARE
+    }
+
+    /// Replaces the file by one with these records only.
+    pub fn compact(&mut self, records: impl Iterator<Item = Record>) -> io::Result<()> {
+        let new = self.path.with_extension("new");
+        let write = || -> io::Result<(File, u64)> {
+            let mut bytes = Vec::new();
+            records.for_each(|r| bytes.extend(r.encode()));
+            let _ = std::fs::remove_file(&new);
+            let mut file = OpenOptions::new().append(true).create_new(true).open(&new)?;
+            file.write_all(&bytes)?;
+            std::fs::rename(&new, &self.path)?;
+            Ok((file, bytes.len() as u64))
+        };
+        let done = write();
+        if done.is_err() {
+            let _ = std::fs::remove_file(&new);
+        }
+        (self.file, self.size) = done?;
+        Ok(())
+    }
+
+    /// Bytes in the file.
+    pub fn size(&self) -> u64 {
+        self.size
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn folder(name: &str) -> PathBuf {
+        let dir = std::env::temp_dir().join(format!("lilacbank-journal-{name}-{}", std::process::id()));
+        let _ = std::fs::remove_dir_all(&dir);
+        dir
+    }
+
+    fn taken(no: CallNo) -> Record {
+        let identity = (String::new(), format!("{no:016x}"));
+        Record::Taken(Taken { no, identity, body: vec![0, 255, 10], key: Some(7), ..Taken::default() })
+    }
+
+    /// Guards against one torn record taking all others with it, or those written after the cut.
+    #[test]
+    fn a_torn_tail_is_cut_off_and_writing_goes_on() {
+        let dir = folder("torn");
+        let (mut j, none) = Journal::open(&dir, 1 << 20).unwrap();
+        assert!(none.is_empty());
+        let sent = Some(Sent { at: 5.5, zone: "a".into() });
+        let state = Record::State { no: 1, attempts: 2, ran: sent, out: None };
+        let ended = Record::Ended { no: 1, ending: Ending::HandedBack(250.0) };
+        for r in [&taken(1), &state, &ended, &taken(2)] {
+            j.append(r).unwrap();
+        }
+        let whole = std::fs::read(dir.join("journal")).unwrap();
+        std::fs::write(dir.join("journal"), &whole[..whole.len() - 3]).unwrap();
+        let (mut j, back) = Journal::open(&dir, 1 << 20).unwrap();
+        assert_eq!(back, [taken(1), state, ended]);
+        j.append(&taken(3)).unwrap();
+        assert_eq!(Journal::open(&dir, 1 << 20).unwrap().1.last(), Some(&taken(3)));
+        std::fs::remove_dir_all(dir).unwrap();
+    }
+
+    #[test]
+    fn compaction_keeps_what_it_is_given_and_appends_after_it() {
+        let dir = folder("compact");
+        let (mut j, _) = Journal::open(&dir, 2_000).unwrap();
+        while !j.is_full() {
+            j.append(&taken(1)).unwrap();
+        }
+        let live = taken(9);
+        assert!(j.size() + live.size() < 2_000 && j.has_room(live.size()));
+        j.compact([live.clone()].into_iter()).unwrap();
+        assert_eq!(j.size(), live.size());
+        j.append(&taken(10)).unwrap();
+        assert_eq!(Journal::open(&dir, 2_000).unwrap().1, [live, taken(10)]);
+        std::fs::remove_dir_all(dir).unwrap();
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,13 +1,19 @@
-//! Decisions of a sender that delivers messages to many outside destinations.
+//! A dispatcher that delivers messages to many outside destinations.
 //!
-//! [`brain::Brain`] decides; [`api`] is all that it is told and all that it answers; [`wire`] carries both over a
-//! line protocol. The library opens no connection and reads no clock: a host passes events in and carries actions out.
+//! [`brain::Brain`] decides; [`api`] is all that it is told and all that it answers. It opens no connection and reads
+//! no clock. Two hosts pass events in and carry actions out: [`wire`], a line protocol for the simulator, and
+//! [`dispatch`], the core of the real dispatcher, which [`journal`] lets outlast its process and [`net`] puts on
+//! sockets. [`config`] reads what either is told.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
 pub mod api;
 pub mod brain;
+pub mod config;
 pub mod curve;
+pub mod dispatch;
+pub mod journal;
+pub mod net;
 mod state;
 pub mod wire;
 
--- /dev/null
+++ b/src/net/head.rs
@@ -0,0 +1,86 @@
+//! The head of an HTTP answer.
+
+use crate::api::Report;
+
+const HEADERS_MOST: usize = 48;
+/// Bytes of a head at most.
+pub const HEAD_MOST: usize = 16 * 1024;
+
+/// What an answer's head tells.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Head {
+    /// Bytes of the head.
+    pub size: usize,
+    /// The status.
+    pub code: u16,
+    /// Bytes of the body, if told.
+    pub length: Option<usize>,
+    /// The body comes in chunks.
+    pub chunked: bool,
+    /// The connection may carry another request once the body has been read.
+    pub reusable: bool,
+    /// The wait that was told, in milliseconds; 0 if none.
+    pub wait: f64,
+    /// What was told of the worker's limit.
+    pub report: Report,
+    /// All slots of this dispatcher were taken.
+    pub over_slots: bool,
+}
+
+/// Reads a head: `None` until it is whole, an error if it is none.
+pub fn head(bytes: &[u8]) -> Result<Option<Head>, httparse::Error> {
+    let mut headers = [httparse::EMPTY_HEADER; HEADERS_MOST];
+    let mut answer = httparse::Response::new(&mut headers);
+    let size = match answer.parse(bytes)? {
+        httparse::Status::Partial if bytes.len() > HEAD_MOST => return Err(httparse::Error::TooManyHeaders),
+        httparse::Status::Partial => return Ok(None),
+        httparse::Status::Complete(size) => size,
+    };
+    let mut h = Head { size, code: answer.code.unwrap_or(0), ..Head::default() };
+    h.reusable = answer.version == Some(1);
+    for header in answer.headers.iter() {
+        let Ok(value) = std::str::from_utf8(header.value).map(str::trim) else { continue };
+        let is = |name: &str| header.name.eq_ignore_ascii_case(name);
+        if is("content-length") {
+            h.length = value.parse().ok();
+        } else if is("transfer-encoding") {
+            h.chunked = value.to_ascii_lowercase().contains("chunked");
+        } else if is("connection") && value.eq_ignore_ascii_case("close") {
+            h.reusable = false;
+        } else if is("retry-after") {
+            let wait = value.parse().ok().filter(|s: &f64| s.is_finite() && *s > 0.0);
+            h.wait = wait.map_or(0.0, |s| s * 1000.0);
+        } else if is("x-pressure") {
+            h.report = report(value);
+        } else if is("x-over-slots") {
+            h.over_slots = value == "1";
+        }
+    }
+    if h.code == 204 || h.code == 304 {
+        h.length = Some(0);
+    }
+    h.reusable &= h.length.is_some() && !h.chunked;
+    Ok(Some(h))
+}
+
+/// The status of a head that has only begun: its first line is enough to know a delivery.
+pub fn status(bytes: &[u8]) -> Option<u16> {
+    let mut headers = [httparse::EMPTY_HEADER; HEADERS_MOST];
+    let mut answer = httparse::Response::new(&mut headers);
+    let _ = answer.parse(bytes);
+    answer.code.filter(|_| bytes.contains(&b'\n'))
+}
+
+/// Reads `x0=0.4,x1=25`; what cannot be read tells nothing.
+pub fn report(text: &str) -> Report {
+    let mut report = Report::default();
+    for (name, value) in text.split(',').filter_map(|p| p.split_once('=')) {
+        let value = value.trim().parse().ok().filter(|v: &f64| v.is_finite());
+        match name.trim() {
+            "x0" => report.left = value,
+            "x1" => report.limit = value,
+            _ => {}
+        }
+    }
+    report
+}
--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,232 @@
+//! The wires round the core: one thread, one poll loop.
+
+pub mod clock;
+pub mod head;
+pub mod http;
+pub mod notice;
+pub mod registry;
+pub mod resp;
+pub mod stream;
+
+use crate::api::Ms;
+use crate::config::{Config, WorkerList};
+use crate::dispatch::{Core, Order, Parts};
+use crate::journal::Journal;
+use clock::Clock;
+use http::{Finding, Task, Workers};
+use mio::net::{TcpListener, UnixStream};
+use mio::{Events, Interest, Poll, Token};
+use notice::Notices;
+use registry::Watch;
+use resp::Acceptors;
+use signal_hook::consts::{SIGINT, SIGTERM, SIGUSR1};
+use std::io::{self, ErrorKind, Read};
+use std::time::Duration;
+
+/// After SIGTERM: delegations out may end until then,
+const LEAVE_AFTER: Ms = 3_300.0;
+/// and with nothing held it leaves after this; until then clients still come.
+const LINGER: Ms = 700.0;
+/// Descriptors for the listener, the journal, the poll, signals, watch, notices and a margin.
+const SOCKETS_OWN: usize = 40;
+
+/// What a token stands for; its number is in the bits above.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Kind {
+    Listener,
+    Acceptor,
+    Worker,
+    Watch,
+    Notice,
+    Signal,
+}
+
+const KINDS: [Kind; 6] =
+    [Kind::Listener, Kind::Acceptor, Kind::Worker, Kind::Watch, Kind::Notice, Kind::Signal];
+
+fn token(kind: Kind, number: usize) -> Token {
+    Token(number << 3 | kind as usize)
+}
+
+fn untoken(token: Token) -> (Option<Kind>, usize) {
+    (KINDS.get(token.0 & 7).copied(), token.0 >> 3)
+}
+
+/// The whole dispatcher: core, wires and the loop between them.
+pub struct Server {
+    clock: Clock,
+    poll: Poll,
+    core: Core,
+    listener: TcpListener,
+    acceptors: Acceptors,
+    workers: Workers,
+    watch: Watch,
+    notices: Notices,
+    signals: Vec<(i32, UnixStream)>,
+    found: Vec<Finding>,
+    /// When it was told to leave.
+    leaving: Option<Ms>,
+}
+
+impl Server {
+    /// Reads the journal back and begins to listen.
+    pub fn start(config: Config) -> io::Result<Server> {
+        let clock = Clock::start();
+        let now = clock.now();
+        let poll = Poll::new()?;
+        let (journal, records) = Journal::open(&config.state, config.limits.disk)?;
+        let sockets = config.limits.sockets.saturating_sub(SOCKETS_OWN).max(16) / 2;
+        let workers = Workers::new(&config.settings, sockets);
+        let (rev, known) = (config.known.rev, WorkerList { whole: true, ..config.known });
+        let mut core = Core::new(Parts { settings: config.settings, names: config.names, journal });
+        core.list(known, true);
+        core.restore(now, records);
+        let mut listener = TcpListener::bind(config.listen)?;
+        poll.registry().register(&mut listener, token(Kind::Listener, 0), Interest::READABLE)?;
+        let mut signals = Vec::new();
+        for signal in [SIGTERM, SIGINT, SIGUSR1] {
+            let (mut reader, writer) = UnixStream::pair()?;
+            signal_hook::low_level::pipe::register(signal, std::os::fd::OwnedFd::from(writer))?;
+            poll.registry().register(&mut reader, token(Kind::Signal, signals.len()), Interest::READABLE)?;
+            signals.push((signal, reader));
+        }
+        log::info!("{} listens on {} and holds {} calls", config.name, listener.local_addr()?, core.holds());
+        Ok(Server {
+            clock,
+            poll,
+            core,
+            listener,
+            acceptors: Acceptors::new(sockets),
+            workers,
+            watch: Watch::new(config.registry, rev),
+            notices: Notices::new(config.registry),
+            signals,
+            found: Vec::new(),
+            leaving: None,
+        })
+    }
+
+    /// Serves until it is told to leave.
+    pub fn run(mut self) -> io::Result<()> {
+        let mut events = Events::with_capacity(256);
+        loop {
+            let now = self.clock.now();
+            if self.may_leave(now) {
+                log::info!("leaves with {} calls in the journal; {}", self.core.holds(), self.core.counters);
+                return Ok(());
+            }
+            let wait = (self.next_due() - now).clamp(0.0, 1_000.0);
+            // Rounded up: a timer that is looked at too early would be looked at over and over.
+            let wait = Duration::from_micros((wait * 1000.0).ceil() as u64);
+            match self.poll.poll(&mut events, Some(wait)) {
+                Ok(()) => {}
+                Err(e) if e.kind() == ErrorKind::Interrupted => continue,
+                Err(e) => return Err(e),
+            }
+            let now = self.clock.now();
+            for event in &events {
+                self.happened(now, event.token());
+            }
+            self.turn(now);
+        }
+    }
+
+    fn next_due(&self) -> Ms {
+        let own = [Some(self.watch.next_due()), self.notices.next_due(), self.workers.next_due()];
+        let all = own.into_iter().chain([self.core.next_due(), self.leaving.map(|t| t + LINGER)]);
+        let due = all.flatten().fold(f64::MAX, f64::min);
+        if self.found.is_empty() {
+            due
+        } else {
+            0.0
+        }
+    }
+
+    fn happened(&mut self, now: Ms, token: Token) {
+        match untoken(token) {
+            (Some(Kind::Listener), _) => self.accept(now),
+            (Some(Kind::Acceptor), at) => self.acceptors.ready(now, at, &mut self.core),
+            (Some(Kind::Worker), at) => self.workers.ready(now, at, &mut self.found),
+            (Some(Kind::Watch), _) => {
+                let news = self.watch.ready(now, self.core.names());
+                news.into_iter().for_each(|list| self.core.list(list, false));
+            }
+            (Some(Kind::Notice), _) => {
+                self.notices.ready(now).into_iter().for_each(|no| self.core.confirmed(now, no));
+            }
+            (Some(Kind::Signal), at) => self.signal(now, at),
+            (None, _) => {}
+        }
+    }
+
+    fn accept(&mut self, now: Ms) {
+        loop {
+            match self.listener.accept() {
+                Ok((tcp, _)) => self.acceptors.accept(now, tcp, self.poll.registry()),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
+                Err(e) => return log::warn!("a client cannot be accepted: {e}"),
+            }
+        }
+    }
+
+    fn signal(&mut self, now: Ms, at: usize) {
+        let Some((signal, reader)) = self.signals.get_mut(at) else { return };
+        let mut bytes = [0; 64];
+        while reader.read(&mut bytes).is_ok_and(|n| n > 0) {}
+        if *signal == SIGUSR1 {
+            log::info!("holds {} calls, {} out; {}", self.core.holds(), self.core.out(), self.core.counters);
+        } else if self.leaving.is_none() {
+            log::info!("told to leave, with {} calls held", self.core.holds());
+            self.leaving = Some(now);
+            self.core.close(now + LEAVE_AFTER);
+            self.acceptors.drain(now, &mut self.core);
+        }
+    }
+
+    fn may_leave(&self, now: Ms) -> bool {
+        let Some(since) = self.leaving.map(|t| now - t) else { return false };
+        since >= LEAVE_AFTER || (since >= LINGER && self.core.holds() == 0)
+    }
+
+    /// One turn of the loop: timers, findings, the core, and then what it orders.
+    fn turn(&mut self, now: Ms) {
+        self.watch.tick(now, self.poll.registry());
+        self.workers.tick(now, &mut self.found);
+        for finding in std::mem::take(&mut self.found) {
+            match finding {
+                Finding::Written(Task::Delegation(no, attempt)) => self.core.written(no, attempt),
+                Finding::Written(Task::Probe(_)) => {}
+                Finding::Ended {
+                    task: Task::Delegation(no, attempt), outcome, wait, report, over, ..
+                } => {
+                    self.core.outcome(now, no, attempt, outcome, wait, report, over);
+                }
+                Finding::Ended { task: Task::Probe(route), outcome, took, report, .. } => {
+                    self.core.probed(route, outcome, took, report);
+                }
+            }
+        }
+        for order in self.core.turn(now) {
+            self.carry_out(now, order);
+        }
+        self.notices.tick(now, self.poll.registry());
+    }
+
+    fn carry_out(&mut self, now: Ms, order: Order) {
+        let registry = self.poll.registry();
+        match order {
+            Order::Answer { ticket, verdict } => self.acceptors.answer(now, ticket, &verdict, &mut self.core),
+            Order::Delegate(d) => self.workers.delegate(now, &d, registry, &mut self.found),
+            Order::Abandon { no, attempt } => self.workers.abandon(Task::Delegation(no, attempt)),
+            Order::Hold { dest, route } => self.workers.hold(now, dest, route, &mut self.found),
+            Order::Probe { route, address } => {
+                self.workers.probe(now, route, &address, registry, &mut self.found);
+            }
+            Order::CloseIdle { address } => self.workers.close_idle(&address),
+            Order::Tell(told) => self.notices.tell(told),
+            // The watch is always open or being opened: there is nothing to ask anew.
+            Order::Watch => {}
+        }
+    }
+}
--- /dev/null
+++ b/src/net/notice.rs
@@ -0,0 +1,170 @@
+//! Notices to the platform: each is sent again until it is answered 204.
+
+use super::head::{head, HEAD_MOST};
+use super::stream::{Fill, Stream};
+use super::{token, Kind};
+use crate::api::Ms;
+use crate::dispatch::Told;
+use crate::journal::{CallNo, Ending};
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
+use tinyjson::JsonValue;
+
+/// An answer comes at once; without one for so long the connection is given up.
+const PATIENCE: Ms = 1_000.0;
+const AGAIN_FIRST: Ms = 50.0;
+const AGAIN_MOST: Ms = 1_000.0;
+const BATCH_MOST: usize = 64;
+
+/// Notices that are owed, and the connection that carries them.
+#[derive(Debug)]
+pub struct Notices {
+    address: SocketAddr,
+    owed: VecDeque<Told>,
+    /// Those in the request that is out.
+    out: usize,
+    stream: Option<Stream>,
+    since: Ms,
+    open_at: Ms,
+    again: Ms,
+    /// One at a time, after a request that could not be read.
+    single: bool,
+}
+
+fn line(told: &Told) -> String {
+    let mut map = HashMap::from([("message".to_string(), JsonValue::from(told.identity.1.clone()))]);
+    let outcome = match told.ending {
+        Ending::HandedBack(wait) => {
+            if wait >= 1.0 {
+                map.insert("retry_in_ms".into(), wait.ceil().into());
+            }
+            "handed_back"
+        }
+        Ending::GivenUp | Ending::Delivered => "given_up",
+    };
+    map.insert("outcome".into(), JsonValue::from(outcome.to_string()));
+    JsonValue::from(map).stringify().unwrap_or_default() + "\n"
+}
+
+impl Notices {
+    /// Nothing owed yet.
+    pub fn new(address: SocketAddr) -> Notices {
+        Notices {
+            address,
+            owed: VecDeque::new(),
+            out: 0,
+            stream: None,
+            since: 0.0,
+            open_at: 0.0,
+            again: AGAIN_FIRST,
+            single: false,
+        }
+    }
+
+    /// Owes one more.
+    pub fn tell(&mut self, told: Told) {
+        self.owed.push_back(told);
+    }
+
+    /// When [`Notices::tick`] has something to do.
+    pub fn next_due(&self) -> Option<Ms> {
+        if self.out > 0 {
+            Some(self.since + PATIENCE)
+        } else if self.owed.is_empty() {
+            None
+        } else {
+            Some(self.open_at)
+        }
+    }
+
+    /// Sends what is owed, and gives up a request without an answer.
+    pub fn tick(&mut self, now: Ms, registry: &mio::Registry) {
+        if self.next_due().is_none_or(|t| t > now) {
+            return;
+        }
+        if self.out > 0 {
+            return self.lost(now);
+        }
+        if self.stream.is_none() {
+            match Stream::connect(self.address, registry, token(Kind::Notice, 0)) {
+                Ok(stream) => self.stream = Some(stream),
+                Err(_) => return self.lost(now),
+            }
+        }
+        let Some(stream) = &mut self.stream else { return };
+        self.out = self.owed.len().min(if self.single { 1 } else { BATCH_MOST });
+        self.since = now;
+        let body: String = self.owed.iter().take(self.out).map(line).collect();
+        let (host, len) = (self.address, body.len());
+        let head = format!("POST /v1/outcomes HTTP/1.1\r\nHost: {host}\r\nContent-Length: {len}\r\n\r\n");
+        stream.queue(head.as_bytes());
+        stream.queue(body.as_bytes());
+        match stream.is_up() {
+            Ok(false) => {}
+            Ok(true) if stream.flush().is_ok() => {}
+            _ => self.lost(now),
+        }
+    }
+
+    fn lost(&mut self, now: Ms) {
+        (self.stream, self.out) = (None, 0);
+        self.open_at = now + self.again;
+        self.again = (self.again * 2.0).min(AGAIN_MOST);
+    }
+
+    /// Something happened on the connection; returns the calls whose notices were answered.
+    pub fn ready(&mut self, now: Ms) -> Vec<CallNo> {
+        let Some(stream) = &mut self.stream else { return Vec::new() };
+        match stream.is_up() {
+            Ok(true) => {}
+            Ok(false) => return Vec::new(),
+            Err(_) => {
+                self.lost(now);
+                return Vec::new();
+            }
+        }
+        let flushed = stream.flush();
+        let fill = stream.fill(HEAD_MOST);
+        let answer = head(&stream.inbox);
+        if self.out == 0 {
+            // Idle: the other side has closed it, or says what nobody asked for.
+            if fill != Fill::Blocked || !stream.inbox.is_empty() {
+                self.stream = None;
+            }
+            return Vec::new();
+        }
+        match answer {
+            Ok(Some(h)) => {
+                let told: Vec<CallNo> = match h.code {
+                    204 | 200 => self.owed.drain(..self.out).map(|t| t.no).collect(),
+                    code => {
+                        log::error!("notices were answered {code}");
+                        // Guards against one that cannot be read holding up all others.
+                        if self.single {
+                            self.owed.rotate_left(1);
+                        }
+                        Vec::new()
+                    }
+                };
+                self.single = told.is_empty();
+                let whole = h.length.is_some_and(|l| h.size + l == stream.inbox.len());
+                stream.inbox.clear();
+                self.out = 0;
+                if !(h.reusable && whole && fill == Fill::Blocked) {
+                    self.stream = None;
+                }
+                if told.is_empty() {
+                    self.lost(now);
+                } else {
+                    (self.again, self.open_at) = (AGAIN_FIRST, now);
+                }
+                told
+            }
+            Ok(None) if flushed.is_ok() && fill == Fill::Blocked => Vec::new(),
+            _ => {
+                self.lost(now);
+                Vec::new()
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/net/registry.rs
@@ -0,0 +1,183 @@
+//! The watch on the registry: an answer that never ends, one JSON object a line, opened anew when it breaks.
+
+use super::head::{head, HEAD_MOST};
+use super::stream::{Fill, Stream};
+use super::{token, Kind};
+use crate::api::Ms;
+use crate::config::{self, Names, Node, WorkerList};
+use std::net::SocketAddr;
+
+/// The registry says something every two seconds; after so long it is gone.
+const SILENCE: Ms = 6_500.0;
+const AGAIN_FIRST: Ms = 200.0;
+const AGAIN_MOST: Ms = 2_000.0;
+/// Bytes of a line at most.
+const LINE_MOST: usize = 4 << 20;
+
+/// The watch.
+#[derive(Debug)]
+pub struct Watch {
+    address: SocketAddr,
+    stream: Option<Stream>,
+    asked: bool,
+    begun: bool,
+    chunked: bool,
+    /// Bytes left of the chunk that is being read.
+    chunk: usize,
+    line: Vec<u8>,
+    rev: u64,
+    heard: Ms,
+    open_at: Ms,
+    again: Ms,
+}
+
+impl Watch {
+    /// A watch that goes on from a version and is opened at once.
+    pub fn new(address: SocketAddr, rev: u64) -> Watch {
+        Watch {
+            address,
+            stream: None,
+            asked: false,
+            begun: false,
+            chunked: false,
+            chunk: 0,
+            line: Vec::new(),
+            rev,
+            heard: 0.0,
+            open_at: 0.0,
+            again: AGAIN_FIRST,
+        }
+    }
+
+    /// When [`Watch::tick`] has something to do.
+    pub fn next_due(&self) -> Ms {
+        if self.stream.is_some() {
+            self.heard + SILENCE
+        } else {
+            self.open_at
+        }
+    }
+
+    /// Opens the watch, or gives it up where nothing was heard for too long.
+    pub fn tick(&mut self, now: Ms, registry: &mio::Registry) {
+        if self.next_due() > now {
+            return;
+        }
+        if self.stream.is_some() {
+            return self.lost(now, "nothing was heard");
+        }
+        (self.asked, self.begun, self.chunk, self.heard) = (false, false, 0, now);
+        self.line.clear();
+        match Stream::connect(self.address, registry, token(Kind::Watch, 0)) {
+            Ok(stream) => self.stream = Some(stream),
+            Err(e) => self.lost(now, &e.to_string()),
+        }
+    }
+
+    fn lost(&mut self, now: Ms, why: &str) {
+        log::info!("the watch on the registry ended: {why}");
+        self.stream = None;
+        self.open_at = now + self.again;
+        self.again = (self.again * 2.0).min(AGAIN_MOST);
+    }
+
+    /// Something happened on the connection; returns the news.
+    pub fn ready(&mut self, now: Ms, names: &Names) -> Vec<WorkerList> {
+        let mut news = Vec::new();
+        if let Err(why) = self.read(now, names, &mut news) {
+            self.lost(now, &why);
+        }
+        news
+    }
+
+    fn read(&mut self, now: Ms, names: &Names, news: &mut Vec<WorkerList>) -> Result<(), String> {
+        let Some(stream) = &mut self.stream else { return Ok(()) };
+        if !stream.is_up().map_err(|e| e.to_string())? {
+            return Ok(());
+        }
+        if !self.asked {
+            self.asked = true;
+            let (rev, host) = (self.rev, self.address);
+            let get = format!("GET /v1/endpoints?watch=1&after={rev} HTTP/1.1\r\nHost: {host}\r\n\r\n");
+            stream.queue(get.as_bytes());
+        }
+        stream.flush().map_err(|e| e.to_string())?;
+        loop {
+            let Some(stream) = &mut self.stream else { return Ok(()) };
+            let fill = stream.fill(64 * 1024);
+            if !stream.inbox.is_empty() {
+                self.heard = now;
+            }
+            if !self.begun {
+                match head(&stream.inbox).map_err(|e| e.to_string())? {
+                    None if stream.inbox.len() > HEAD_MOST => return Err("the head is too long".into()),
+                    None => {}
+                    Some(h) if h.code != 200 => return Err(format!("answer {}", h.code)),
+                    Some(h) => {
+                        stream.inbox.drain(..h.size);
+                        (self.begun, self.chunked, self.again) = (true, h.chunked, AGAIN_FIRST);
+                    }
+                }
+            }
+            if self.begun {
+                self.unchunk()?;
+                self.lines(names, news)?;
+            }
+            match fill {
+                Fill::Blocked => return Ok(()),
+                Fill::Ended => return Err("the connection ended".into()),
+                Fill::Full => {}
+            }
+        }
+    }
+
+    /// Moves what has come of the body to the line.
+    fn unchunk(&mut self) -> Result<(), String> {
+        let Some(stream) = &mut self.stream else { return Ok(()) };
+        let inbox = &mut stream.inbox;
+        if !self.chunked {
+            self.line.append(inbox);
+            return Ok(());
+        }
+        loop {
+            let n = self.chunk.min(inbox.len());
+            self.line.extend(inbox.drain(..n));
+            self.chunk -= n;
+            if self.chunk > 0 || inbox.is_empty() {
+                return Ok(());
+            }
+            // The line break that closes a chunk stands before the next size.
+            let skip = if inbox.starts_with(b"\r\n") { 2 } else { 0 };
+            match httparse::parse_chunk_size(&inbox[skip..]) {
+                Ok(httparse::Status::Complete((used, size))) => {
+                    inbox.drain(..skip + used);
+                    self.chunk = usize::try_from(size).map_err(|_| "a chunk is too large")?;
+                    if size == 0 {
+                        return Err("the list ended".into());
+                    }
+                }
+                Ok(httparse::Status::Partial) => return Ok(()),
+                Err(_) => return Err("a chunk's size cannot be read".into()),
+            }
+        }
+    }
+
+    fn lines(&mut self, names: &Names, news: &mut Vec<WorkerList>) -> Result<(), String> {
+        while let Some(end) = self.line.iter().position(|b| *b == b'\n') {
+            let line: Vec<u8> = self.line.drain(..=end).collect();
+            let text = std::str::from_utf8(&line).map_err(|e| e.to_string())?.trim();
+            if text.is_empty() {
+                continue;
+            }
+            let value = config::json("registry", text).map_err(|e| e.to_string())?;
+            let list =
+                config::worker_list(&Node::root("registry", &value), names).map_err(|e| e.to_string())?;
+            self.rev = list.rev;
+            news.push(list);
+        }
+        if self.line.len() > LINE_MOST {
+            return Err("a line is too long".into());
+        }
+        Ok(())
+    }
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -4,7 +4,7 @@
 
 use crate::api::*;
 use crate::brain::Brain;
-use serde_json::Value;
+use crate::config::{self, place, Node};
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
 use std::io::{self, BufRead, Write};
@@ -50,12 +50,9 @@
     weight: f64,
 }
 
-/// Names that one instance's settings gave to numbers, and the routes that it met.
+/// The names of one instance's settings, and the routes that it met.
 struct Names {
-    classes: Vec<String>,
-    zones: Vec<String>,
-    kinds: Vec<String>,
-    tenants: Vec<String>,
+    of: config::Names,
     routes: BTreeMap<String, RouteId>,
     addresses: Vec<String>,
 }
@@ -157,121 +154,6 @@
     Parts(line.splitn(most, ' '))
 }
 
-fn num(v: &Value, key: &str, absent: f64) -> Parsed<f64> {
-    match v.get(key) {
-        None | Some(Value::Null) => Ok(absent),
-        Some(Value::Bool(b)) => Ok(f64::from(u8::from(*b))),
-        Some(x) => x.as_f64().ok_or_else(|| format!("setting '{key}' is not a number")),
-    }
-}
-
-fn flag(v: &Value, key: &str) -> Parsed<bool> {
-    Ok(num(v, key, 0.0)? != 0.0)
-}
-
-fn text<'a>(v: &'a Value, key: &str) -> &'a str {
-    v.get(key).and_then(Value::as_str).unwrap_or("")
-}
-
-fn items<'a>(v: &'a Value, key: &str) -> &'a [Value] {
-    v.get(key).and_then(Value::as_array).map_or(&[], |a| a.as_slice())
-}
-
-fn strings(v: &Value, key: &str) -> Vec<String> {
-    items(v, key).iter().map(|s| s.as_str().unwrap_or("").to_string()).collect()
-}
-
-fn class(v: &Value) -> Parsed<Class> {
-    let effect = match text(v, "effect") {
-        "idempotent" => Effect::Safe,
-        "deduplicated" => Effect::Keyed { by_zone: text(v, "group") != "all" },
-        "at_most_once" | "" => Effect::Unsafe,
-        other => return Err(format!("unknown effect '{other}'")),
-    };
-    let deadline = num(v, "deadline", 0.0)?;
-    Ok(Class {
-        promise: num(v, "promise", deadline)?,
-        deadline,
-        effect,
-        window: num(v, "window", 0.0)?,
-        in_order: flag(v, "in_order")?,
-        late_worth: num(v, "late_worth", 0.0)?,
-        worth: num(v, "worth", 1.0)?,
-        aim_stretch: num(v, "aim_stretch", 0.0)?,
-    })
-}
-
-/// Reads the settings object; unknown keys are skipped, absent ones get the documented meaning.
-fn settings(seed: u64, v: &Value) -> Parsed<(Settings, Names)> {
-    if !v.is_object() {
-        return Err("settings are not an object".into());
-    }
-    let none = Value::Null;
-    let part = |key: &str| v.get(key).unwrap_or(&none);
-    let (limits, rules, family, prices) =
-        (part("ceilings"), part("guarantees"), part("family_info"), part("prices"));
-    let zones = strings(v, "zones");
-    let kinds = strings(v, "kinds");
-    let apart = items(family, "kind_apart");
-    let batch = items(family, "batch_by_kind");
-    let kind = |i: usize| Kind {
-        apart: apart.get(i).or(apart.last()).and_then(Value::as_bool).unwrap_or(false),
-        batch: batch.get(i).or(batch.last()).and_then(Value::as_u64).unwrap_or(1).max(1) as usize,
-    };
-    let advice = if flag(limits, "retry_after")? { num(limits, "max_retry_after", 0.0)? } else { 0.0 };
-    let s = Settings {
-        seed,
-        senders: num(v, "balancers", 1.0)?.max(1.0) as usize,
-        round: num(v, "round", 0.0)?,
-        classes: items(v, "classes").iter().map(class).collect::<Parsed<_>>()?,
-        decay: if text(family, "decay") == "halves" { Decay::Halves } else { Decay::Line },
-        kinds: (0..kinds.len().max(1)).map(kind).collect(),
-        zone_fees: items(family, "route_fee").iter().map(|f| f.as_f64().unwrap_or(0.0)).collect(),
-        zone: zones.iter().position(|z| z == text(v, "zone")).unwrap_or(zones.len()),
-        cross_zone: num(prices, "cross_zone", 0.0)?,
-        refused_price: num(family, "turned_away_price", 0.0)?,
-        handshake_price: num(prices, "handshake", 0.0)?,
-        keep_idle: num(limits, "keepalive", 0.0)?,
-        tenant_quota: items(v, "tenants")
-            .iter()
-            .map(|t| num(t, "quota_per_s", 0.0))
-            .collect::<Parsed<_>>()?,
-        over_share_worth: num(v, "over_share_worth", 1.0)?,
-        marks_again: flag(part("callers"), "marks_retry")?,
-        slots: num(family, "slots", 1.0)?.max(0.0) as usize,
-        max_held: num(limits, "max_open", 1e9)? as usize,
-        most_attempts: num(limits, "most_tries", 1e9)? as u32,
-        can_cancel: flag(limits, "cancel")?,
-        can_probe: flag(limits, "probes")?,
-        max_advice: advice,
-        connect_timeout: num(limits, "connect_timeout", 0.0)?,
-        list_on_request: text(v, "discovery") == "on_request",
-        ask_within: num(rules, "ask_within", 0.0)?,
-        weights: match text(v, "weights") {
-            "nominal" => Weights::Rate,
-            "rough" => Weights::RoughRate,
-            _ => Weights::None,
-        },
-        answer_slack: num(rules, "answer_slack", 0.0)?,
-        drain_grace: num(rules, "drain_grace", 0.0)?,
-        overload_factor: num(rules, "overload_factor", 1.0)?,
-        overload_for: num(rules, "overload_for", 0.0)?,
-        cold_from: num(rules, "cold_from", 1.0)?,
-        cold: num(rules, "cold", 0.0)?,
-        key_quiet: num(rules, "key_quiet", 0.0)?,
-    };
-    let named = |key: &str| items(v, key).iter().map(|c| text(c, "name").to_string()).collect();
-    let names = Names {
-        classes: named("classes"),
-        tenants: named("tenants"),
-        zones,
-        kinds,
-        routes: BTreeMap::new(),
-        addresses: Vec::new(),
-    };
-    Ok((s, names))
-}
-
 fn entry(line: &str) -> Parsed<ListRow> {
     let mut p = parts(line, 9);
     if p.next("entry")? != "entry" {
@@ -316,8 +198,10 @@
         let name = p.next("forwarder")?.to_string();
         let seed = p.whole("seed")?;
         let json = p.next("params")?;
-        let value: Value = serde_json::from_str(json).map_err(|e| format!("settings are not JSON: {e}"))?;
-        let (settings, names) = settings(seed, &value)?;
+        let value = config::json("params", json).map_err(|e| e.to_string())?;
+        let (settings, of) =
+            config::settings(seed, &Node::root("params", &value)).map_err(|e| e.to_string())?;
+        let names = Names { of, routes: BTreeMap::new(), addresses: Vec::new() };
         self.forget(&name);
         let fresh = Instance { brain: Brain::new(settings), names, events: Vec::new(), touched: true };
         self.order.push(name.clone());
@@ -344,11 +228,10 @@
             (Some(list), _) => {
                 let mut rows = Vec::with_capacity(list.len());
                 for r in list {
-                    let position = |names: &[String], n: &str| names.iter().position(|x| x == n);
                     rows.push(Row {
                         route: inst.names.route(&r.target),
-                        zone: position(&inst.names.zones, &r.zone).unwrap_or(inst.names.zones.len()),
-                        kind: position(&inst.names.kinds, &r.kind).unwrap_or(inst.names.kinds.len()),
+                        zone: place(&inst.names.of.zones, &r.zone).unwrap_or(inst.names.of.zones.len()),
+                        kind: place(&inst.names.of.kinds, &r.kind).unwrap_or(inst.names.of.kinds.len()),
                         dest: r.dest,
                         listing: r.listing,
                         weight: r.weight,
@@ -377,11 +260,11 @@
         let dest = p.number("called_node")?;
         let bits = p.opt("state_bits")?.map_or(Ok(0), |b| whole(b, "state_bits"))?;
         p.end()?;
-        let class = inst.names.classes.iter().position(|c| c == class);
+        let class = place(&inst.names.of.classes, class);
         inst.events.push(Event::Arrived(Message {
             id,
             class: class.ok_or("unknown type")?,
-            tenant: tenant.and_then(|t| inst.names.tenants.iter().position(|n| n == t)),
+            tenant: tenant.and_then(|t| place(&inst.names.of.tenants, t)),
             key,
             valid_until,
             dest: dest as DestId,
