--- a/src/net/resp.rs
+++ b/src/net/resp.rs
@@ -39,6 +39,9 @@
     draining: bool,
 }
 
+/// The parts of a command, and the bytes that it took.
+type Command = (Vec<Vec<u8>>, usize);
+
 /// A command, or why there is none.
 enum Parse {
     Whole(Vec<Vec<u8>>, usize),
@@ -63,7 +66,7 @@
 }
 
 fn parse(bytes: &[u8]) -> Parse {
-    let inner = || -> Result<Option<(Vec<Vec<u8>>, usize)>, &'static str> {
+    let inner = || -> Result<Option<Command>, &'static str> {
         let Some((count, mut at)) = number(bytes, 0, b'*')? else { return Ok(None) };
         if count == 0 || count > PARTS_MOST {
             return Err("Protocol error: wrong number of parts");
