--- a/src/config.rs
+++ b/src/config.rs
@@ -394,6 +394,66 @@
     }
 }
 
+/// The MQTT front's own file.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Mqtt {
+    /// Where MQTT clients connect; none: the front is off.
+    pub listen: Option<SocketAddr>,
+    /// Connections at once.
+    pub sessions: usize,
+}
+
+/// The file that is read where `LILACBANK_MQTT` names none.
+const MQTT_FILE: &str = "deploy/mqtt.toml";
+const MQTT_SESSIONS: usize = 64;
+
+impl Mqtt {
+    /// Reads the file that `LILACBANK_MQTT` names, or the usual one if it is there.
+    pub fn read(env: Lookup) -> Checked<Mqtt> {
+        let named = env("LILACBANK_MQTT").filter(|p| !p.is_empty());
+        let path = named.as_deref().unwrap_or(MQTT_FILE);
+        match std::fs::read_to_string(path) {
+            Ok(text) => Mqtt::from_toml(&text),
+            Err(e) if named.is_none() && e.kind() == std::io::ErrorKind::NotFound => Ok(Mqtt::default()),
+            Err(e) => fault("LILACBANK_MQTT", format!("cannot read '{path}': {e}")),
+        }
+    }
+
+    /// The same from the file's text. Here the keys are ours, so one that is not known is a mistake.
+    pub fn from_toml(text: &str) -> Checked<Mqtt> {
+        let top: toml::Table =
+            text.parse().or_else(|e: toml::de::Error| fault("LILACBANK_MQTT", e.message()))?;
+        if let Some(key) = top.keys().find(|k| *k != "acceptor") {
+            return fault(key, "unknown key");
+        }
+        let none = toml::Table::new();
+        let part = match top.get("acceptor") {
+            None => &none,
+            Some(v) => v.as_table().map_or_else(|| fault("acceptor", "a table was expected"), Ok)?,
+        };
+        if let Some(key) = part.keys().find(|k| !["enabled", "listen", "sessions"].contains(&k.as_str())) {
+            return fault(format!("acceptor.{key}"), "unknown key");
+        }
+        let enabled = match part.get("enabled") {
+            None => false,
+            Some(v) => {
+                v.as_bool().map_or_else(|| fault("acceptor.enabled", "true or false was expected"), Ok)?
+            }
+        };
+        let sessions = match part.get("sessions").map(|v| v.as_integer()) {
+            None => MQTT_SESSIONS,
+            Some(Some(n)) if (1..=512).contains(&n) => n as usize,
+            Some(_) => return fault("acceptor.sessions", "a number from 1 to 512 was expected"),
+        };
+        let listen = match part.get("listen").map(|v| v.as_str().and_then(|t| t.parse().ok())) {
+            Some(None) => return fault("acceptor.listen", "an address with a port was expected"),
+            None if enabled => return fault("acceptor.listen", "missing"),
+            listen => listen.flatten(),
+        };
+        Ok(Mqtt { listen: listen.filter(|_| enabled), sessions })
+    }
+}
+
 /// The environment of this process.
 pub fn environment(name: &str) -> Option<String> {
     std::env::var(name).ok()
--- a/src/dispatch/book.rs
+++ b/src/dispatch/book.rs
@@ -1,6 +1,6 @@
 //! Book: a call ends once; its client is told until it has heard, and only then is the call over.
 
-use super::{Core, Counters, Order, Told, Verdict};
+use super::{Core, Counters, Order, Told, Verdict, ANSWER_KEPT};
 use crate::api::*;
 use crate::journal::{CallNo, Ending, Record};
 
@@ -67,7 +67,18 @@
         let Some(c) = self.calls.get(&no) else { return };
         let Some(ending) = c.ending else { return };
         let (identity, reply) = (c.taken.identity.clone(), c.taken.reply.clone());
-        self.orders.push(Order::Tell(Told { no, identity, ending, reply }));
+        let until = c.taken.valid_until + ANSWER_KEPT;
+        self.orders.push(Order::Tell(Told { no, identity, ending, reply, until }));
+    }
+
+    /// Guards against answers piling up for sessions that never come back; the platform is told until it hears.
+    pub(super) fn lapse(&mut self, now: Ms) {
+        let lapsed = |c: &super::Call| {
+            let session = !c.taken.identity.0.is_empty();
+            session && c.ending.is_some() && c.taken.valid_until + ANSWER_KEPT <= now
+        };
+        let due: Vec<CallNo> = self.calls.iter().filter(|(_, c)| lapsed(c)).map(|(no, _)| *no).collect();
+        due.into_iter().for_each(|no| self.close_over(now, no));
     }
 
     /// The client has the final answer.
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -22,6 +22,9 @@
 pub use counters::Counters;
 pub use take_in::Submission;
 
+/// How long after its time is up a session's client may still come for a final answer.
+const ANSWER_KEPT: Ms = 60_000.0;
+
 /// By which a front finds again who asked.
 pub type Ticket = u64;
 
@@ -70,6 +73,8 @@
     pub ending: Ending,
     /// What its front had left with it.
     pub reply: Vec<u8>,
+    /// From then on nobody waits for it any more.
+    pub until: Ms,
 }
 
 /// Something that the core wants done on a wire.
--- a/src/dispatch/route.rs
+++ b/src/dispatch/route.rs
@@ -11,6 +11,7 @@
     /// Lets the module decide on all that has come in, and returns what is to be done on the wires.
     pub fn turn(&mut self, now: Ms) -> Vec<Order> {
         self.expire(now);
+        self.lapse(now);
         self.ring(now);
         for _ in 0..STEPS_MOST {
             if self.events.is_empty() {
--- a/src/dispatch/take_in.rs
+++ b/src/dispatch/take_in.rs
@@ -51,12 +51,9 @@
             let (no, verdict) = (k.no, k.verdict.clone());
             self.orders.push(Order::Answer { ticket, verdict });
             if let Some(ending) = told {
-                self.orders.push(Order::Tell(super::Told {
-                    no,
-                    identity: s.identity,
-                    ending,
-                    reply: s.reply,
-                }));
+                let until = now + super::ANSWER_KEPT;
+                let told = super::Told { no, identity: s.identity, ending, reply: s.reply, until };
+                self.orders.push(Order::Tell(told));
             } else {
                 self.move_reply(no, s.reply);
             }
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,20 +1,21 @@
 //! The dispatcher. Without arguments it serves; `lilacbank config` works on configuration.
 #![forbid(unsafe_code)]
 
-use lilacbank::config::{environment, Config};
+use lilacbank::config::{environment, Config, ConfigError, Mqtt};
 use lilacbank::net::Server;
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
-    let config = match Config::read(&environment) {
-        Ok(config) => config,
-        Err(e) => {
+    let read = || Ok((Config::read(&environment)?, Mqtt::read(&environment)?));
+    let (config, mqtt) = match read() {
+        Ok(both) => both,
+        Err::<_, ConfigError>(e) => {
             log::error!("configuration: {e}");
             return ExitCode::from(2);
         }
     };
-    match Server::start(config).and_then(Server::run) {
+    match Server::start(config, mqtt).and_then(Server::run) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             log::error!("{e}");
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -12,7 +12,7 @@
 use std::fmt::Write as _;
 
 /// A probe without an answer has failed after this.
-const PROBE_PATIENCE: Ms = 1_500.0;
+pub(super) const PROBE_PATIENCE: Ms = 1_500.0;
 /// An idle connection is closed so long before the worker's machine would: its clock began earlier.
 const IDLE_MARGIN: Ms = 600.0;
 /// Bytes of an answer's body that are read to keep the connection.
@@ -334,11 +334,11 @@
     }
 }
 
-fn ended(task: Task, outcome: Outcome, took: Ms) -> Finding {
+pub(super) fn ended(task: Task, outcome: Outcome, took: Ms) -> Finding {
     Finding::Ended { task, outcome, took, wait: 0.0, report: Report::default(), over: false }
 }
 
-fn answered(task: Task, h: &Head, took: Ms) -> Finding {
+pub(super) fn answered(task: Task, h: &Head, took: Ms) -> Finding {
     let (outcome, over) = match h.code {
         200 => (Outcome::Delivered, false),
         503 if h.over_slots => (Outcome::NotSent, false),
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -3,19 +3,22 @@
 pub mod clock;
 pub mod head;
 pub mod http;
+pub mod mqtt;
 pub mod notice;
 pub mod registry;
 pub mod resp;
 pub mod stream;
 
 use crate::api::Ms;
-use crate::config::{Config, WorkerList};
+use crate::config::{Config, Mqtt, WorkerList};
 use crate::dispatch::{Core, Order, Parts};
 use crate::journal::Journal;
 use clock::Clock;
 use http::{Finding, Task, Workers};
 use mio::net::{TcpListener, UnixStream};
 use mio::{Events, Interest, Poll, Token};
+use mqtt::acceptor::Sessions;
+use mqtt::broker::{self, Brokers};
 use notice::Notices;
 use registry::Watch;
 use resp::Acceptors;
@@ -39,10 +42,20 @@
     Watch,
     Notice,
     Signal,
+    Session,
+    Broker,
 }
 
-const KINDS: [Kind; 6] =
-    [Kind::Listener, Kind::Acceptor, Kind::Worker, Kind::Watch, Kind::Notice, Kind::Signal];
+const KINDS: [Kind; 8] = [
+    Kind::Listener,
+    Kind::Acceptor,
+    Kind::Worker,
+    Kind::Watch,
+    Kind::Notice,
+    Kind::Signal,
+    Kind::Session,
+    Kind::Broker,
+];
 
 fn token(kind: Kind, number: usize) -> Token {
     Token(number << 3 | kind as usize)
@@ -59,6 +72,9 @@
     core: Core,
     listener: TcpListener,
     acceptors: Acceptors,
+    mqtt_listener: Option<TcpListener>,
+    sessions: Sessions,
+    brokers: Brokers,
     workers: Workers,
     watch: Watch,
     notices: Notices,
@@ -70,19 +86,28 @@
 
 impl Server {
     /// Reads the journal back and begins to listen.
-    pub fn start(config: Config) -> io::Result<Server> {
+    pub fn start(config: Config, mqtt: Mqtt) -> io::Result<Server> {
         let clock = Clock::start();
         let now = clock.now();
         let poll = Poll::new()?;
         let (journal, records) = Journal::open(&config.state, config.limits.disk)?;
-        let sockets = config.limits.sockets.saturating_sub(SOCKETS_OWN).max(16) / 2;
-        let workers = Workers::new(&config.settings, sockets);
+        let own = SOCKETS_OWN + mqtt.listen.map_or(0, |_| mqtt.sessions);
+        // Clients may have half of what is left, HTTP workers and brokers a quarter each.
+        let sockets = config.limits.sockets.saturating_sub(own).max(16);
+        let workers = Workers::new(&config.settings, sockets / 4);
+        let brokers = Brokers::new(&config.settings, sockets / 4, format!("{}-{}", config.name, now as u64));
         let (rev, known) = (config.known.rev, WorkerList { whole: true, ..config.known });
         let mut core = Core::new(Parts { settings: config.settings, names: config.names, journal });
         core.list(known, true);
         core.restore(now, records);
         let mut listener = TcpListener::bind(config.listen)?;
         poll.registry().register(&mut listener, token(Kind::Listener, 0), Interest::READABLE)?;
+        // A number that no connection has tells this listener from the other.
+        let mut mqtt_listener = mqtt.listen.map(TcpListener::bind).transpose()?;
+        if let Some(l) = &mut mqtt_listener {
+            poll.registry().register(l, token(Kind::Listener, 1), Interest::READABLE)?;
+            log::info!("MQTT clients are served on {}", l.local_addr()?);
+        }
         let mut signals = Vec::new();
         for signal in [SIGTERM, SIGINT, SIGUSR1] {
             let (mut reader, writer) = UnixStream::pair()?;
@@ -96,7 +121,10 @@
             poll,
             core,
             listener,
-            acceptors: Acceptors::new(sockets),
+            acceptors: Acceptors::new(sockets / 2),
+            mqtt_listener,
+            sessions: Sessions::new(mqtt.sessions),
+            brokers,
             workers,
             watch: Watch::new(config.registry, rev),
             notices: Notices::new(config.registry),
@@ -112,6 +140,7 @@
         loop {
             let now = self.clock.now();
             if self.may_leave(now) {
+                self.sessions.leave(now);
                 log::info!("leaves with {} calls in the journal; {}", self.core.holds(), self.core.counters);
                 return Ok(());
             }
@@ -132,8 +161,10 @@
     }
 
     fn next_due(&self) -> Ms {
-        let own = [Some(self.watch.next_due()), self.notices.next_due(), self.workers.next_due()];
-        let all = own.into_iter().chain([self.core.next_due(), self.leaving.map(|t| t + LINGER)]);
+        let wires = [self.workers.next_due(), self.brokers.next_due(), self.sessions.next_due()];
+        let own = [Some(self.watch.next_due()), self.notices.next_due()];
+        let all =
+            own.into_iter().chain(wires).chain([self.core.next_due(), self.leaving.map(|t| t + LINGER)]);
         let due = all.flatten().fold(f64::MAX, f64::min);
         if self.found.is_empty() {
             due
@@ -144,9 +175,14 @@
 
     fn happened(&mut self, now: Ms, token: Token) {
         match untoken(token) {
-            (Some(Kind::Listener), _) => self.accept(now),
+            (Some(Kind::Listener), which) => self.accept(now, which),
             (Some(Kind::Acceptor), at) => self.acceptors.ready(now, at, &mut self.core),
             (Some(Kind::Worker), at) => self.workers.ready(now, at, &mut self.found),
+            (Some(Kind::Session), at) => {
+                let heard = self.sessions.ready(now, at, &mut self.core);
+                heard.into_iter().for_each(|no| self.core.confirmed(now, no));
+            }
+            (Some(Kind::Broker), at) => self.brokers.ready(now, at, &mut self.found),
             (Some(Kind::Watch), _) => {
                 let news = self.watch.ready(now, self.core.names());
                 news.into_iter().for_each(|list| self.core.list(list, false));
@@ -159,9 +195,11 @@
         }
     }
 
-    fn accept(&mut self, now: Ms) {
+    fn accept(&mut self, now: Ms, which: usize) {
         loop {
-            match self.listener.accept() {
+            let listener = self.mqtt_listener.as_ref().filter(|_| which == 1).unwrap_or(&self.listener);
+            match listener.accept() {
+                Ok((tcp, _)) if which == 1 => self.sessions.accept(now, tcp, self.poll.registry()),
                 Ok((tcp, _)) => self.acceptors.accept(now, tcp, self.poll.registry()),
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return,
                 Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
@@ -181,6 +219,7 @@
             self.leaving = Some(now);
             self.core.close(now + LEAVE_AFTER);
             self.acceptors.drain(now, &mut self.core);
+            self.sessions.drain();
         }
     }
 
@@ -193,6 +232,8 @@
     fn turn(&mut self, now: Ms) {
         self.watch.tick(now, self.poll.registry());
         self.workers.tick(now, &mut self.found);
+        self.brokers.tick(now, &mut self.found);
+        self.sessions.tick(now);
         for finding in std::mem::take(&mut self.found) {
             match finding {
                 Finding::Written(Task::Delegation(no, attempt)) => self.core.written(no, attempt),
@@ -216,15 +257,34 @@
     fn carry_out(&mut self, now: Ms, order: Order) {
         let registry = self.poll.registry();
         match order {
+            Order::Answer { ticket, verdict } if ticket % 2 == 1 => {
+                self.sessions.answer(now, ticket, &verdict)
+            }
             Order::Answer { ticket, verdict } => self.acceptors.answer(now, ticket, &verdict, &mut self.core),
+            Order::Delegate(d) if d.address.starts_with(broker::SCHEME) => {
+                self.brokers.delegate(now, &d, registry, &mut self.found);
+            }
             Order::Delegate(d) => self.workers.delegate(now, &d, registry, &mut self.found),
-            Order::Abandon { no, attempt } => self.workers.abandon(Task::Delegation(no, attempt)),
-            Order::Hold { dest, route } => self.workers.hold(now, dest, route, &mut self.found),
+            Order::Abandon { no, attempt } => {
+                self.workers.abandon(Task::Delegation(no, attempt));
+                self.brokers.abandon(Task::Delegation(no, attempt));
+            }
+            Order::Hold { dest, route } => {
+                self.workers.hold(now, dest, route, &mut self.found);
+                self.brokers.hold(now, dest, route, &mut self.found);
+            }
+            Order::Probe { route, address } if address.starts_with(broker::SCHEME) => {
+                self.brokers.probe(now, route, &address, registry, &mut self.found);
+            }
             Order::Probe { route, address } => {
                 self.workers.probe(now, route, &address, registry, &mut self.found);
             }
-            Order::CloseIdle { address } => self.workers.close_idle(&address),
-            Order::Tell(told) => self.notices.tell(told),
+            Order::CloseIdle { address } => {
+                self.workers.close_idle(&address);
+                self.brokers.close_idle(&address);
+            }
+            Order::Tell(told) if told.identity.0.is_empty() => self.notices.tell(told),
+            Order::Tell(told) => self.sessions.tell(now, told),
             // The watch is always open or being opened: there is nothing to ask anew.
             Order::Watch => {}
         }
--- /dev/null
+++ b/tests/stand/mod.rs
@@ -0,0 +1,371 @@
+//! Stand-ins for the outside of a dispatcher: workers, the platform's registry, clients. The program itself is real.
+#![allow(dead_code)]
+
+use std::collections::HashMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{channel, Receiver};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+pub const PATIENCE: Duration = Duration::from_secs(15);
+
+/// Waits until it holds; fails the test after a time that no machine needs.
+pub fn until(what: &str, holds: impl Fn() -> bool) {
+    let start = Instant::now();
+    while !holds() {
+        assert!(start.elapsed() < PATIENCE, "never came true: {what}");
+        thread::sleep(Duration::from_millis(5));
+    }
+}
+
+#[derive(Debug, Clone)]
+pub struct Request {
+    pub line: String,
+    pub headers: HashMap<String, String>,
+    pub body: Vec<u8>,
+    pub at: Instant,
+}
+
+impl Request {
+    pub fn header(&self, name: &str) -> &str {
+        self.headers.get(name).map_or("", |v| v)
+    }
+}
+
+/// What a stand-in server does with a request.
+pub enum Reply {
+    /// An answer with this status line and these headers.
+    Answer(&'static str),
+    /// The connection breaks.
+    Break,
+    /// Nothing, until the other side goes.
+    Silence,
+}
+
+fn read_request(reader: &mut BufReader<TcpStream>) -> Option<Request> {
+    let mut lines = Vec::new();
+    loop {
+        let mut line = String::new();
+        if reader.read_line(&mut line).ok()? == 0 {
+            return None;
+        }
+        match line.trim_end() {
+            "" => break,
+            text => lines.push(text.to_string()),
+        }
+    }
+    let pair = |l: &String| l.split_once(": ").map(|(n, v)| (n.to_lowercase(), v.to_string()));
+    let headers: HashMap<_, _> = lines.iter().skip(1).filter_map(pair).collect();
+    let mut body = vec![0; headers.get("content-length").map_or(0, |l| l.parse().unwrap())];
+    reader.read_exact(&mut body).ok()?;
+    Some(Request { line: lines[0].clone(), headers, body, at: Instant::now() })
+}
+
+/// A worker over HTTP that keeps what it was sent.
+#[derive(Clone)]
+pub struct Worker {
+    pub address: SocketAddr,
+    pub calls: Arc<Mutex<Vec<Request>>>,
+}
+
+impl Worker {
+    pub fn start(answer: impl Fn(&Request, usize) -> Reply + Send + Sync + 'static) -> Worker {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let worker = Worker { address: listener.local_addr().unwrap(), calls: Arc::default() };
+        let (calls, answer) = (worker.calls.clone(), Arc::new(answer));
+        thread::spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                let (calls, answer) = (calls.clone(), answer.clone());
+                thread::spawn(move || {
+                    let mut out = stream.try_clone().unwrap();
+                    let mut reader = BufReader::new(stream);
+                    while let Some(request) = read_request(&mut reader) {
+                        let probe = request.line.starts_with("GET");
+                        let mut calls = calls.lock().unwrap();
+                        let nth = calls.len();
+                        let reply = if probe { Reply::Answer("200 OK") } else { answer(&request, nth) };
+                        if !probe {
+                            calls.push(request);
+                        }
+                        drop(calls);
+                        match reply {
+                            Reply::Answer(head) => {
+                                let text = format!("HTTP/1.1 {head}\r\nContent-Length: 2\r\n\r\nok");
+                                let _ = out.write_all(text.as_bytes());
+                            }
+                            Reply::Break => {
+                                let _ = out.shutdown(Shutdown::Both);
+                                return;
+                            }
+                            Reply::Silence => {
+                                let _ = reader.read(&mut [0]);
+                                return;
+                            }
+                        }
+                    }
+                });
+            }
+        });
+        worker
+    }
+
+    pub fn count(&self) -> usize {
+        self.calls.lock().unwrap().len()
+    }
+
+    /// Calls with that id.
+    pub fn of(&self, id: &str) -> usize {
+        self.calls.lock().unwrap().iter().filter(|c| c.header("x-txn") == id).count()
+    }
+}
+
+/// One entry of the registry's list.
+pub fn entry(uid: &str, address: &str, zone: &str, dest: u64, state: &str) -> String {
+    format!(
+        r#"{{"uid":"{uid}","endpoint":"{address}","az":"{zone}","model":"m","pod_group":{dest},"state":"{state}"}}"#
+    )
+}
+
+/// The platform: a watch that brings what is pushed, and a place for notices.
+#[derive(Clone)]
+pub struct Platform {
+    pub address: SocketAddr,
+    lists: Arc<Mutex<Vec<String>>>,
+    pub notices: Arc<Mutex<Vec<String>>>,
+    /// So many notices are not answered 204.
+    pub deaf: Arc<Mutex<usize>>,
+}
+
+impl Platform {
+    pub fn start(entries: &[String]) -> Platform {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let list = format!(r#"{{"rev":1,"all":true,"targets":[{}]}}"#, entries.join(","));
+        let platform = Platform {
+            address: listener.local_addr().unwrap(),
+            lists: Arc::new(Mutex::new(vec![list])),
+            notices: Arc::default(),
+            deaf: Arc::default(),
+        };
+        let served = platform.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                let p = served.clone();
+                thread::spawn(move || p.serve(stream));
+            }
+        });
+        platform
+    }
+
+    fn serve(&self, stream: TcpStream) -> Option<()> {
+        let mut out = stream.try_clone().unwrap();
+        let mut reader = BufReader::new(stream);
+        while let Some(request) = read_request(&mut reader) {
+            if request.line.starts_with("POST") {
+                let mut deaf = self.deaf.lock().unwrap();
+                let text = String::from_utf8(request.body).unwrap();
+                self.notices.lock().unwrap().extend(text.lines().map(String::from));
+                if *deaf > 0 {
+                    *deaf -= 1;
+                    out.write_all(b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n").ok()?;
+                } else {
+                    out.write_all(b"HTTP/1.1 204 Done\r\n\r\n").ok()?;
+                }
+                continue;
+            }
+            out.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").ok()?;
+            let mut next = 0;
+            loop {
+                let news = self.lists.lock().unwrap()[next..].to_vec();
+                next += news.len();
+                let lines = if news.is_empty() { "\n".to_string() } else { news.join("\n") + "\n" };
+                out.write_all(format!("{:x}\r\n{lines}\r\n", lines.len()).as_bytes()).ok()?;
+                thread::sleep(Duration::from_millis(20));
+            }
+        }
+        None
+    }
+
+    /// Tells a change of the list.
+    pub fn push(&self, entry: &str) {
+        let mut lists = self.lists.lock().unwrap();
+        let rev = lists.len() + 1;
+        lists.push(format!(r#"{{"rev":{rev},"all":false,"targets":[{entry}]}}"#));
+    }
+
+    pub fn noticed(&self, id: &str) -> Vec<String> {
+        self.notices.lock().unwrap().iter().filter(|n| n.contains(id)).cloned().collect()
+    }
+}
+
+const SETTINGS: &str = r#"{"balancers":1,"round":1,
+ "ceilings":{"cancel":true,"connect_timeout":1000,"keepalive":10000,"max_open":100,"max_retry_after":2000,
+   "most_tries":8,"probes":true,"retry_after":true},
+ "classes":[
+  {"name":"safe","effect":"idempotent","promise":1000,"deadline":6000,"worth":2},
+  {"name":"order","effect":"deduplicated","group":"zone","in_order":true,"window":20000,"promise":4000,
+   "deadline":20000,"late_worth":0.5,"worth":1},
+  {"name":"pay","effect":"at_most_once","promise":3000,"deadline":20000,"late_worth":0.5,"worth":4}],
+ "family_info":{"kind_apart":[true],"slots":8},
+ "guarantees":{"answer_slack":20,"cold":1000,"cold_from":0.5,"drain_grace":2000,"key_quiet":100,
+   "overload_factor":2,"overload_for":2000},
+ "kinds":["m"],"tenants":[{"name":"acme","quota_per_s":1000}],"zones":["a","b"],"zone":"a"}"#;
+
+/// What a dispatcher is started with; its folder outlasts it.
+pub struct Site {
+    pub dir: PathBuf,
+    pub platform: Platform,
+    pub disk_mb: f64,
+    pub mqtt: bool,
+}
+
+impl Site {
+    pub fn new(entries: &[String]) -> Site {
+        static NEXT: std::sync::atomic::AtomicUsize = std::sync::atomic::AtomicUsize::new(0);
+        let n = NEXT.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+        let dir = std::env::temp_dir().join(format!("lilacbank-test-{}-{n}", std::process::id()));
+        let _ = std::fs::remove_dir_all(&dir);
+        std::fs::create_dir_all(&dir).unwrap();
+        Site { dir, platform: Platform::start(entries), disk_mb: 3.0, mqtt: false }
+    }
+
+    pub fn start(&self) -> Dispatcher {
+        let (config, mqtt) = (self.dir.join("config.json"), self.dir.join("mqtt.toml"));
+        let disk = self.disk_mb;
+        let text = format!(
+            r#"{{"name":"n0","seed":"0a","limits":{{"sockets":256,"disk_mb":{disk}}},"settings":{SETTINGS}}}"#
+        );
+        std::fs::write(&config, text).unwrap();
+        let on = self.mqtt;
+        std::fs::write(&mqtt, format!("[acceptor]\nenabled = {on}\nlisten = \"127.0.0.1:0\"\n")).unwrap();
+        let mut child = Command::new(env!("CARGO_BIN_EXE_lilacbank"))
+            .env("ROUTER_CONFIG", config)
+            .env("ROUTER_LISTEN", "127.0.0.1:0")
+            .env("ROUTER_DISCOVERY", self.platform.address.to_string())
+            .env("ROUTER_STATE", self.dir.join("state"))
+            .env("LILACBANK_MQTT", mqtt)
+            .env("RUST_LOG", "info")
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let (tell, log) = channel();
+        let err = BufReader::new(child.stderr.take().unwrap());
+        thread::spawn(move || err.lines().map_while(Result::ok).all(|line| tell.send(line).is_ok()));
+        let mut d = Dispatcher { child, log, seen: String::new(), address: None, mqtt: None };
+        if on {
+            d.mqtt = d.logged("MQTT clients are served on ").parse().ok();
+        }
+        d.address = d.logged(" listens on ").split(' ').next().unwrap().parse().ok();
+        d
+    }
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.dir);
+    }
+}
+
+/// The program under test.
+pub struct Dispatcher {
+    child: Child,
+    log: Receiver<String>,
+    seen: String,
+    address: Option<SocketAddr>,
+    pub mqtt: Option<SocketAddr>,
+}
+
+impl Dispatcher {
+    /// What follows the mark in the log.
+    pub fn logged(&mut self, mark: &str) -> String {
+        loop {
+            let line = self.log.recv_timeout(PATIENCE);
+            let line = line.unwrap_or_else(|_| panic!("'{mark}' was never logged:\n{}", self.seen));
+            self.seen += &(line.clone() + "\n");
+            if let Some((_, rest)) = line.split_once(mark) {
+                return rest.to_string();
+            }
+        }
+    }
+
+    pub fn client(&self) -> Client {
+        Client::connect(self.address.unwrap())
+    }
+
+    pub fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        assert!(Command::new("kill").args([name, &id]).status().unwrap().success());
+    }
+
+    pub fn kill(mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+    }
+
+    /// Waits for its end; how long that took.
+    pub fn ended(&mut self) -> Duration {
+        let start = Instant::now();
+        let status = self.child.wait().unwrap();
+        assert!(status.success(), "{status}");
+        start.elapsed()
+    }
+
+    pub fn running(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_none()
+    }
+}
+
+impl Drop for Dispatcher {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// A client that speaks RESP2.
+pub struct Client(pub BufReader<TcpStream>);
+
+impl Client {
+    pub fn connect(address: SocketAddr) -> Client {
+        let stream = TcpStream::connect(address).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        Client(BufReader::new(stream))
+    }
+
+    pub fn send(&mut self, bytes: &[u8]) {
+        self.0.get_mut().write_all(bytes).unwrap();
+    }
+
+    /// One line of answer without its end; empty once the connection has ended.
+    pub fn line(&mut self) -> String {
+        let mut line = String::new();
+        let _ = self.0.read_line(&mut line);
+        line.trim_end().to_string()
+    }
+
+    pub fn ask(&mut self, parts: &[&[u8]]) -> String {
+        self.send(&command(parts));
+        self.line()
+    }
+
+    pub fn submit(&mut self, id: &str, options: &str) -> String {
+        self.ask(&[b"SUBMIT", b"0000000000000000", id.as_bytes(), options.as_bytes(), b"body\r\n\0\xff"])
+    }
+
+    pub fn keyed(&mut self, key: &str, id: &str, options: &str) -> String {
+        self.ask(&[b"SUBMIT", key.as_bytes(), id.as_bytes(), options.as_bytes(), b"x"])
+    }
+}
+
+pub fn command(parts: &[&[u8]]) -> Vec<u8> {
+    let mut bytes = format!("*{}\r\n", parts.len()).into_bytes();
+    for p in parts {
+        bytes.extend(format!("${}\r\n", p.len()).into_bytes());
+        bytes.extend(*p);
+        bytes.extend(b"\r\n");
+    }
+    bytes
+}
