Show the MQTT front by tests with stand-in brokers, workers and clients

Sessions are lost at random from a seed on both sides; effects and final answers are counted. A full worker is left alone by RESP2 and MQTT clients together. One assertion was wrong at first: a safe message may be repeated by its watchdog, so only the others are held to one effect.

--- /dev/null
+++ b/tests/mqtt.rs
@@ -0,0 +1,235 @@
+//! The MQTT front of the real program: clients, brokers and the workers behind them are stand-ins.
+
+mod stand;
+#[path = "stand/mqtt.rs"]
+mod stand_mqtt;
+
+use mqtt_protocol_core::mqtt::result_code::PubackReasonCode;
+use stand::*;
+use stand_mqtt::*;
+use std::time::Duration;
+
+const SAFE: &str = "class=safe,dest=1,tenant=acme";
+const PAY: &str = "class=pay,dest=1";
+
+fn behind(brokers: &[&Broker]) -> Site {
+    let list = brokers.iter().enumerate();
+    let list: Vec<String> = list
+        .map(|(n, b)| entry(&format!("w{n}"), &b.worker(&format!("inbox/{n}")), "a", 1, "in_service"))
+        .collect();
+    let mut site = Site::new(&list);
+    site.mqtt = true;
+    site
+}
+
+#[test]
+fn a_message_goes_through_a_broker_and_its_answer_comes_back() {
+    let broker = Broker::start(|_, _| Does::Answers(200, None));
+    let site = behind(&[&broker]);
+    let d = site.start();
+    let mut c = MqttClient::connect(d.mqtt.unwrap(), "bank-1");
+    c.submit("m1", "class=order,dest=1,idempotency-key=5c,key=0a", 10);
+    assert_eq!(c.outcome("m1"), "delivered");
+    let call = broker.calls.lock().unwrap()[0].clone();
+    assert_eq!((call.topic.as_str(), call.get("id"), call.get("idempotency-key")), ("inbox/0", "m1", "5c"));
+    assert_eq!(call.body, b"pay \0 this");
+    let left: u64 = call.get("remaining-ms").parse().unwrap();
+    assert!(left <= 10_000 && call.expiry.is_some_and(|s| u64::from(s) * 1000 >= left), "{left}");
+    settle();
+    assert_eq!(c.outcomes("m1").len(), 1);
+    assert_eq!(*c.acks.lock().unwrap(), [PubackReasonCode::Success]);
+    assert!(site.platform.notices.lock().unwrap().is_empty(), "the platform knows nothing of it");
+}
+
+/// The broker's PUBACK says that the broker has the message, not that the worker took it.
+#[test]
+fn an_acknowledgement_of_the_broker_is_no_delivery() {
+    let broker = Broker::start(|_, _| Does::Silence);
+    let site = behind(&[&broker]);
+    let d = site.start();
+    let mut c = MqttClient::connect(d.mqtt.unwrap(), "bank-1");
+    c.submit("p1", PAY, 1);
+    assert_eq!(c.outcome("p1"), "given_up");
+    assert_eq!(broker.effects_of("p1"), 1);
+}
+
+#[test]
+fn errors_refusals_and_what_cannot_be_read_are_told_apart() {
+    let broker = Broker::start(|m, _| match m.get("id") {
+        "full" => Does::Answers(503, None),
+        "error" => Does::Answers(500, None),
+        _ => Does::Answers(200, None),
+    });
+    let site = behind(&[&broker]);
+    let d = site.start();
+    let mut c = MqttClient::connect(d.mqtt.unwrap(), "bank-1");
+    for bad in ["class=safe", "class=safe,dest=x", "dest=1", "class=safe,dest=1,key=zz"] {
+        c.submit("bad", bad, 5);
+    }
+    until("all are acknowledged", || c.acks.lock().unwrap().len() == 4);
+    assert_eq!(*c.acks.lock().unwrap(), [PubackReasonCode::PayloadFormatInvalid; 4]);
+    c.submit("unknown", "class=none,dest=1", 5);
+    assert_eq!(c.outcome("unknown"), "given_up");
+    c.submit("error", PAY, 5);
+    assert_eq!(c.outcome("error"), "given_up");
+    c.submit("full", SAFE, 1);
+    assert_eq!(c.outcome("full"), "handed_back");
+    c.submit("good", SAFE, 10);
+    assert_eq!(c.outcome("good"), "delivered");
+    assert_eq!((broker.effects_of("error"), broker.effects_of("full")), (1, 0));
+}
+
+/// Guards against a session that reconnects in the middle of a reimbursement and pays it twice.
+#[test]
+fn a_message_submitted_again_joins_the_one_held_or_gets_its_answer_again() {
+    let broker = Broker::start(|m, nth| match nth {
+        0 if m.get("id") == "pay-1" => Does::Silence,
+        _ => Does::Answers(200, None),
+    });
+    let site = behind(&[&broker]);
+    let d = site.start();
+    let mut c = MqttClient::connect(d.mqtt.unwrap(), "bank-1");
+    c.submit("pay-1", PAY, 3);
+    until("it is out", || broker.effects_of("pay-1") == 1);
+    c.reconnect(d.mqtt.unwrap());
+    c.submit("pay-1", PAY, 3);
+    assert_eq!(c.outcome("pay-1"), "given_up");
+    c.submit("pay-1", PAY, 3);
+    until("the answer is told again", || c.outcomes("pay-1").len() == 2);
+    c.submit("pay-2", PAY, 10);
+    assert_eq!(c.outcome("pay-2"), "delivered");
+    let mut other = MqttClient::connect(d.mqtt.unwrap(), "bank-2");
+    other.submit("pay-2", PAY, 10);
+    assert_eq!(other.outcome("pay-2"), "delivered", "another client's message of that id is another message");
+    d.kill();
+    let d = site.start();
+    c.reconnect(d.mqtt.unwrap());
+    c.submit("pay-1", PAY, 3);
+    c.submit("pay-2", PAY, 3);
+    until("both answers are told again after a restart", || {
+        c.outcomes("pay-1").len() == 3 && c.outcomes("pay-2").len() == 2
+    });
+    assert!(c.outcomes("pay-1").iter().all(|o| o == "given_up"));
+    settle();
+    assert_eq!((broker.effects_of("pay-1"), broker.effects_of("pay-2")), (1, 2));
+}
+
+/// What was out when the process died may have run: it is not paid again, and its client hears of it.
+#[test]
+fn a_kill_in_the_middle_of_a_reimbursement_ends_it() {
+    let broker = Broker::start(|_, _| Does::Silence);
+    let site = behind(&[&broker]);
+    let d = site.start();
+    let mut c = MqttClient::connect(d.mqtt.unwrap(), "bank-1");
+    c.submit("p", PAY, 20);
+    until("it is out", || broker.effects_of("p") == 1);
+    d.kill();
+    let d = site.start();
+    c.reconnect(d.mqtt.unwrap());
+    assert_eq!(c.outcome("p"), "given_up");
+    settle();
+    assert_eq!((broker.effects_of("p"), c.outcomes("p").len()), (1, 1));
+}
+
+/// A session that is lost once the PUBLISH is written: the message may have run.
+#[test]
+fn a_lost_session_is_a_reset() {
+    let broker = Broker::start(|_, nth| if nth < 2 { Does::Broken } else { Does::Answers(200, None) });
+    let site = behind(&[&broker]);
+    let d = site.start();
+    let mut c = MqttClient::connect(d.mqtt.unwrap(), "bank-1");
+    c.submit("p", PAY, 10);
+    assert_eq!(c.outcome("p"), "given_up");
+    c.submit("s", SAFE, 10);
+    assert_eq!(c.outcome("s"), "delivered");
+    assert_eq!((broker.effects_of("p"), broker.effects_of("s")), (1, 2));
+}
+
+/// Sessions on both sides are lost at random, from a seed: effects and final answers are counted.
+#[test]
+fn with_sessions_lost_at_random_every_message_has_one_end_and_none_is_paid_twice() {
+    let broker = Broker::start(|m, nth| match (nth * 7919 + m.body.len()) % 11 {
+        0 | 4 => Does::Lost,
+        7 => Does::Broken,
+        _ => Does::Answers(200, None),
+    });
+    let site = behind(&[&broker, &broker]);
+    let mut d = site.start();
+    let mut c = MqttClient::connect(d.mqtt.unwrap(), "bank-1");
+    let mut seed: u64 = 0x5DEE_CE66;
+    let mut random = |n: u64| {
+        seed = seed.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        (seed >> 33) % n
+    };
+    let options = |n: usize| match n % 3 {
+        0 => PAY.to_string(),
+        1 => SAFE.to_string(),
+        _ => format!("class=order,dest=1,idempotency-key=i{n},key={:x}", 1 + n % 4),
+    };
+    const ALL: usize = 60;
+    for n in 0..ALL {
+        c.submit(&format!("m{n}"), &options(n), 20);
+        match random(6) {
+            0 => c.reconnect(d.mqtt.unwrap()),
+            1 if n % 20 == 7 => {
+                d.kill();
+                d = site.start();
+                c.reconnect(d.mqtt.unwrap());
+            }
+            _ => std::thread::sleep(Duration::from_millis(random(15))),
+        }
+        // Whoever has no answer asks again under the same id.
+        let again = random(n as u64 + 1) as usize;
+        c.submit(&format!("m{again}"), &options(again), 20);
+    }
+    c.reconnect(d.mqtt.unwrap());
+    let open: Vec<usize> = (0..ALL).filter(|n| c.outcomes(&format!("m{n}")).is_empty()).collect();
+    for n in open {
+        c.submit(&format!("m{n}"), &options(n), 20);
+    }
+    for n in 0..ALL {
+        c.outcome(&format!("m{n}"));
+    }
+    settle();
+    for n in 0..ALL {
+        let id = format!("m{n}");
+        let (told, effects) = (c.outcomes(&id), broker.effects_of(&id));
+        assert!(told.iter().all(|o| *o == told[0]), "{id} was told {told:?}");
+        assert!(told[0] != "delivered" || effects > 0, "{id} was told delivered");
+        assert!(n % 3 != 0 || effects <= 1, "{id} was paid {effects} times");
+        assert!(told[0] != "handed_back" || n % 3 != 0 || effects == 0, "{id} was handed back after it ran");
+    }
+}
+
+/// Clients of both fronts at one worker that is full: its wait holds for all of them.
+#[test]
+fn a_full_worker_is_left_alone_by_both_fronts() {
+    let broker = Broker::start(|_, nth| match nth {
+        0 => Does::Answers(429, Some("0.8")),
+        _ => Does::Answers(200, None),
+    });
+    let site = behind(&[&broker]);
+    let mut d = site.start();
+    let mut c = MqttClient::connect(d.mqtt.unwrap(), "bank-1");
+    let mut resp = d.client();
+    c.submit("q0", PAY, 10);
+    d.counts("1 refused");
+    for n in 1..6 {
+        c.submit(&format!("q{n}"), SAFE, 10);
+        assert_eq!(resp.submit(&format!("r{n}"), "c=pay,dest=1"), "+OK");
+    }
+    let ids = |front: &str| (1..6).map(|n| format!("{front}{n}")).collect::<Vec<_>>();
+    until("all are done", || ids("r").iter().chain(&ids("q")).all(|id| broker.effects_of(id) > 0));
+    (0..6).for_each(|n| assert_eq!(c.outcome(&format!("q{n}")), "delivered"));
+    settle();
+    let calls = broker.calls.lock().unwrap();
+    let gap = calls[1].at - calls[0].at;
+    assert!(gap >= Duration::from_millis(800), "called again after {gap:?}");
+    // A safe message may be repeated by its watchdog; the others may not.
+    ids("r")
+        .iter()
+        .chain(["q0".to_string()].iter())
+        .for_each(|id| assert_eq!(broker.effects_of(id), 1, "{id}"));
+    assert!((0..6).all(|n| c.outcomes(&format!("q{n}")).len() == 1));
+    assert!(site.platform.notices.lock().unwrap().is_empty());
+}
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -300,6 +300,20 @@
         assert!(Command::new("kill").args([name, &id]).status().unwrap().success());
     }
 
+    /// Asks for the counters until they hold the text.
+    pub fn counts(&mut self, text: &str) {
+        let start = Instant::now();
+        loop {
+            self.signal("-USR1");
+            let counters = self.logged("taken in: ");
+            if counters.contains(text) {
+                return;
+            }
+            assert!(start.elapsed() < PATIENCE, "never '{text}': {counters}");
+            thread::sleep(Duration::from_millis(5));
+        }
+    }
+
     pub fn kill(mut self) {
         self.child.kill().unwrap();
         self.child.wait().unwrap();
--- /dev/null
+++ b/tests/stand/mqtt.rs
@@ -0,0 +1,329 @@
+//! Stand-ins for MQTT: a broker with workers behind it, and a client. Both can lose their sessions at will.
+
+use super::{until, PATIENCE};
+use mqtt_protocol_core::mqtt::common::Cursor;
+use mqtt_protocol_core::mqtt::connection::{Event, Sendable};
+use mqtt_protocol_core::mqtt::packet::v5_0::{Connack, Connect, Puback, Publish, Suback, Subscribe};
+use mqtt_protocol_core::mqtt::packet::{
+    CorrelationData, GenericPacketTrait, MessageExpiryInterval, Packet, Property, Qos, ResponseTopic,
+    SubEntry, SubOpts, UserProperty,
+};
+use mqtt_protocol_core::mqtt::result_code::{ConnectReasonCode, PubackReasonCode, SubackReasonCode};
+use mqtt_protocol_core::mqtt::{role, Connection, Version};
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// A connection that speaks MQTT and blocks.
+pub struct Wire<R: role::RoleType> {
+    tcp: TcpStream,
+    mqtt: Connection<R>,
+    ready: Vec<Packet>,
+}
+
+impl<R: role::RoleType> Wire<R> {
+    pub fn new(tcp: TcpStream) -> Wire<R> {
+        tcp.set_read_timeout(Some(PATIENCE)).unwrap();
+        Wire { tcp, mqtt: Connection::new(Version::V5_0), ready: Vec::new() }
+    }
+
+    fn obey(&mut self, events: Vec<Event>) {
+        for event in events {
+            match event {
+                Event::RequestSendPacket { packet, .. } => {
+                    let _ = self.tcp.write_all(&packet.to_continuous_buffer());
+                }
+                Event::NotifyPacketReceived(p) => self.ready.push(p),
+                Event::NotifyError(e) => panic!("the dispatcher broke the protocol: {e:?}"),
+                _ => {}
+            }
+        }
+    }
+
+    pub fn send<P: Sendable<R, u16>>(&mut self, packet: P) {
+        let events = self.mqtt.checked_send(packet);
+        self.obey(events);
+    }
+
+    /// The next packet; none once the connection has ended.
+    pub fn next(&mut self) -> Option<Packet> {
+        while self.ready.is_empty() {
+            let mut bytes = [0; 4096];
+            let n = self.tcp.read(&mut bytes).ok().filter(|n| *n > 0)?;
+            let mut cursor = Cursor::new(&bytes[..n]);
+            while (cursor.position() as usize) < n {
+                let events = self.mqtt.recv(&mut cursor);
+                self.obey(events);
+            }
+        }
+        Some(self.ready.remove(0))
+    }
+}
+
+#[derive(Debug, Clone)]
+pub struct Message {
+    pub topic: String,
+    pub response: String,
+    pub correlation: Vec<u8>,
+    pub expiry: Option<u32>,
+    pub user: Vec<(String, String)>,
+    pub body: Vec<u8>,
+    pub at: Instant,
+}
+
+impl Message {
+    fn of(p: &Publish) -> Message {
+        let (mut response, mut correlation, mut expiry, mut user) =
+            (String::new(), Vec::new(), None, Vec::new());
+        for prop in p.props() {
+            match prop {
+                Property::ResponseTopic(t) => response = t.val().to_string(),
+                Property::CorrelationData(c) => correlation = c.val().to_vec(),
+                Property::MessageExpiryInterval(s) => expiry = Some(s.val()),
+                Property::UserProperty(u) => user.push((u.key().to_string(), u.val().to_string())),
+                _ => {}
+            }
+        }
+        let body = p.payload().as_slice().to_vec();
+        Message {
+            topic: p.topic_name().into(),
+            response,
+            correlation,
+            expiry,
+            user,
+            body,
+            at: Instant::now(),
+        }
+    }
+
+    pub fn get(&self, name: &str) -> &str {
+        self.user.iter().find(|u| u.0 == name).map_or("", |u| &u.1)
+    }
+}
+
+fn publish(id: u16, topic: &str, m: &Message) -> Publish {
+    let mut props = vec![Property::CorrelationData(CorrelationData::new(&m.correlation).unwrap())];
+    if !m.response.is_empty() {
+        props.push(Property::ResponseTopic(ResponseTopic::new(&m.response).unwrap()));
+    }
+    props.extend(m.expiry.map(|s| Property::MessageExpiryInterval(MessageExpiryInterval::new(s).unwrap())));
+    props.extend(m.user.iter().map(|(k, v)| Property::UserProperty(UserProperty::new(k, v).unwrap())));
+    let p = Publish::builder().topic_name(topic).unwrap().qos(Qos::AtLeastOnce).packet_id(id);
+    p.props(props).payload(&m.body[..]).build().unwrap()
+}
+
+/// What a worker behind the broker does with a call that has reached it.
+pub enum Does {
+    /// It answers with this status and a wait in seconds.
+    Answers(u16, Option<&'static str>),
+    /// It has the call, and nothing more is heard of it.
+    Silence,
+    /// The session breaks before the broker has passed the call on,
+    Lost,
+    /// or after the worker has done it.
+    Broken,
+}
+
+/// A broker whose only other clients are its workers: every PUBLISH reaches one at once.
+#[derive(Clone)]
+pub struct Broker {
+    pub address: SocketAddr,
+    /// What took effect or was turned away, in order.
+    pub calls: Arc<Mutex<Vec<Message>>>,
+    /// Ids that took effect, once for each time.
+    pub effects: Arc<Mutex<Vec<String>>>,
+}
+
+impl Broker {
+    pub fn start(worker: impl Fn(&Message, usize) -> Does + Send + Sync + 'static) -> Broker {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let broker = Broker { address, calls: Arc::default(), effects: Arc::default() };
+        let (served, worker) = (broker.clone(), Arc::new(worker));
+        thread::spawn(move || {
+            for tcp in listener.incoming().map_while(Result::ok) {
+                let (served, worker) = (served.clone(), worker.clone());
+                thread::spawn(move || served.serve(tcp, &*worker));
+            }
+        });
+        broker
+    }
+
+    fn serve(&self, tcp: TcpStream, worker: &dyn Fn(&Message, usize) -> Does) {
+        let end = tcp.try_clone().unwrap();
+        let mut wire = Wire::<role::Server>::new(tcp);
+        let mut filters = Vec::new();
+        while let Some(packet) = wire.next() {
+            match packet {
+                Packet::V5_0Connect(_) => {
+                    let ack =
+                        Connack::builder().session_present(false).reason_code(ConnectReasonCode::Success);
+                    wire.send(ack.build().unwrap());
+                }
+                Packet::V5_0Subscribe(s) => {
+                    filters.extend(s.entries().iter().map(|e| e.topic_filter().to_string()));
+                    let codes = vec![SubackReasonCode::GrantedQos1; s.entries().len()];
+                    wire.send(
+                        Suback::builder().packet_id(s.packet_id()).reason_codes(codes).build().unwrap(),
+                    );
+                }
+                Packet::V5_0Publish(p) => {
+                    let m = Message::of(&p);
+                    let does = {
+                        let mut calls = self.calls.lock().unwrap();
+                        let probe = m.get("probe") == "1";
+                        let does = if probe { Does::Answers(200, None) } else { worker(&m, calls.len()) };
+                        if !probe {
+                            calls.push(m.clone());
+                        }
+                        let ran = matches!(does, Does::Answers(200 | 500, _) | Does::Silence | Does::Broken);
+                        if ran && !probe {
+                            self.effects.lock().unwrap().push(m.get("id").to_string());
+                        }
+                        does
+                    };
+                    if matches!(does, Does::Lost | Does::Broken) {
+                        let _ = end.shutdown(Shutdown::Both);
+                        return;
+                    }
+                    let ack = Puback::builder().packet_id(p.packet_id().unwrap());
+                    wire.send(ack.reason_code(PubackReasonCode::Success).build().unwrap());
+                    if let Does::Answers(status, wait) = does {
+                        assert!(filters.contains(&m.response), "nobody listens on '{}'", m.response);
+                        let mut user = vec![("status".to_string(), status.to_string())];
+                        user.extend(wait.map(|w| ("retry-after".to_string(), w.to_string())));
+                        let topic = m.response.clone();
+                        let answer = Message { response: String::new(), user, expiry: None, ..m };
+                        let id = wire.mqtt.acquire_packet_id().unwrap();
+                        wire.send(publish(id, &topic, &answer));
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+
+    pub fn worker(&self, topic: &str) -> String {
+        format!("mqtt://{}/{topic}", self.address)
+    }
+
+    pub fn effects_of(&self, id: &str) -> usize {
+        self.effects.lock().unwrap().iter().filter(|e| *e == id).count()
+    }
+}
+
+/// An MQTT client of the dispatcher. It keeps the answers it got over its sessions.
+pub struct MqttClient {
+    to: SocketAddr,
+    name: String,
+    wire: Option<TcpStream>,
+    send: Option<Arc<Mutex<Wire<role::Client>>>>,
+    pub answers: Arc<Mutex<Vec<Message>>>,
+    /// Acknowledgements of what was submitted, by reason code.
+    pub acks: Arc<Mutex<Vec<PubackReasonCode>>>,
+}
+
+impl MqttClient {
+    pub fn connect(to: SocketAddr, name: &str) -> MqttClient {
+        let (answers, acks) = Default::default();
+        let mut c = MqttClient { to, name: name.into(), wire: None, send: None, answers, acks };
+        c.reconnect(to);
+        c
+    }
+
+    pub fn kill(&mut self) {
+        if let Some(tcp) = self.wire.take() {
+            let _ = tcp.shutdown(Shutdown::Both);
+        }
+        self.send = None;
+    }
+
+    /// A new session under the same name, subscribed to its answers.
+    pub fn reconnect(&mut self, to: SocketAddr) {
+        self.kill();
+        self.to = to;
+        let tcp = TcpStream::connect(self.to).unwrap();
+        let reader = tcp.try_clone().unwrap();
+        self.wire = Some(tcp.try_clone().unwrap());
+        let mut wire = Wire::<role::Client>::new(tcp);
+        let hello = Connect::builder().client_id(&*self.name).unwrap().clean_start(false).build().unwrap();
+        wire.send(hello);
+        assert!(
+            matches!(wire.next(), Some(Packet::V5_0Connack(p)) if p.reason_code() == ConnectReasonCode::Success)
+        );
+        let id = wire.mqtt.acquire_packet_id().unwrap();
+        let filter = format!("answers/{}/#", self.name);
+        let entry = SubEntry::new(filter, SubOpts::new().set_qos(Qos::AtLeastOnce)).unwrap();
+        wire.send(Subscribe::builder().packet_id(id).entries(vec![entry]).build().unwrap());
+        let wire = Arc::new(Mutex::new(wire));
+        self.send = Some(wire.clone());
+        let (answers, acks) = (self.answers.clone(), self.acks.clone());
+        // Reading must not hold the lock that sending needs: it waits on the socket beside it.
+        reader.set_read_timeout(Some(PATIENCE)).unwrap();
+        thread::spawn(move || {
+            let mut at = reader;
+            loop {
+                let mut bytes = [0; 4096];
+                let Some(n) = at.read(&mut bytes).ok().filter(|n| *n > 0) else { return };
+                let mut w = wire.lock().unwrap();
+                let mut cursor = Cursor::new(&bytes[..n]);
+                while (cursor.position() as usize) < n {
+                    let events = w.mqtt.recv(&mut cursor);
+                    w.obey(events);
+                }
+                for packet in std::mem::take(&mut w.ready) {
+                    match packet {
+                        Packet::V5_0Publish(p) => {
+                            answers.lock().unwrap().push(Message::of(&p));
+                            let ack = Puback::builder().packet_id(p.packet_id().unwrap());
+                            w.send(ack.reason_code(PubackReasonCode::Success).build().unwrap());
+                        }
+                        Packet::V5_0Puback(p) => {
+                            acks.lock().unwrap().push(p.reason_code().unwrap_or(PubackReasonCode::Success));
+                        }
+                        _ => {}
+                    }
+                }
+            }
+        });
+    }
+
+    /// Submits; `user` is `name=value` pairs beside the id.
+    pub fn submit(&mut self, id: &str, user: &str, expiry: u32) {
+        let pairs = user.split(',').filter_map(|p| p.split_once('='));
+        let mut all = vec![("id".to_string(), id.to_string())];
+        all.extend(pairs.map(|(k, v)| (k.to_string(), v.to_string())));
+        let m = Message {
+            topic: String::new(),
+            response: format!("answers/{}/{id}", self.name),
+            correlation: id.as_bytes().to_vec(),
+            expiry: Some(expiry),
+            user: all,
+            body: b"pay \0 this".to_vec(),
+            at: Instant::now(),
+        };
+        let Some(wire) = &self.send else { return };
+        let mut wire = wire.lock().unwrap();
+        let packet = wire.mqtt.acquire_packet_id().unwrap();
+        wire.send(publish(packet, "lilacbank/submit", &m));
+    }
+
+    /// The outcomes told for an id.
+    pub fn outcomes(&self, id: &str) -> Vec<String> {
+        let answers = self.answers.lock().unwrap();
+        let own = answers.iter().filter(|a| a.correlation == id.as_bytes());
+        own.map(|a| a.get("outcome").to_string()).collect()
+    }
+
+    pub fn outcome(&self, id: &str) -> String {
+        until(&format!("an answer for {id}"), || !self.outcomes(id).is_empty());
+        self.outcomes(id)[0].clone()
+    }
+}
+
+/// Waits a little, to see that nothing more comes.
+pub fn settle() {
+    thread::sleep(Duration::from_millis(300));
+}
