--- a/src/config.rs
+++ b/src/config.rs
@@ -298,6 +298,40 @@
     text.parse().or_else(|e| fault(name, format!("not JSON: {e}")))
 }
 
+/// Checks an application's configuration file, more strictly than a start does: values that a platform would not
+/// give are faults here. Says nothing of the environment.
+pub fn check(text: &str) -> Checked<Config> {
+    let config = Config::from_json(text, &|_| None)?;
+    let key = |i: usize, key: &str| format!("settings.classes[{i}].{key}");
+    for (i, c) in config.settings.classes.iter().enumerate() {
+        let name = &config.names.classes[i];
+        if name.is_empty() || place(&config.names.classes, name) != Some(i) {
+            return fault(key(i, "name"), format!("'{name}' is empty or there twice"));
+        } else if c.deadline <= 0.0 {
+            return fault(key(i, "deadline"), "a time was expected");
+        } else if c.promise > c.deadline {
+            return fault(key(i, "promise"), "it is after the deadline");
+        }
+    }
+    if config.settings.slots == 0 {
+        return fault("settings.family_info.slots", "at least one is needed");
+    } else if config.settings.max_held == 0 {
+        return fault("settings.ceilings.max_open", "at least one is needed");
+    } else if config.settings.most_attempts == 0 {
+        return fault("settings.ceilings.most_tries", "at least one is needed");
+    }
+    for (i, w) in config.known.workers.iter().enumerate() {
+        let broker = w.address.strip_prefix("mqtt://").and_then(|a| a.split_once('/')).map(|a| a.0);
+        if broker.unwrap_or(&w.address).parse::<SocketAddr>().is_err() {
+            return fault(
+                format!("known.targets[{i}].endpoint"),
+                format!("'{}' is not an address", w.address),
+            );
+        }
+    }
+    Ok(config)
+}
+
 /// What the dispatcher may use.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Limits {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod journal;
 pub mod net;
 mod state;
+pub mod tool;
 pub mod wire;
 
 pub use api::{Action, Event, Settings};
--- /dev/null
+++ b/src/tool/haproxy.rs
@@ -0,0 +1,345 @@
+//! The importer for HAProxy's configuration format. What has a true counterpart is mapped: backends become
+//! destinations, their servers workers, and timeouts, limits of connections, retries and health checks become
+//! settings. Every other directive is reported with its line; nothing is dropped in silence.
+
+use super::application::{Application, Worker};
+
+/// A directive that was not mapped.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Skipped {
+    /// Its line, from 1.
+    pub line: usize,
+    /// What it is and why.
+    pub why: String,
+}
+
+/// Splits a line into words as HAProxy does: quotes, backslashes and comments count. `Err` for an open quote.
+fn words(line: &str) -> Result<Vec<String>, &'static str> {
+    let mut words = Vec::new();
+    let mut word: Option<String> = None;
+    let mut quote = None;
+    let mut chars = line.chars();
+    while let Some(c) = chars.next() {
+        match (c, quote) {
+            ('\\', None | Some('"')) => {
+                let next = chars.next().unwrap_or('\\');
+                word.get_or_insert_default().push(next);
+            }
+            (c, Some(q)) if c == q => quote = None,
+            (c, Some(_)) => word.get_or_insert_default().push(c),
+            ('"' | '\'', None) => {
+                quote = Some(c);
+                word.get_or_insert_default();
+            }
+            ('#', None) => break,
+            (c, None) if c.is_whitespace() => words.extend(word.take()),
+            (c, None) => word.get_or_insert_default().push(c),
+        }
+    }
+    words.extend(word);
+    if quote.is_some() {
+        return Err("a quote is not closed");
+    }
+    Ok(words)
+}
+
+/// A time in milliseconds; without a unit it is in milliseconds already.
+fn time(text: &str) -> Option<f64> {
+    let split = text.find(|c: char| !c.is_ascii_digit()).unwrap_or(text.len());
+    let (digits, unit) = text.split_at(split);
+    let n: f64 = digits.parse().ok()?;
+    let scale = match unit {
+        "us" => 0.001,
+        "" | "ms" => 1.0,
+        "s" => 1_000.0,
+        "m" => 60_000.0,
+        "h" => 3_600_000.0,
+        "d" => 86_400_000.0,
+        _ => return None,
+    };
+    Some(n * scale)
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Section {
+    None,
+    Global,
+    Defaults,
+    Frontend,
+    Backend,
+    Listen,
+    Other,
+}
+
+/// A setting that is one for the whole dispatcher: the first value holds, another one is reported.
+#[derive(Debug, Default)]
+struct Once(Option<f64>);
+
+impl Once {
+    fn set(&mut self, value: f64) -> Result<(), String> {
+        match self.0 {
+            Some(old) if old != value => {
+                Err(format!("there is one such setting for all, and it is {old} already"))
+            }
+            _ => {
+                self.0 = Some(value);
+                Ok(())
+            }
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+struct Import {
+    connect: Once,
+    server: Once,
+    keepalive: Once,
+    retries: Once,
+    max_open: Once,
+    listen: Option<String>,
+    probes: bool,
+    dest: u32,
+    backends: Vec<String>,
+    workers: Vec<Worker>,
+    slots: u32,
+    /// Limit of servers that have none of their own, in this section and in `defaults`.
+    server_limit: Option<u32>,
+    default_limit: Option<u32>,
+}
+
+/// Reads HAProxy's format.
+pub fn import(text: &str) -> (Application, Vec<Skipped>) {
+    let mut skipped = Vec::new();
+    let mut i = Import::default();
+    let mut section = Section::None;
+    for (n, line) in text.lines().enumerate() {
+        let done = words(line).map_err(String::from).and_then(|words| match words.first() {
+            None => Ok(()),
+            Some(first) => {
+                let opened = i.open(first, &words, &mut section);
+                opened.unwrap_or_else(|| i.directive(section, &words, &mut skipped, n + 1))
+            }
+        });
+        if let Err(why) = done {
+            skipped.push(Skipped { line: n + 1, why: format!("'{}': {why}", line.trim()) });
+        }
+    }
+    (i.finish(), skipped)
+}
+
+const NO_COUNTERPART: &str = "no counterpart";
+
+impl Import {
+    /// The start of a section, if the word is one.
+    fn open(&mut self, first: &str, words: &[String], section: &mut Section) -> Option<Result<(), String>> {
+        *section = match first {
+            "global" => Section::Global,
+            "defaults" => Section::Defaults,
+            "frontend" => Section::Frontend,
+            "backend" => Section::Backend,
+            "listen" => Section::Listen,
+            "peers" | "userlist" | "resolvers" | "mailers" | "cache" | "program" | "ring" | "http-errors"
+            | "log-forward" | "fcgi-app" | "crt-store" | "traces" => Section::Other,
+            _ => return None,
+        };
+        if matches!(section, Section::Backend | Section::Listen) {
+            let Some(name) = words.get(1) else { return Some(Err("a name was expected".into())) };
+            self.dest += 1;
+            self.backends.push(name.clone());
+            self.server_limit = None;
+        }
+        Some(if *section == Section::Other { Err(NO_COUNTERPART.into()) } else { Ok(()) })
+    }
+
+    fn directive(
+        &mut self,
+        section: Section,
+        words: &[String],
+        skipped: &mut Vec<Skipped>,
+        line: usize,
+    ) -> Result<(), String> {
+        use Section::*;
+        let word = |n: usize| words.get(n).map_or("", |w| w.as_str());
+        let proxies = matches!(section, Defaults | Backend | Listen);
+        let span = |n: usize| time(word(n)).ok_or_else(|| format!("'{}' is not a time", word(n)));
+        match (word(0), word(1)) {
+            ("timeout", "connect") if proxies => self.connect.set(span(2)?),
+            ("timeout", "server") if proxies => self.server.set(span(2)?),
+            ("timeout", "http-keep-alive") if proxies => self.keepalive.set(span(2)?),
+            ("retries", n) if proxies => {
+                let n: u32 = n.parse().map_err(|_| "a number was expected")?;
+                self.retries.set(f64::from(n) + 1.0)
+            }
+            ("maxconn", n) if matches!(section, Global | Defaults | Frontend | Listen) => {
+                let n: u32 = n.parse().map_err(|_| "a number was expected")?;
+                self.max_open.set(f64::from(n))
+            }
+            ("option", "httpchk") if proxies && words.len() == 2 => {
+                self.probes = true;
+                Ok(())
+            }
+            ("option", "httpchk") if proxies => {
+                self.probes = true;
+                Err("workers are checked, but always by GET /health".into())
+            }
+            ("bind", to) if matches!(section, Frontend | Listen) => self.bind(to, &words[1..]),
+            ("default-server", _) if proxies => {
+                let limit = self.server_words(&words[1..], skipped, line);
+                match section {
+                    Defaults => self.default_limit = limit.or(self.default_limit),
+                    _ => self.server_limit = limit.or(self.server_limit),
+                }
+                Ok(())
+            }
+            ("server", _) if matches!(section, Backend | Listen) => self.server(words, skipped, line),
+            _ => Err(NO_COUNTERPART.into()),
+        }
+    }
+
+    fn bind(&mut self, to: &str, words: &[String]) -> Result<(), String> {
+        let full = match to.strip_prefix('*').unwrap_or(to) {
+            port if port.starts_with(':') => format!("0.0.0.0{port}"),
+            address => address.to_string(),
+        };
+        if full.parse::<std::net::SocketAddr>().is_err() {
+            return Err("not one address with a port".into());
+        }
+        if self.listen.as_ref().is_some_and(|l| *l != full) {
+            return Err("clients connect at one address, and it is taken".into());
+        }
+        self.listen = Some(full);
+        match words.len() {
+            1 => Ok(()),
+            _ => Err(format!("the address is taken over; '{}' has {NO_COUNTERPART}", words[1..].join(" "))),
+        }
+    }
+
+    fn server(&mut self, words: &[String], skipped: &mut Vec<Skipped>, line: usize) -> Result<(), String> {
+        let [_, name, address, rest @ ..] = words else {
+            return Err("a name and an address were expected".into());
+        };
+        if address.parse::<std::net::SocketAddr>().is_err() {
+            return Err(
+                "the server is left out: not an address with a port, and names are not looked up".into()
+            );
+        }
+        if rest.iter().any(|w| w == "disabled" || w == "backup") {
+            return Err("the server is left out: it is disabled or a backup".into());
+        }
+        let limit = self.server_words(rest, skipped, line).or(self.server_limit).or(self.default_limit);
+        self.slots += limit.unwrap_or(0);
+        let kind = self.backends.last().cloned().unwrap_or_default();
+        let uid = format!("{kind}/{name}");
+        if self.workers.iter().any(|w| w.uid == uid) {
+            return Err("the server is left out: its name is taken".into());
+        }
+        self.workers.push(Worker { uid, endpoint: address.clone(), dest: self.dest, kind });
+        Ok(())
+    }
+
+    /// What stands behind a server's address; returns its limit of connections.
+    fn server_words(&mut self, words: &[String], skipped: &mut Vec<Skipped>, line: usize) -> Option<u32> {
+        let mut limit = None;
+        let mut lost = Vec::new();
+        let mut words = words.iter().map(String::as_str);
+        while let Some(word) = words.next() {
+            match word {
+                "check" => self.probes = true,
+                "maxconn" => match words.next().map(str::parse) {
+                    Some(Ok(n)) => limit = Some(n),
+                    _ => lost.push("maxconn without a number"),
+                },
+                other => lost.push(other),
+            }
+        }
+        if !lost.is_empty() {
+            let why = format!("the server's words '{}': {NO_COUNTERPART}", lost.join(" "));
+            skipped.push(Skipped { line, why });
+        }
+        limit
+    }
+
+    fn finish(self) -> Application {
+        let mut app = Application { probes: self.probes, workers: self.workers, ..Application::default() };
+        app.listen = self.listen.unwrap_or(app.listen);
+        app.connect_timeout = self.connect.0.unwrap_or(app.connect_timeout);
+        app.keepalive = self.keepalive.0.unwrap_or(app.keepalive);
+        app.most_tries = self.retries.0.map_or(app.most_tries, |n| n as u32);
+        app.max_open = self.max_open.0.map_or(app.max_open, |n| n as u32);
+        if self.slots > 0 {
+            app.slots = self.slots;
+        }
+        if let (Some(deadline), [class]) = (self.server.0, &mut app.classes[..]) {
+            class.deadline = deadline;
+            class.window = deadline;
+            class.promise = class.promise.min(deadline);
+        }
+        if !self.backends.is_empty() {
+            app.kinds = self.backends;
+            app.kinds.dedup();
+        }
+        app
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn words_and_times_are_read_as_haproxy_reads_them() {
+        let read = words(r#"server a\ b "c # d" 'e"f' # rest"#).unwrap();
+        assert_eq!(read, ["server", "a b", "c # d", "e\"f"]);
+        assert!(words("log \"open").is_err());
+        let times = ["250", "250ms", "3s", "1m", "500us", "x", "5y", ""].map(time);
+        assert_eq!(
+            times,
+            [Some(250.0), Some(250.0), Some(3_000.0), Some(60_000.0), Some(0.5), None, None, None]
+        );
+    }
+
+    #[test]
+    fn what_has_a_counterpart_is_mapped_and_all_else_is_reported_with_its_line() {
+        let text = "\
+global
+  maxconn 500
+  user haproxy
+defaults
+  mode http
+  timeout connect 2s
+  timeout server 30s
+  timeout client 30s
+  retries 3
+frontend in
+  bind *:8080
+  default_backend pay
+backend pay
+  balance roundrobin
+  option httpchk
+  timeout server 10s
+  default-server maxconn 5
+  server p1 10.0.0.1:80 check weight 3
+  server p2 10.0.0.2:80 maxconn 7
+  server p3 pay.example:80
+backend mail
+  server m1 10.0.0.3:80
+userlist u
+  user x password y
+";
+        let (app, skipped) = import(text);
+        assert_eq!((app.connect_timeout, app.max_open, app.most_tries, app.slots), (2_000.0, 500, 4, 12));
+        assert_eq!(
+            (app.listen.as_str(), app.classes[0].deadline, app.probes),
+            ("0.0.0.0:8080", 30_000.0, true)
+        );
+        let workers: Vec<_> =
+            app.workers.iter().map(|w| (w.uid.as_str(), w.endpoint.as_str(), w.dest)).collect();
+        let wanted =
+            [("pay/p1", "10.0.0.1:80", 1), ("pay/p2", "10.0.0.2:80", 1), ("mail/m1", "10.0.0.3:80", 2)];
+        assert_eq!(workers, wanted);
+        let lines: Vec<usize> = skipped.iter().map(|s| s.line).collect();
+        assert_eq!(lines, [3, 5, 8, 12, 14, 16, 18, 20, 23, 24], "{skipped:?}");
+        let checked = crate::config::check(&app.text()).unwrap();
+        assert_eq!((checked.known.workers.len(), checked.settings.slots), (3, 12));
+    }
+}
