End a spin between a planned restart's first and last moment of leaving

Saw: while leaving with calls held, the poll's time-out was taken from a moment already past (src/net/mod.rs, next_due), so the loop ran without a pause for up to 2.6 s on a core that others share.

--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -107,6 +107,8 @@
     Probe {
         /// The worker.
         route: RouteId,
+        /// Its destination.
+        dest: DestId,
         /// Where it is reached.
         address: String,
     },
--- a/src/dispatch/route.rs
+++ b/src/dispatch/route.rs
@@ -46,7 +46,8 @@
             Action::Probe(route) => {
                 self.counters.probes += 1;
                 let address = self.address(route);
-                self.orders.push(Order::Probe { route, address });
+                let dest = self.workers.get(route as usize).map_or(0, |w| w.dest);
+                self.orders.push(Order::Probe { route, dest, address });
             }
             Action::CloseIdle(route) => {
                 let address = self.address(route);
--- a/src/journal.rs
+++ b/src/journal.rs
@@ -277,6 +277,8 @@
     file: File,
     size: u64,
     limit: u64,
+    /// Half a record stands behind the last whole one.
+    torn: bool,
 }
 
 /// Reads whole records; returns them and where the last good one ends.
@@ -311,17 +313,21 @@
             log::warn!("the journal's tail of {} bytes is torn and cut off", bytes.len() - good);
             file.set_len(good as u64)?;
         }
-        Ok((Journal { path, file, size: good as u64, limit }, records))
+        Ok((Journal { path, file, size: good as u64, limit, torn: false }, records))
     }
 
     /// Writes a record; after a failure the file is as it was before.
     pub fn append(&mut self, record: &Record) -> io::Result<()> {
         let bytes = record.encode();
-        if let Err(e) = self.file.write_all(&bytes) {
-            // Half a record would hide all that follow it.
+        // Half a record would hide all that follow it.
+        if self.torn {
             self.file.set_len(self.size)?;
+        }
+        if let Err(e) = self.file.write_all(&bytes) {
+            self.torn = self.file.set_len(self.size).is_err();
             return Err(e);
         }
+        self.torn = false;
         self.size += bytes.len() as u64;
         Ok(())
     }
@@ -353,6 +359,7 @@
             let _ = std::fs::remove_file(&new);
         }
         (self.file, self.size) = done?;
+        self.torn = false;
         Ok(())
     }
 
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -110,15 +110,15 @@
     pub fn probe(
         &mut self,
         now: Ms,
-        route: RouteId,
+        unit: (DestId, RouteId),
         address: &str,
         registry: &Registry,
         found: &mut Vec<Finding>,
     ) {
         let text = format!("GET /health HTTP/1.1\r\nHost: {address}\r\n\r\n");
-        let task = Task::Probe(route);
+        let task = Task::Probe(unit.1);
         if !self.busy.contains_key(&task) {
-            self.start(now, task, address, (DestId::MAX, route), text.as_bytes(), registry, found);
+            self.start(now, task, address, unit, text.as_bytes(), registry, found);
         }
     }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -30,6 +30,8 @@
 const LEAVE_AFTER: Ms = 3_300.0;
 /// and with nothing held it leaves after this; until then clients still come.
 const LINGER: Ms = 700.0;
+/// After a client could not be accepted, for want of descriptors: how long until it is tried again.
+const ACCEPT_AGAIN: Ms = 100.0;
 /// Descriptors for the listener, the journal, the poll, signals, watch, notices and a margin.
 const SOCKETS_OWN: usize = 40;
 
@@ -82,6 +84,8 @@
     found: Vec<Finding>,
     /// When it was told to leave.
     leaving: Option<Ms>,
+    /// When clients that could not be accepted are tried again; no event tells of them a second time.
+    accept_at: Option<Ms>,
 }
 
 impl Server {
@@ -131,6 +135,7 @@
             signals,
             found: Vec::new(),
             leaving: None,
+            accept_at: None,
         })
     }
 
@@ -144,7 +149,7 @@
                 log::info!("leaves with {} calls in the journal; {}", self.core.holds(), self.core.counters);
                 return Ok(());
             }
-            let wait = (self.next_due() - now).clamp(0.0, 1_000.0);
+            let wait = (self.next_due(now) - now).clamp(0.0, 1_000.0);
             // Rounded up: a timer that is looked at too early would be looked at over and over.
             let wait = Duration::from_micros((wait * 1000.0).ceil() as u64);
             match self.poll.poll(&mut events, Some(wait)) {
@@ -160,12 +165,16 @@
         }
     }
 
-    fn next_due(&self) -> Ms {
+    /// When leaving is next thought of. Guards against a spin from the first such moment to the last.
+    fn leave_due(&self, now: Ms) -> Option<Ms> {
+        self.leaving.map(|t| if now < t + LINGER { t + LINGER } else { t + LEAVE_AFTER })
+    }
+
+    fn next_due(&self, now: Ms) -> Ms {
         let wires = [self.workers.next_due(), self.brokers.next_due(), self.sessions.next_due()];
         let own = [Some(self.watch.next_due()), self.notices.next_due()];
-        let all =
-            own.into_iter().chain(wires).chain([self.core.next_due(), self.leaving.map(|t| t + LINGER)]);
-        let due = all.flatten().fold(f64::MAX, f64::min);
+        let all = own.into_iter().chain(wires).chain([self.core.next_due(), self.leave_due(now)]);
+        let due = all.chain([self.accept_at]).flatten().fold(f64::MAX, f64::min);
         if self.found.is_empty() {
             due
         } else {
@@ -197,13 +206,20 @@
 
     fn accept(&mut self, now: Ms, which: usize) {
         loop {
-            let listener = self.mqtt_listener.as_ref().filter(|_| which == 1).unwrap_or(&self.listener);
+            let listener = match which {
+                1 => self.mqtt_listener.as_ref(),
+                _ => Some(&self.listener),
+            };
+            let Some(listener) = listener else { return };
             match listener.accept() {
                 Ok((tcp, _)) if which == 1 => self.sessions.accept(now, tcp, self.poll.registry()),
                 Ok((tcp, _)) => self.acceptors.accept(now, tcp, self.poll.registry()),
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return,
                 Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
-                Err(e) => return log::warn!("a client cannot be accepted: {e}"),
+                Err(e) => {
+                    self.accept_at = Some(now + ACCEPT_AGAIN);
+                    return log::warn!("a client cannot be accepted: {e}");
+                }
             }
         }
     }
@@ -230,6 +246,10 @@
 
     /// One turn of the loop: timers, findings, the core, and then what it orders.
     fn turn(&mut self, now: Ms) {
+        if self.accept_at.take_if(|at| *at <= now).is_some() {
+            self.accept(now, 0);
+            self.accept(now, 1);
+        }
         self.watch.tick(now, self.poll.registry());
         self.workers.tick(now, &mut self.found);
         self.brokers.tick(now, &mut self.found);
@@ -273,11 +293,11 @@
                 self.workers.hold(now, dest, route, &mut self.found);
                 self.brokers.hold(now, dest, route, &mut self.found);
             }
-            Order::Probe { route, address } if address.starts_with(broker::SCHEME) => {
-                self.brokers.probe(now, route, &address, registry, &mut self.found);
+            Order::Probe { route, dest, address } if address.starts_with(broker::SCHEME) => {
+                self.brokers.probe(now, (dest, route), &address, registry, &mut self.found);
             }
-            Order::Probe { route, address } => {
-                self.workers.probe(now, route, &address, registry, &mut self.found);
+            Order::Probe { route, dest, address } => {
+                self.workers.probe(now, (dest, route), &address, registry, &mut self.found);
             }
             Order::CloseIdle { address } => {
                 self.workers.close_idle(&address);
--- a/src/net/mqtt/broker.rs
+++ b/src/net/mqtt/broker.rs
@@ -102,7 +102,7 @@
     pub fn probe(
         &mut self,
         now: Ms,
-        route: RouteId,
+        unit: (DestId, RouteId),
         address: &str,
         registry: &Registry,
         found: &mut Vec<Finding>,
@@ -111,9 +111,9 @@
         let expiry_s = Some((PROBE_PATIENCE / 1000.0).ceil() as u32);
         let correlation = format!("probe.{now}").into_bytes();
         let extras = Extras { response: String::new(), correlation, expiry_s, user };
-        let task = Task::Probe(route);
+        let task = Task::Probe(unit.1);
         if !self.busy.contains_key(&task) {
-            self.start(now, task, address, (DestId::MAX, route), extras, &[], registry, found);
+            self.start(now, task, address, unit, extras, &[], registry, found);
         }
     }
 
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -213,6 +213,9 @@
     d.logged("told to leave");
     assert_eq!(idle.line(), "", "an idle connection is ended");
     assert_eq!(d.client().submit("late", "c=order,k=3,dest=1"), "+OK");
+    // It waits without a spin: it shares its core with others.
+    std::thread::sleep(Duration::from_millis(2_000));
+    assert!(d.used() < Duration::from_millis(500), "{:?} of processor time", d.used());
     d.ended();
     assert!(told.elapsed() < Duration::from_millis(3_700), "{:?}", told.elapsed());
     let _d = site.start();
@@ -249,3 +252,64 @@
         c.ask(&[b"SUBMIT", b"0", b"again", b"c=safe,d=1500,dest=1", &body]) == "+OK"
     });
 }
+
+/// Price of a handshake: calls one after another share a connection; one that was given up is never used again.
+#[test]
+fn connections_are_kept_and_never_used_with_an_answer_outstanding() {
+    let worker = Worker::start(|r, _| if r.header("x-txn") == "silent" { Reply::Silence } else { OK });
+    let site = one(&worker);
+    let d = site.start();
+    let mut c = d.client();
+    for n in 0..10 {
+        let id = format!("n{n}");
+        assert_eq!(c.submit(&id, "c=pay,dest=1"), "+OK");
+        until("it is delivered", || worker.of(&id) == 1);
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    assert_eq!(*worker.connections.lock().unwrap(), 1);
+    assert_eq!(c.submit("silent", "c=pay,d=400,dest=1"), "+OK");
+    until("it is given up", || !site.platform.noticed("silent").is_empty());
+    assert_eq!(c.submit("after", "c=pay,dest=1"), "+OK");
+    until("the next is delivered", || worker.of("after") == 1);
+    assert!(*worker.connections.lock().unwrap() >= 2);
+}
+
+/// A watch that breaks is opened anew and goes on where it was.
+#[test]
+fn a_broken_watch_comes_back_with_what_was_missed() {
+    let [a, b] = [0, 1].map(|_| Worker::start(|_, _| OK));
+    let site = one(&a);
+    let d = site.start();
+    assert_eq!(d.client().submit("first", "c=pay,dest=1"), "+OK");
+    until("the first list is known", || a.of("first") == 1);
+    site.platform.break_watches();
+    site.platform.push(&entry("w2", &b.address.to_string(), "a", 2, "in_service"));
+    assert_eq!(d.client().submit("second", "c=order,k=9,dest=2"), "+OK");
+    until("the new destination is known", || b.of("second") == 1);
+}
+
+/// Killed again and again while calls come in: each that was taken on ends, and no unsafe one goes twice.
+#[test]
+fn over_many_kills_every_call_that_was_taken_on_ends_once() {
+    let worker = Worker::start(|_, nth| if nth % 5 == 3 { Reply::Silence } else { OK });
+    let site = one(&worker);
+    let mut taken = Vec::new();
+    for round in 0..5 {
+        let d = site.start();
+        let mut c = d.client();
+        for n in 0..8 {
+            let (id, class) = (format!("r{round}n{n}"), ["c=pay,dest=1", "c=safe,dest=1"][n % 2]);
+            if c.submit(&id, class) == "+OK" {
+                taken.push((id, n % 2 == 0));
+            }
+        }
+        std::thread::sleep(Duration::from_millis(7 * round));
+        d.kill();
+    }
+    assert!(taken.len() >= 30);
+    let _d = site.start();
+    for (id, pay) in &taken {
+        until(&format!("{id} ends"), || worker.of(id) > 0 || !site.platform.noticed(id).is_empty());
+        assert!(!pay || worker.of(id) <= 1, "{id} went {} times", worker.of(id));
+    }
+}
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -70,15 +70,20 @@
 pub struct Worker {
     pub address: SocketAddr,
     pub calls: Arc<Mutex<Vec<Request>>>,
+    /// Connections that it took.
+    pub connections: Arc<Mutex<usize>>,
 }
 
 impl Worker {
     pub fn start(answer: impl Fn(&Request, usize) -> Reply + Send + Sync + 'static) -> Worker {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let worker = Worker { address: listener.local_addr().unwrap(), calls: Arc::default() };
+        let address = listener.local_addr().unwrap();
+        let worker = Worker { address, calls: Arc::default(), connections: Arc::default() };
+        let connections = worker.connections.clone();
         let (calls, answer) = (worker.calls.clone(), Arc::new(answer));
         thread::spawn(move || {
             for stream in listener.incoming().map_while(Result::ok) {
+                *connections.lock().unwrap() += 1;
                 let (calls, answer) = (calls.clone(), answer.clone());
                 thread::spawn(move || {
                     let mut out = stream.try_clone().unwrap();
@@ -138,6 +143,8 @@
     pub notices: Arc<Mutex<Vec<String>>>,
     /// So many notices are not answered 204.
     pub deaf: Arc<Mutex<usize>>,
+    /// Watches that began with an earlier number are broken.
+    watches: Arc<Mutex<usize>>,
 }
 
 impl Platform {
@@ -149,6 +156,7 @@
             lists: Arc::new(Mutex::new(vec![list])),
             notices: Arc::default(),
             deaf: Arc::default(),
+            watches: Arc::default(),
         };
         let served = platform.clone();
         thread::spawn(move || {
@@ -177,18 +185,26 @@
                 continue;
             }
             out.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").ok()?;
-            let mut next = 0;
-            loop {
+            let after = request.line.split("after=").nth(1).and_then(|r| r.split(' ').next());
+            let mut next = after.and_then(|r| r.parse().ok()).unwrap_or(0);
+            let began = *self.watches.lock().unwrap();
+            while *self.watches.lock().unwrap() == began {
                 let news = self.lists.lock().unwrap()[next..].to_vec();
                 next += news.len();
                 let lines = if news.is_empty() { "\n".to_string() } else { news.join("\n") + "\n" };
                 out.write_all(format!("{:x}\r\n{lines}\r\n", lines.len()).as_bytes()).ok()?;
                 thread::sleep(Duration::from_millis(20));
             }
+            return None;
         }
         None
     }
 
+    /// Breaks all watches; new ones go on after the version that they name.
+    pub fn break_watches(&self) {
+        *self.watches.lock().unwrap() += 1;
+    }
+
     /// Tells a change of the list.
     pub fn push(&self, entry: &str) {
         let mut lists = self.lists.lock().unwrap();
@@ -327,6 +343,14 @@
         start.elapsed()
     }
 
+    /// Processor time that it has used so far.
+    pub fn used(&self) -> Duration {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).unwrap();
+        let fields: Vec<&str> = stat.rsplit_once(')').unwrap().1.split_whitespace().collect();
+        let ticks: u64 = fields[11].parse::<u64>().unwrap() + fields[12].parse::<u64>().unwrap();
+        Duration::from_millis(ticks * 10)
+    }
+
     pub fn running(&mut self) -> bool {
         self.child.try_wait().unwrap().is_none()
     }
