Bound remembered identities by the folder's limit, and fuzz the MQTT front from a seed

Saw by reading: identities of calls that are over were bounded by count (src/dispatch/admit.rs), not by bytes, so a small folder could stay full after a compaction and be compacted at every record. A call whose class is gone from the settings was dropped at a restart without an end; it is given up now. MQTT tests: nearly valid packets, and a worker behind a broker that drains.

--- a/src/dispatch/admit.rs
+++ b/src/dispatch/admit.rs
@@ -10,8 +10,13 @@
 const MARGIN: u64 = 192;
 /// How long an identity is remembered after its call's time is up.
 const MEMORY: Ms = 15_000.0;
-/// Identities remembered at most, beside those of calls that are held.
-const KNOWN_MOST: usize = 4_096;
+/// What a remembered identity needs beside its own text.
+const KNOWN_MARGIN: u64 = 64;
+
+/// Bytes that an identity takes in a compacted journal.
+fn known_size(identity: &Identity) -> u64 {
+    (identity.0.len() + identity.1.len()) as u64 + KNOWN_MARGIN
+}
 
 impl Core {
     /// Writes the call down and gives it to the module; false if there is no room for it.
@@ -55,14 +60,18 @@
     /// Remembers an identity until its time; it outlives its call, so that a repeat makes no second one.
     pub(super) fn remember(&mut self, identity: Identity, known: Known) {
         self.fading.insert((known.until as u64, identity.clone()));
-        self.known.insert(identity, known);
+        let size = known_size(&identity);
+        if self.known.insert(identity, known).is_none() {
+            self.known_bytes += size;
+        }
     }
 
-    /// Forgets identities whose time is up, and the oldest beyond the most.
+    /// Forgets identities whose time is up. Guards also against a journal that holds little else: then the oldest
+    /// go early.
     pub(super) fn fade(&mut self, now: Ms) {
         while let Some((until, identity)) = self.fading.first().cloned() {
             let held = self.known.get(&identity).is_some_and(|k| self.calls.contains_key(&k.no));
-            let crowded = self.fading.len() > KNOWN_MOST + self.calls.len();
+            let crowded = !self.journal.has_memory(self.known_bytes);
             if (until as Ms) > now && !crowded {
                 return;
             }
@@ -72,7 +81,9 @@
                 self.fading.insert(((now + MEMORY) as u64, identity));
                 return;
             }
-            self.known.remove(&identity);
+            if self.known.remove(&identity).is_some() {
+                self.known_bytes -= known_size(&identity);
+            }
         }
     }
 
@@ -109,11 +120,14 @@
                 }
             }
         }
-        for (no, (call, cut_off)) in left {
-            let Some(class) = place(&self.names.classes, &call.taken.class) else {
-                log::error!("the class '{}' of a call in the journal is gone", call.taken.class);
-                continue;
-            };
+        for (no, (mut call, cut_off)) in left {
+            let class = place(&self.names.classes, &call.taken.class);
+            if class.is_none() && call.ending.is_none() {
+                log::error!("the class '{}' of a call in the journal is gone: given up", call.taken.class);
+                call.ending = Some(Ending::GivenUp);
+                self.note(&Record::Ended { no, ending: Ending::GivenUp });
+            }
+            let class = class.unwrap_or(0);
             let zone = |name: &str| place(&self.names.zones, name).unwrap_or(self.names.zones.len());
             self.events.push(Event::Resumed(Resumed {
                 message: self.message(class, &call.taken, true),
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -179,6 +179,7 @@
     fading: BTreeSet<(u64, Identity)>,
     next_no: CallNo,
     live_bytes: u64,
+    known_bytes: u64,
     /// Clients that wait for the verdict of this turn.
     asking: Vec<(CallNo, Ticket)>,
     events: Vec<Event>,
@@ -205,6 +206,7 @@
             fading: BTreeSet::new(),
             next_no: 1,
             live_bytes: 0,
+            known_bytes: 0,
             asking: Vec::new(),
             events: Vec::new(),
             orders: Vec::new(),
--- a/src/journal.rs
+++ b/src/journal.rs
@@ -266,7 +266,9 @@
 }
 
 /// Share of the limit that live records may fill before nothing more is taken in,
-const LIVE_SHARE: f64 = 0.38;
+const LIVE_SHARE: f64 = 0.36;
+/// that identities of calls that are over may fill before the oldest are forgotten,
+const KNOWN_SHARE: f64 = 0.08;
 /// and that the file may fill before it is compacted. Both copies together stay under the limit.
 const FILE_SHARE: f64 = 0.48;
 
@@ -337,6 +339,11 @@
         (live as f64) < self.limit as f64 * LIVE_SHARE
     }
 
+    /// Would identities of so many bytes still fit?
+    pub fn has_memory(&self, known: u64) -> bool {
+        (known as f64) < self.limit as f64 * KNOWN_SHARE
+    }
+
     /// The file has grown so far that it should be compacted.
     pub fn is_full(&self) -> bool {
         self.size as f64 > self.limit as f64 * FILE_SHARE
--- a/tests/mqtt.rs
+++ b/tests/mqtt.rs
@@ -7,6 +7,8 @@
 use mqtt_protocol_core::mqtt::result_code::PubackReasonCode;
 use stand::*;
 use stand_mqtt::*;
+use std::io::{Read, Write};
+use std::net::TcpStream;
 use std::time::Duration;
 
 const SAFE: &str = "class=safe,dest=1,tenant=acme";
@@ -201,6 +203,68 @@
     }
 }
 
+#[test]
+fn a_worker_behind_a_broker_that_drains_gets_nothing_new_and_a_restart_serves_what_was_held() {
+    let [a, b] = [0, 1].map(|_| Broker::start(|_, _| Does::Answers(200, None)));
+    let site = behind(&[&a, &b]);
+    let mut d = site.start();
+    let mut c = MqttClient::connect(d.mqtt.unwrap(), "bank-1");
+    c.submit("before", PAY, 10);
+    assert_eq!(c.outcome("before"), "delivered");
+    site.platform.push(&entry("w0", &a.worker("inbox/0"), "a", 1, "terminating"));
+    std::thread::sleep(Duration::from_millis(1_000));
+    let had = a.calls.lock().unwrap().len();
+    (0..8).for_each(|n| c.submit(&format!("n{n}"), PAY, 10));
+    (0..8).for_each(|n| assert_eq!(c.outcome(&format!("n{n}")), "delivered"));
+    assert_eq!(a.calls.lock().unwrap().len(), had);
+    // With no worker left, what is held goes over to the next process.
+    site.platform.push(&entry("w1", &b.worker("inbox/1"), "a", 1, "terminating"));
+    std::thread::sleep(Duration::from_millis(1_000));
+    c.submit("held", "class=order,dest=1,idempotency-key=7", 20);
+    until("it is taken on", || c.acks.lock().unwrap().len() == 10);
+    d.signal("-TERM");
+    d.ended();
+    assert_eq!(c.outcomes("held").len(), 0);
+    site.platform.push(&entry("w1", &b.worker("inbox/1"), "a", 1, "in_service"));
+    let d = site.start();
+    c.reconnect(d.mqtt.unwrap());
+    assert_eq!(c.outcome("held"), "delivered");
+    assert_eq!(b.effects_of("held"), 1);
+}
+
+/// Bytes that are nearly MQTT, from a seed: no session but their own ends.
+#[test]
+fn malformed_packets_harm_nobody_else() {
+    let broker = Broker::start(|_, _| Does::Answers(200, None));
+    let site = behind(&[&broker]);
+    let mut d = site.start();
+    let mut good = MqttClient::connect(d.mqtt.unwrap(), "good");
+    let hello = b"\x10\x14\0\x04MQTT\x05\x02\0\x3c\0\0\x07bank-xx";
+    let submit = b"\x32\x2a\0\x10lilacbank/submit\0\x01\x12\x08\0\x03a/b\x09\0\x01c\x26\0\x02id\0\x01xpay";
+    let mut seed: u64 = 99;
+    let mut random = |n: usize| {
+        seed = seed.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        (seed >> 33) as usize % n
+    };
+    for n in 0..200 {
+        let mut bytes = [&hello[..], &submit[..]].concat();
+        // Mostly the PUBLISH is spoilt, sometimes the CONNECT, sometimes the end is missing.
+        let from = if n % 4 == 0 { 0 } else { hello.len() };
+        for _ in 0..=random(3) {
+            let at = from + random(bytes.len() - from);
+            bytes[at] = random(256) as u8;
+        }
+        bytes.truncate(bytes.len() - random(5));
+        let mut tcp = TcpStream::connect(d.mqtt.unwrap()).unwrap();
+        tcp.set_read_timeout(Some(Duration::from_millis(2))).unwrap();
+        let _ = tcp.write_all(&bytes);
+        let _ = tcp.read(&mut [0; 64]);
+    }
+    good.submit("after", PAY, 10);
+    assert_eq!(good.outcome("after"), "delivered");
+    assert!(d.running());
+}
+
 /// Clients of both fronts at one worker that is full: its wait holds for all of them.
 #[test]
 fn a_full_worker_is_left_alone_by_both_fronts() {
