--- a/src/brain.rs
+++ b/src/brain.rs
@@ -251,8 +251,8 @@
         self.held.insert(m.id, Held { not_before: now, ..fresh });
     }
 
-    /// Guards against a restart that forgets what may have run: such a message keeps its count of attempts and
-    /// its group, its key rests, and one whose end was decided holds its key until that has been heard.
+    /// Guards against a restart that forgets what may have run: such a message keeps its attempts and its
+    /// group, its key rests, and one whose end was decided holds its key until that has been heard.
     fn resumed(&mut self, now: Ms, r: &Resumed, out: &mut Vec<Action>) {
         let (id, key) = (r.message.id, r.message.key);
         if !r.ended {
