--- a/src/config.rs
+++ b/src/config.rs
@@ -497,3 +497,65 @@
 pub fn options(text: &str) -> Option<HashMap<&str, &str>> {
     text.split(',').filter(|p| !p.is_empty()).map(|p| p.split_once('=')).collect()
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const GOOD: &str = r#"{"name":"n3","listen":"127.0.0.1:6379","discovery":"127.0.0.1:8500","seed":"8c1f30d27a5be964",
+      "state":"s","limits":{"sockets":99,"disk_mb":2,"later":[]},"novelty":{"a":1},
+      "known":{"rev":41,"all":true,"targets":[{"uid":"u","endpoint":"127.0.0.1:1","az":"b","model":"m2","pod_group":3,
+        "state":"terminating","capacity_hint":1.0,"boot_ms":0}]},
+      "settings":{"zones":["a","b"],"kinds":["m1","m2"],"classes":[{"name":"x","deadline":5,"novelty":0}]}}"#;
+
+    fn none(_: &str) -> Option<String> {
+        None
+    }
+
+    #[test]
+    fn a_platform_s_file_is_read_and_what_is_unknown_in_it_is_skipped() {
+        let c = Config::from_json(GOOD, &none).unwrap();
+        assert_eq!((c.name.as_str(), c.limits.sockets, c.limits.disk), ("n3", 99, 2_000_000));
+        assert_eq!((c.settings.seed, c.settings.classes.len(), c.known.rev), (0x8c1f_30d2_7a5b_e964, 1, 41));
+        let w = &c.known.workers[0];
+        assert_eq!((w.zone, w.kind, w.dest, w.listing), (1, 1, 3, Listing::Draining));
+        let env = |name: &str| (name == "ROUTER_NAME").then(|| "n4".to_string());
+        assert_eq!(Config::from_json(GOOD, &env).unwrap().name, "n4", "a variable wins");
+    }
+
+    #[test]
+    fn every_fault_is_named_by_its_key() {
+        let cases = [
+            ("127.0.0.1:6379", "here", "listen"),
+            ("\"8c1f30d27a5be964\"", "\"xyz\"", "seed"),
+            ("\"sockets\":99", "\"sockets\":-1", "limits.sockets"),
+            ("\"deadline\":5", "\"deadline\":\"5\"", "settings.classes[0].deadline"),
+            ("terminating", "asleep", "known.targets[0].state"),
+            ("\"uid\":\"u\",", "", "known.targets[0].uid"),
+            ("[\"a\",\"b\"]", "{}", "settings.zones"),
+            ("\"state\":\"s\",", "", "ROUTER_STATE"),
+            ("{\"name\":\"x\",\"deadline\":5,\"novelty\":0}", "", "settings.classes"),
+        ];
+        for (good, bad, key) in cases {
+            assert!(GOOD.contains(good), "{good}");
+            let e = Config::from_json(&GOOD.replacen(good, bad, 1), &none).unwrap_err();
+            assert_eq!(e.key, key, "{e}");
+        }
+        assert_eq!(Config::read(&none).unwrap_err().key, "ROUTER_CONFIG");
+        assert_eq!(Config::from_json("{", &none).unwrap_err().key, "ROUTER_CONFIG");
+    }
+
+    #[test]
+    fn the_mqtt_front_is_off_unless_its_file_enables_it() {
+        let read = |text| Mqtt::from_toml(text).map(|m| m.listen.map(|a| a.port())).map_err(|e| e.key);
+        assert_eq!(read(""), Ok(None));
+        assert_eq!(read("[acceptor]\nlisten = \"127.0.0.1:1883\""), Ok(None));
+        assert_eq!(read("[acceptor]\nenabled = true\nlisten = \"127.0.0.1:1883\""), Ok(Some(1883)));
+        assert_eq!(read("[acceptor]\nenabled = true"), Err("acceptor.listen".into()));
+        assert_eq!(read("[acceptor]\nenabled = 1"), Err("acceptor.enabled".into()));
+        assert_eq!(read("[acceptor]\nsessions = 0"), Err("acceptor.sessions".into()));
+        assert_eq!(read("[acceptor]\nlistne = 1"), Err("acceptor.listne".into()));
+        let shipped = include_str!("../deploy/mqtt.toml");
+        assert_eq!(read(shipped), Ok(None), "the platform has no MQTT");
+    }
+}
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -2,7 +2,7 @@
 
 mod stand;
 use stand::*;
-use std::io::Read;
+use std::io::{Read, Write};
 use std::net::{Shutdown, TcpListener};
 use std::time::{Duration, Instant};
 
@@ -313,3 +313,18 @@
         assert!(!pay || worker.of(id) <= 1, "{id} went {} times", worker.of(id));
     }
 }
+
+/// A client that asks without end and reads nothing is not read from any more; others are served.
+#[test]
+fn a_slow_reader_is_held_back() {
+    let worker = Worker::start(|_, _| OK);
+    let site = one(&worker);
+    let d = site.start();
+    let mut slow = d.client();
+    slow.0.get_mut().set_write_timeout(Some(Duration::from_millis(300))).unwrap();
+    let pings = command(&[b"PING", &[b'x'; 1000]]).repeat(64);
+    let stuck = (0..1_000).any(|_| slow.0.get_mut().write_all(&pings).is_err());
+    assert!(stuck, "64 MB were taken from a client that reads nothing");
+    assert_eq!(d.client().ask(&[b"PING"]), "+PONG");
+    assert!(d.memory_mb() < 60, "{} MB", d.memory_mb());
+}
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -351,6 +351,13 @@
         Duration::from_millis(ticks * 10)
     }
 
+    /// Memory that it holds now.
+    pub fn memory_mb(&self) -> usize {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = status.lines().find(|l| l.starts_with("VmRSS:")).unwrap();
+        line.split_whitespace().nth(1).unwrap().parse::<usize>().unwrap() / 1024
+    }
+
     pub fn running(&mut self) -> bool {
         self.child.try_wait().unwrap().is_none()
     }
