Reread the configuration on SIGHUP: watch and notices move to the new registry

Checked: 129 is SIGHUP's default action. src/net/mod.rs registered SIGTERM, SIGINT and SIGUSR1 only. Change: Config::reread (file first for discovery), Watch::redirect and Notices::redirect; a notice that is out is owed again at the new address. Signals are registered before anything else. A watch that has not begun after 1 s is asked for again; it waited 6.5 s, longer than the 4 s after which the news count as told. Test: a_reload_moves_watch_and_notices...; without the change the process ends at the signal.

--- a/src/config.rs
+++ b/src/config.rs
@@ -370,12 +370,37 @@
 impl Config {
     /// Reads the environment and the file that `ROUTER_CONFIG` names. A variable wins over the file's key.
     pub fn read(env: Lookup) -> Checked<Config> {
-        let text = match env("ROUTER_CONFIG") {
-            None => return fault("ROUTER_CONFIG", "missing"),
+        Config::from_json(&Config::text(env)?, env)
+    }
+
+    fn text(env: Lookup) -> Checked<String> {
+        match env("ROUTER_CONFIG") {
+            None => fault("ROUTER_CONFIG", "missing"),
             Some(path) => std::fs::read_to_string(&path)
-                .or_else(|e| fault("ROUTER_CONFIG", format!("cannot read '{path}': {e}")))?,
-        };
-        Config::from_json(&text, env)
+                .or_else(|e| fault("ROUTER_CONFIG", format!("cannot read '{path}': {e}"))),
+        }
+    }
+
+    /// Reads the same again while it serves. Here the file's `discovery` wins: the variable is as old as the process,
+    /// and the file was replaced since.
+    pub fn reread(env: Lookup) -> Checked<Config> {
+        let text = Config::text(env)?;
+        let value = json("ROUTER_CONFIG", &text)?;
+        let named = !Node::root("", &value).get("discovery").absent();
+        Config::from_json(&text, &|name| env(name).filter(|_| !(named && name == "ROUTER_DISCOVERY")))
+    }
+
+    /// Keys in which another configuration differs and that are read only at the start.
+    pub fn needs_restart(&self, other: &Config) -> Vec<&'static str> {
+        let settings = Settings { seed: self.settings.seed, ..other.settings.clone() };
+        let differs = [
+            ("name", self.name != other.name),
+            ("listen", self.listen != other.listen),
+            ("state", self.state != other.state),
+            ("limits", self.limits != other.limits),
+            ("settings", self.settings != settings || self.names != other.names),
+        ];
+        differs.into_iter().filter(|d| d.1).map(|d| d.0).collect()
     }
 
     /// The same from the file's text.
@@ -521,6 +546,8 @@
         assert_eq!((w.zone, w.kind, w.dest, w.listing), (1, 1, 3, Listing::Draining));
         let env = |name: &str| (name == "ROUTER_NAME").then(|| "n4".to_string());
         assert_eq!(Config::from_json(GOOD, &env).unwrap().name, "n4", "a variable wins");
+        let other = Config::from_json(&GOOD.replacen("\"sockets\":99", "\"sockets\":98", 1), &env).unwrap();
+        assert_eq!(c.needs_restart(&other), ["name", "limits"]);
     }
 
     #[test]
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -10,7 +10,7 @@
 pub mod stream;
 
 use crate::api::Ms;
-use crate::config::{Config, Mqtt, WorkerList};
+use crate::config::{environment, Config, Mqtt, WorkerList};
 use crate::dispatch::{Core, Order, Parts};
 use crate::journal::Journal;
 use clock::Clock;
@@ -22,7 +22,7 @@
 use notice::Notices;
 use registry::Watch;
 use resp::Acceptors;
-use signal_hook::consts::{SIGINT, SIGTERM, SIGUSR1};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use std::io::{self, ErrorKind, Read};
 use std::time::Duration;
 
@@ -70,6 +70,8 @@
 /// The whole dispatcher: core, wires and the loop between them.
 pub struct Server {
     clock: Clock,
+    /// As it was last read; the list is the core's.
+    config: Config,
     poll: Poll,
     core: Core,
     listener: TcpListener,
@@ -90,18 +92,28 @@
 
 impl Server {
     /// Reads the journal back and begins to listen.
-    pub fn start(config: Config, mqtt: Mqtt) -> io::Result<Server> {
+    pub fn start(mut config: Config, mqtt: Mqtt) -> io::Result<Server> {
         let clock = Clock::start();
         let now = clock.now();
         let poll = Poll::new()?;
+        // Before all else: a signal whose default is the process's end must find its handler.
+        let mut signals = Vec::new();
+        for signal in [SIGTERM, SIGINT, SIGUSR1, SIGHUP] {
+            let (mut reader, writer) = UnixStream::pair()?;
+            signal_hook::low_level::pipe::register(signal, std::os::fd::OwnedFd::from(writer))?;
+            poll.registry().register(&mut reader, token(Kind::Signal, signals.len()), Interest::READABLE)?;
+            signals.push((signal, reader));
+        }
         let (journal, records) = Journal::open(&config.state, config.limits.disk)?;
         let own = SOCKETS_OWN + mqtt.listen.map_or(0, |_| mqtt.sessions);
         // Clients may have half of what is left, HTTP workers and brokers a quarter each.
         let sockets = config.limits.sockets.saturating_sub(own).max(16);
         let workers = Workers::new(&config.settings, sockets / 4);
         let brokers = Brokers::new(&config.settings, sockets / 4, format!("{}-{}", config.name, now as u64));
-        let (rev, known) = (config.known.rev, WorkerList { whole: true, ..config.known });
-        let mut core = Core::new(Parts { settings: config.settings, names: config.names, journal });
+        let known = WorkerList { whole: true, ..std::mem::take(&mut config.known) };
+        let rev = known.rev;
+        let parts = Parts { settings: config.settings.clone(), names: config.names.clone(), journal };
+        let mut core = Core::new(parts);
         core.list(known, true);
         core.restore(now, records);
         let mut listener = TcpListener::bind(config.listen)?;
@@ -112,13 +124,6 @@
             poll.registry().register(l, token(Kind::Listener, 1), Interest::READABLE)?;
             log::info!("MQTT clients are served on {}", l.local_addr()?);
         }
-        let mut signals = Vec::new();
-        for signal in [SIGTERM, SIGINT, SIGUSR1] {
-            let (mut reader, writer) = UnixStream::pair()?;
-            signal_hook::low_level::pipe::register(signal, std::os::fd::OwnedFd::from(writer))?;
-            poll.registry().register(&mut reader, token(Kind::Signal, signals.len()), Interest::READABLE)?;
-            signals.push((signal, reader));
-        }
         log::info!("{} listens on {} and holds {} calls", config.name, listener.local_addr()?, core.holds());
         Ok(Server {
             clock,
@@ -132,6 +137,7 @@
             workers,
             watch: Watch::new(config.registry, rev),
             notices: Notices::new(config.registry),
+            config,
             signals,
             found: Vec::new(),
             leaving: None,
@@ -230,6 +236,8 @@
         while reader.read(&mut bytes).is_ok_and(|n| n > 0) {}
         if *signal == SIGUSR1 {
             log::info!("holds {} calls, {} out; {}", self.core.holds(), self.core.out(), self.core.counters);
+        } else if *signal == SIGHUP {
+            self.reload();
         } else if self.leaving.is_none() {
             log::info!("told to leave, with {} calls held", self.core.holds());
             self.leaving = Some(now);
@@ -239,6 +247,24 @@
         }
     }
 
+    /// Reads the configuration again. Only the registry's address changes while it serves; a file with a fault changes
+    /// nothing.
+    fn reload(&mut self) {
+        let new = match Config::reread(&environment) {
+            Ok(new) => new,
+            Err(e) => return log::error!("configuration: {e}; the one in use stays"),
+        };
+        for key in self.config.needs_restart(&new) {
+            log::warn!("configuration: {key} has changed; it takes effect with the next start");
+        }
+        if new.registry != self.config.registry {
+            self.config.registry = new.registry;
+            self.watch.redirect(new.registry);
+            self.notices.redirect(new.registry);
+        }
+        log::info!("configuration read again; the registry is at {}", new.registry);
+    }
+
     fn may_leave(&self, now: Ms) -> bool {
         let Some(since) = self.leaving.map(|t| now - t) else { return false };
         since >= LEAVE_AFTER || (since >= LINGER && self.core.holds() == 0)
--- a/src/net/notice.rs
+++ b/src/net/notice.rs
@@ -61,6 +61,12 @@
         }
     }
 
+    /// The platform is elsewhere from now on. A request that is out goes again there: its answer may never come here.
+    pub fn redirect(&mut self, address: SocketAddr) {
+        (self.address, self.stream, self.out) = (address, None, 0);
+        (self.open_at, self.again) = (0.0, AGAIN_FIRST);
+    }
+
     /// Owes one more.
     pub fn tell(&mut self, told: Told) {
         self.owed.push_back(told);
--- a/src/net/registry.rs
+++ b/src/net/registry.rs
@@ -9,6 +9,9 @@
 
 /// The registry says something every two seconds; after so long it is gone.
 const SILENCE: Ms = 6_500.0;
+/// It answers at once; a watch that has not begun after so long is asked for anew, so that a registry that was silent
+/// or is just coming up is heard well within the span in which its news count as told.
+const BEGIN: Ms = 1_000.0;
 const AGAIN_FIRST: Ms = 200.0;
 const AGAIN_MOST: Ms = 2_000.0;
 /// Bytes of a line at most.
@@ -49,10 +52,16 @@
         }
     }
 
+    /// The registry is elsewhere from now on: the watch is opened there at once and goes on from the version held.
+    pub fn redirect(&mut self, address: SocketAddr) {
+        (self.address, self.stream) = (address, None);
+        (self.open_at, self.again) = (0.0, AGAIN_FIRST);
+    }
+
     /// When [`Watch::tick`] has something to do.
     pub fn next_due(&self) -> Ms {
         if self.stream.is_some() {
-            self.heard + SILENCE
+            self.heard + if self.begun { SILENCE } else { BEGIN }
         } else {
             self.open_at
         }
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -288,6 +288,43 @@
     until("the new destination is known", || b.of("second") == 1);
 }
 
+/// Guards against SIGHUP ending the process, and against a list or a notice that stays with the old registry.
+#[test]
+fn a_reload_moves_watch_and_notices_and_a_faulty_file_changes_nothing() {
+    let [a, b] =
+        [0, 1].map(|_| Worker::start(|r, _| if r.header("x-txn") == "lost" { Reply::Silence } else { OK }));
+    let mut site = one(&a);
+    let mut d = site.start();
+    assert_eq!(d.client().submit("first", "c=pay,dest=1"), "+OK");
+    until("the list is known", || a.of("first") == 1);
+    for (faulty, key) in [("\"nowhere\"", "discovery:"), ("{", "ROUTER_CONFIG:")] {
+        site.configure(faulty);
+        d.signal("-HUP");
+        assert!(d.logged("configuration: ").starts_with(key));
+    }
+    *site.platform.deaf.lock().unwrap() = usize::MAX;
+    assert_eq!(d.client().submit("lost", "c=pay,d=300,dest=1"), "+OK");
+    until("its end is told to the old platform", || !site.platform.noticed("lost").is_empty());
+    let old = std::mem::replace(
+        &mut site.platform,
+        Platform::start(&[entry("w1", &a.address.to_string(), "a", 1, "in_service")]),
+    );
+    site.platform.push(&entry("w2", &b.address.to_string(), "a", 2, "in_service"));
+    site.configure(&format!("\"{}\"", site.platform.address));
+    d.signal("-HUP");
+    until("the new platform has the notice", || !site.platform.noticed("lost").is_empty());
+    let told = old.noticed("lost").len();
+    assert_eq!(d.client().submit("second", "c=pay,dest=2"), "+OK");
+    until("the list comes from the new one", || b.of("second") == 1);
+    assert_eq!(d.client().submit("third", "c=pay,dest=1"), "+OK");
+    until("what the list held is still there", || a.of("third") == 1);
+    assert_eq!(old.noticed("lost").len(), told, "the old platform is told nothing more");
+    d.kill();
+    let d = site.start();
+    assert_eq!(d.client().submit("fourth", "c=pay,dest=2"), "+OK");
+    until("a restart finds the new one", || b.of("fourth") == 1);
+}
+
 /// Killed again and again while calls come in: each that was taken on ends, and no unsafe one goes twice.
 #[test]
 fn over_many_kills_every_call_that_was_taken_on_ends_once() {
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -248,13 +248,19 @@
         Site { dir, platform: Platform::start(entries), disk_mb: 3.0, mqtt: false }
     }
 
-    pub fn start(&self) -> Dispatcher {
-        let (config, mqtt) = (self.dir.join("config.json"), self.dir.join("mqtt.toml"));
+    /// Writes the configuration, with a value for the registry's address in it.
+    pub fn configure(&self, discovery: &str) {
         let disk = self.disk_mb;
         let text = format!(
-            r#"{{"name":"n0","seed":"0a","limits":{{"sockets":256,"disk_mb":{disk}}},"settings":{SETTINGS}}}"#
+            r#"{{"name":"n0","seed":"0a","limits":{{"sockets":256,"disk_mb":{disk}}},"settings":{SETTINGS},
+               "discovery":{discovery}}}"#
         );
-        std::fs::write(&config, text).unwrap();
+        std::fs::write(self.dir.join("config.json"), text).unwrap();
+    }
+
+    pub fn start(&self) -> Dispatcher {
+        let (config, mqtt) = (self.dir.join("config.json"), self.dir.join("mqtt.toml"));
+        self.configure("null");
         let on = self.mqtt;
         std::fs::write(&mqtt, format!("[acceptor]\nenabled = {on}\nlisten = \"127.0.0.1:0\"\n")).unwrap();
         let mut child = Command::new(env!("CARGO_BIN_EXE_lilacbank"))
