End silent crowds and spoilt answers in time; a worker's connections belong to its id

Checked: the messages taken on named destinations that no list has (take_in::check did not look). The late calls had 1xx answers in front: http.rs push() dropped the 1xx head and went back to wait for bytes although the answer proper was in the same read. A 503 whose body falls short was taken for a refusal at its head, so an unsafe message could go twice. Idle connections were kept by address. Silent connections had no limit and half a command was never evicted (resp.rs accept). Change: http.rs reads 1xx, head and body as one answer with 500 ms from its first byte; 200 counts by its first line, any other only whole; connections by id, and one that holds unasked bytes is not reused. resp.rs: limits for strangers, stalls and idle clients, 32 commands a turn, a linger so that the error line survives. Destinations nobody lists get -BUSY. Routes, units, keys and workers gone for 30 s are forgotten.

--- a/src/api.rs
+++ b/src/api.rs
@@ -11,6 +11,10 @@
 /// Number of a destination.
 pub type DestId = u64;
 
+/// A route that is gone from the list is forgotten after this span: what was told of it, waits too, holds for its id
+/// if it comes back, and ids that never come back must not pile up.
+pub const GONE_KEPT: Ms = 30_000.0;
+
 /// What repeating a message of a class would do.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Effect {
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -103,6 +103,7 @@
     dests: BTreeMap<DestId, Vec<RouteId>>,
     units: Vec<Unit>,
     unit_of: BTreeMap<(DestId, Option<RouteId>), usize>,
+    free_units: Vec<usize>,
     held: BTreeMap<MsgId, Held>,
     keys: Keys,
     calls: BTreeMap<u64, Call>,
@@ -209,20 +210,25 @@
             self.watch_gap = WATCH_GAP;
         }
         if whole {
-            for r in self.routes.values_mut() {
-                r.row.listing = Listing::Gone;
-            }
+            self.routes
+                .values_mut()
+                .for_each(|r| r.list(now, Row { listing: Listing::Gone, ..r.row.clone() }));
         }
         for row in rows {
             if let Some(r) = self.routes.get_mut(&row.route) {
-                r.row = row.clone();
+                r.list(now, row.clone());
                 continue;
             }
             let apart = self.s.kind(row.kind).apart;
-            let units = &mut self.units;
-            let unit = *self.unit_of.entry((row.dest, apart.then_some(row.route))).or_insert(units.len());
-            if unit == units.len() {
-                units.push(Unit::new(row.dest, now));
+            let (units, free) = (&mut self.units, &mut self.free_units);
+            let unit = *self.unit_of.entry((row.dest, apart.then_some(row.route))).or_insert_with(|| {
+                free.pop().unwrap_or_else(|| {
+                    units.push(Unit::default());
+                    units.len() - 1
+                })
+            });
+            if units[unit].routes == 0 {
+                units[unit] = Unit::new(row.dest, now);
             }
             units[unit].routes += 1;
             if self.s.weights != Weights::None && row.weight > 0.0 {
@@ -231,6 +237,25 @@
             self.dests.entry(row.dest).or_default().push(row.route);
             self.routes.insert(row.route, Route::new(row.clone(), unit, WINDOW_START, now));
         }
+        self.prune(now);
+    }
+
+    /// Guards against growth where ids are new each time: a route gone for long is forgotten with all that was its own,
+    /// and so is a destination without routes.
+    fn prune(&mut self, now: Ms) {
+        let over = |r: &Route| r.calls == 0 && r.gone.is_some_and(|t| now - t >= GONE_KEPT);
+        let due: Vec<RouteId> = self.routes.iter().filter(|(_, r)| over(r)).map(|(id, _)| *id).collect();
+        for id in due {
+            let Some(r) = self.routes.remove(&id) else { continue };
+            self.dests.entry(r.row.dest).and_modify(|ids| ids.retain(|x| *x != id));
+            self.units[r.unit].routes -= 1;
+            if self.units[r.unit].routes == 0 {
+                self.unit_of.retain(|_, u| *u != r.unit);
+                self.free_units.push(r.unit);
+            }
+        }
+        self.dests.retain(|_, ids| !ids.is_empty());
+        self.wanted.keep(|dest| self.dests.contains_key(dest));
     }
 
     fn arrived(&mut self, now: Ms, m: &Message, out: &mut Vec<Action>) {
@@ -240,10 +265,12 @@
         let Some(class) = self.s.classes.get(m.class) else {
             return out.push(Action::Fail(m.id));
         };
-        self.wanted.add(m.dest);
+        if self.dests.contains_key(&m.dest) {
+            self.wanted.add(m.dest);
+        }
         self.mean_worth += 0.01 * (class.worth - self.mean_worth);
         if let Some(k) = m.key.filter(|_| class.in_order) {
-            self.keys.enter(k, m.id);
+            self.keys.enter(now, k, m.id);
         }
         let born = if self.s.marks_again && !m.again { now } else { m.valid_until - class.deadline };
         let share = self.tenant_share(now, m.tenant);
@@ -259,7 +286,7 @@
             self.arrived(now, &r.message, out);
             self.held.entry(id).and_modify(|h| (h.attempts, h.ran) = (r.attempts, r.ran));
         } else if let Some(k) = key {
-            self.keys.enter(k, id);
+            self.keys.enter(now, k, id);
             self.owed.insert(id, k);
         }
         if let Some(k) = key.filter(|_| r.cut_off) {
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -114,6 +114,8 @@
     },
     /// Close idle connections to a worker.
     CloseIdle {
+        /// The worker.
+        route: RouteId,
         /// Where it is reached.
         address: String,
     },
@@ -155,6 +157,13 @@
     until: Ms,
 }
 
+/// A worker of the list, and since when it is gone from it.
+#[derive(Debug, Clone)]
+struct Listed {
+    worker: Worker,
+    gone: Option<Ms>,
+}
+
 /// What the core is built from.
 pub struct Parts {
     /// The decision module's settings.
@@ -171,8 +180,9 @@
     settings: Settings,
     names: Names,
     journal: Journal,
-    workers: Vec<Worker>,
+    workers: BTreeMap<RouteId, Listed>,
     worker_of: HashMap<String, RouteId>,
+    next_route: RouteId,
     calls: BTreeMap<CallNo, Call>,
     known: HashMap<Identity, Known>,
     /// Identities by when they may be forgotten.
@@ -199,8 +209,9 @@
             settings: parts.settings,
             names: parts.names,
             journal: parts.journal,
-            workers: Vec::new(),
+            workers: BTreeMap::new(),
             worker_of: HashMap::new(),
+            next_route: 0,
             calls: BTreeMap::new(),
             known: HashMap::new(),
             fading: BTreeSet::new(),
--- a/src/dispatch/relay.rs
+++ b/src/dispatch/relay.rs
@@ -53,9 +53,10 @@
 
     /// Guards against a call that was decided before a wait was told and is written after it has begun.
     fn hold(&mut self, route: RouteId) {
-        let Some(w) = self.workers.get(route as usize) else { return };
+        let Some(w) = self.worker(route) else { return };
         let apart = self.settings.kind(w.kind).apart;
-        self.orders.push(Order::Hold { dest: w.dest, route: apart.then_some(route) });
+        let (dest, route) = (w.dest, apart.then_some(route));
+        self.orders.push(Order::Hold { dest, route });
     }
 
     /// A probe ended.
--- a/src/dispatch/route.rs
+++ b/src/dispatch/route.rs
@@ -1,12 +1,17 @@
 //! Route: the decision module is told what came in and says what to do; the list of workers is kept here.
 
-use super::{Core, Order};
+use super::{Core, Listed, Order};
 use crate::api::*;
-use crate::config::WorkerList;
+use crate::config::{Worker, WorkerList};
+use std::collections::BTreeSet;
 
 /// Steps of the module in one turn at most; what is left waits for the next turn.
 const STEPS_MOST: usize = 4;
 
+fn row(route: RouteId, w: &Worker) -> Row {
+    Row { route, zone: w.zone, kind: w.kind, dest: w.dest, listing: w.listing, weight: w.weight }
+}
+
 impl Core {
     /// Lets the module decide on all that has come in, and returns what is to be done on the wires.
     pub fn turn(&mut self, now: Ms) -> Vec<Order> {
@@ -46,43 +51,85 @@
             Action::Probe(route) => {
                 self.counters.probes += 1;
                 let address = self.address(route);
-                let dest = self.workers.get(route as usize).map_or(0, |w| w.dest);
+                let dest = self.worker(route).map_or(0, |w| w.dest);
                 self.orders.push(Order::Probe { route, dest, address });
             }
             Action::CloseIdle(route) => {
                 let address = self.address(route);
-                self.orders.push(Order::CloseIdle { address });
+                self.orders.push(Order::CloseIdle { route, address });
             }
             Action::Watch => self.orders.push(Order::Watch),
             Action::Timer { at, token } => self.alarms.push((at, token)),
         }
     }
 
+    pub(super) fn worker(&self, route: RouteId) -> Option<&Worker> {
+        self.workers.get(&route).map(|w| &w.worker)
+    }
+
     pub(super) fn address(&self, route: RouteId) -> String {
-        self.workers.get(route as usize).map(|w| w.address.clone()).unwrap_or_default()
+        self.worker(route).map(|w| w.address.clone()).unwrap_or_default()
     }
 
-    /// The registry's list, or changes of it. A worker keeps its number however often it comes and goes.
-    pub fn list(&mut self, list: WorkerList, cached: bool) {
+    /// Does the list name a worker of the destination? Before there is a list, any may be in it.
+    pub(super) fn is_listed(&self, dest: DestId) -> bool {
+        self.workers.is_empty() || self.workers.values().any(|w| w.worker.dest == dest)
+    }
+
+    /// The registry's list, or changes of it. A worker is its id: it keeps its number if it goes and comes back soon,
+    /// and another one at its address gets a number of its own.
+    pub fn list(&mut self, now: Ms, list: WorkerList, cached: bool) {
+        if list.whole {
+            self.workers.values_mut().for_each(|w| w.gone = w.gone.or(Some(now)));
+        }
         let mut rows = Vec::new();
-        for w in list.workers {
-            let next = self.workers.len() as RouteId;
-            let route = *self.worker_of.entry(w.uid.clone()).or_insert(next);
-            rows.push(Row {
-                route,
-                zone: w.zone,
-                kind: w.kind,
-                dest: w.dest,
-                listing: w.listing,
-                weight: w.weight,
-            });
-            match self.workers.get_mut(route as usize) {
-                // A change may leave out what stays as it was.
-                Some(old) if w.address.is_empty() => old.listing = w.listing,
-                Some(old) => *old = w,
-                None => self.workers.push(w),
+        for told in list.workers {
+            let old = self.worker_of.get(&told.uid).copied();
+            let old = old.and_then(|route| Some((route, self.workers.remove(&route)?)));
+            // A change may leave out what stays as it was.
+            let worker = match &old {
+                Some((_, o)) if told.address.is_empty() => {
+                    Worker { listing: told.listing, ..o.worker.clone() }
+                }
+                _ => told,
+            };
+            let mut number = None;
+            if let Some((route, mut o)) = old {
+                let same = (o.worker.dest, o.worker.kind) == (worker.dest, worker.kind);
+                // Nothing new goes there, or it is elsewhere now: idle connections are of no more use.
+                if !same || worker.listing != Listing::Ready || o.worker.address != worker.address {
+                    let address = o.worker.address.clone();
+                    self.orders.push(Order::CloseIdle { route, address });
+                }
+                if same {
+                    number = Some(route);
+                } else {
+                    // Under an id that serves another destination now, nothing of the old one holds.
+                    o.worker.listing = Listing::Gone;
+                    rows.push(row(route, &o.worker));
+                    self.workers.insert(route, Listed { gone: Some(now), ..o });
+                }
             }
+            let route = number.unwrap_or(self.next_route);
+            self.next_route = self.next_route.max(route + 1);
+            self.worker_of.insert(worker.uid.clone(), route);
+            rows.push(row(route, &worker));
+            let gone = (worker.listing == Listing::Gone).then_some(now);
+            self.workers.insert(route, Listed { worker, gone });
         }
         self.events.push(Event::List { rows, whole: list.whole, cached });
+        self.prune(now);
+    }
+
+    /// Forgets workers that have been gone for long and have no delegation out.
+    fn prune(&mut self, now: Ms) {
+        let out: BTreeSet<RouteId> =
+            self.calls.values().filter_map(|c| Some(c.out.as_ref()?.route)).collect();
+        let over = |route: &RouteId, w: &Listed| {
+            w.gone.is_some_and(|t| now - t >= GONE_KEPT) && !out.contains(route)
+        };
+        self.workers.retain(|route, w| !over(route, w));
+        let workers = &self.workers;
+        self.worker_of.retain(|_, route| workers.contains_key(route));
     }
 }
--- a/src/dispatch/send.rs
+++ b/src/dispatch/send.rs
@@ -50,7 +50,7 @@
 
     /// The name of a worker's zone.
     pub(super) fn zone(&self, route: RouteId) -> String {
-        let zone = self.workers.get(route as usize).map(|w| w.zone);
+        let zone = self.worker(route).map(|w| w.zone);
         zone.and_then(|z| self.names.zones.get(z)).cloned().unwrap_or_default()
     }
 }
--- a/src/dispatch/take_in.rs
+++ b/src/dispatch/take_in.rs
@@ -64,6 +64,8 @@
                 self.counters.malformed += 1;
                 Verdict::Failed(why)
             }
+            // Perhaps the client has heard of it first: it may come again. Taken on, the message could only wait.
+            Ok(_) if !self.is_listed(s.dest) => Verdict::Busy(NO_ROOM_ADVICE.min(self.settings.max_advice)),
             Ok(class) => {
                 let deadline = self.settings.classes[class].deadline;
                 let left = s.left.unwrap_or(deadline).min(deadline);
--- a/src/net/head.rs
+++ b/src/net/head.rs
@@ -14,7 +14,9 @@
     /// The status.
     pub code: u16,
     /// Bytes of the body, if told.
-    pub length: Option<usize>,
+    pub length: Option<u64>,
+    /// What it says of its length cannot be true: the answer is spoilt.
+    pub unsound: bool,
     /// The body comes in chunks.
     pub chunked: bool,
     /// The connection may carry another request once the body has been read.
@@ -42,7 +44,9 @@
         let Ok(value) = std::str::from_utf8(header.value).map(str::trim) else { continue };
         let is = |name: &str| header.name.eq_ignore_ascii_case(name);
         if is("content-length") {
-            h.length = value.parse().ok();
+            let length = value.parse().ok().filter(|_| value.bytes().all(|b| b.is_ascii_digit()));
+            h.unsound |= length.is_none() || h.length.is_some_and(|l| Some(l) != length);
+            h.length = length;
         } else if is("transfer-encoding") {
             h.chunked = value.to_ascii_lowercase().contains("chunked");
         } else if is("connection") && value.eq_ignore_ascii_case("close") {
@@ -59,11 +63,11 @@
     if h.code == 204 || h.code == 304 {
         h.length = Some(0);
     }
-    h.reusable &= h.length.is_some() && !h.chunked;
+    h.reusable &= h.length.is_some() && !h.chunked && !h.unsound;
     Ok(Some(h))
 }
 
-/// The status of a head that has only begun: its first line is enough to know a delivery.
+/// The status of a head that has only begun or cannot be read: its first line is enough to know a delivery.
 pub fn status(bytes: &[u8]) -> Option<u16> {
     let mut headers = [httparse::EMPTY_HEADER; HEADERS_MOST];
     let mut answer = httparse::Response::new(&mut headers);
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -15,8 +15,13 @@
 pub(super) const PROBE_PATIENCE: Ms = 1_500.0;
 /// An idle connection is closed so long before the worker's machine would: its clock began earlier.
 const IDLE_MARGIN: Ms = 600.0;
-/// Bytes of an answer's body that are read to keep the connection.
-const BODY_MOST: usize = 64 * 1024;
+/// An answer that has begun is whole after this, head and body: workers write it in one go. Guards against heads that
+/// never end and bodies that fall short holding a call until its deadline.
+const ANSWER_PATIENCE: Ms = 500.0;
+/// Bytes of an answer's body at most; one that claims more is spoilt.
+const BODY_MOST: u64 = 64 * 1024;
+/// Answers of status 1xx in front of one answer at most.
+const INTERIM_MOST: u32 = 16;
 
 /// What a connection is busy with.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -52,16 +57,18 @@
 #[derive(Debug)]
 struct Conn {
     stream: Stream,
-    address: String,
+    /// Destination and worker. The connection belongs to the worker's id, not to its address: another worker may have
+    /// that later.
+    unit: (DestId, RouteId),
     up: bool,
     opened: Ms,
     task: Option<(Task, Ms)>,
-    /// What shares waits, for delegations that are not written yet.
-    unit: (DestId, RouteId),
     written: bool,
-    /// Bytes of a body still to be read before the connection is free.
-    skip: usize,
-    reusable: bool,
+    /// When the first byte of the answer came.
+    heard: Option<Ms>,
+    interim: u32,
+    /// The head of an answer whose body is still to come.
+    head: Option<Head>,
     idle_since: Ms,
 }
 
@@ -69,7 +76,7 @@
 #[derive(Debug)]
 pub struct Workers {
     conns: Slab<Conn>,
-    idle: HashMap<String, Vec<usize>>,
+    idle: HashMap<RouteId, Vec<usize>>,
     busy: HashMap<Task, usize>,
     most: usize,
     connect_timeout: Ms,
@@ -133,15 +140,15 @@
         registry: &Registry,
         found: &mut Vec<Finding>,
     ) {
-        let at = match self.idle.get_mut(address).and_then(Vec::pop) {
+        let at = match self.rested(unit.1) {
             Some(at) => at,
-            None => match self.open(now, address, registry) {
+            None => match self.open(now, address, unit, registry) {
                 Ok(at) => at,
                 Err(outcome) => return found.push(ended(task, outcome, 0.0)),
             },
         };
         let Some(c) = self.conns.get_mut(at) else { return };
-        (c.task, c.unit, c.written) = (Some((task, now)), unit, false);
+        (c.task, c.written, c.heard, c.interim) = (Some((task, now)), false, None, 0);
         c.stream.queue(bytes);
         self.busy.insert(task, at);
         if self.conns[at].up {
@@ -149,7 +156,31 @@
         }
     }
 
-    fn open(&mut self, now: Ms, address: &str, registry: &Registry) -> Result<usize, Outcome> {
+    /// An idle connection to a worker. Guards against one that has ended meanwhile or holds what nobody asked for:
+    /// that would be taken for the answer to the next call.
+    fn rested(&mut self, route: RouteId) -> Option<usize> {
+        loop {
+            let at = self.idle.get_mut(&route)?.pop()?;
+            let Some(c) = self.conns.get_mut(at) else { continue };
+            if c.stream.fill(1) == Fill::Blocked && c.stream.inbox.is_empty() {
+                return Some(at);
+            }
+            self.close(at);
+        }
+    }
+
+    /// At most so many connections from now on.
+    pub fn limit(&mut self, most: usize) {
+        self.most = most;
+    }
+
+    fn open(
+        &mut self,
+        now: Ms,
+        address: &str,
+        unit: (DestId, RouteId),
+        registry: &Registry,
+    ) -> Result<usize, Outcome> {
         if self.conns.len() >= self.most {
             let oldest = self.conns.iter().filter(|(_, c)| c.task.is_none());
             let oldest = oldest.min_by(|a, b| a.1.idle_since.total_cmp(&b.1.idle_since)).map(|c| c.0);
@@ -164,14 +195,14 @@
         })?;
         entry.insert(Conn {
             stream,
-            address: address.to_string(),
+            unit,
             up: false,
             opened: now,
             task: None,
-            unit: (0, 0),
             written: false,
-            skip: 0,
-            reusable: true,
+            heard: None,
+            interim: 0,
+            head: None,
             idle_since: now,
         });
         Ok(at)
@@ -179,10 +210,10 @@
 
     fn close(&mut self, at: usize) {
         if let Some(c) = self.conns.try_remove(at) {
-            if let Some(idle) = self.idle.get_mut(&c.address) {
+            if let Some(idle) = self.idle.get_mut(&c.unit.1) {
                 idle.retain(|i| *i != at);
                 if idle.is_empty() {
-                    self.idle.remove(&c.address);
+                    self.idle.remove(&c.unit.1);
                 }
             }
             if let Some((task, _)) = c.task {
@@ -208,8 +239,8 @@
     }
 
     /// Closes idle connections to a worker.
-    pub fn close_idle(&mut self, address: &str) {
-        for at in self.idle.remove(address).unwrap_or_default() {
+    pub fn close_idle(&mut self, route: RouteId) {
+        for at in self.idle.remove(&route).unwrap_or_default() {
             self.conns.try_remove(at);
         }
     }
@@ -235,65 +266,90 @@
             c.written = true;
             found.push(Finding::Written(task));
         }
-        let fill = c.stream.fill(HEAD_MOST + BODY_MOST);
-        if c.skip > 0 {
-            let n = c.skip.min(c.stream.inbox.len());
-            c.stream.inbox.drain(..n);
-            c.skip -= n;
-            if c.skip == 0 && fill == Fill::Blocked {
-                return self.rest(now, at);
-            }
-            if fill != Fill::Blocked {
-                self.close(at);
-            }
-            return;
-        }
-        let Some((task, started)) = c.task else {
+        let fill = c.stream.fill(HEAD_MOST + BODY_MOST as usize);
+        if c.task.is_none() && c.head.is_none() {
             // Idle: whatever comes now, the connection is of no more use.
             if fill != Fill::Blocked || !c.stream.inbox.is_empty() {
                 self.close(at);
             }
             return;
-        };
-        match head(&c.stream.inbox) {
-            Ok(Some(h)) if (100..200).contains(&h.code) => {
-                c.stream.inbox.drain(..h.size);
-                if fill == Fill::Blocked {
-                    return;
-                }
-                self.broke(now, at, found);
+        }
+        while c.head.is_none() {
+            if !c.stream.inbox.is_empty() {
+                c.heard.get_or_insert(now);
             }
-            Ok(Some(h)) => {
-                found.push(answered(task, &h, now - started));
-                self.busy.remove(&task);
-                (c.task, c.reusable) = (None, h.reusable && c.written && fill == Fill::Blocked);
-                let body = h.length.unwrap_or(usize::MAX);
-                let have = c.stream.inbox.len() - h.size;
-                if !c.reusable || body > BODY_MOST || have > body {
-                    return self.close(at);
+            match head(&c.stream.inbox) {
+                // The answer proper comes behind it, perhaps with the same bytes.
+                Ok(Some(h)) if (100..200).contains(&h.code) && c.interim < INTERIM_MOST => {
+                    c.interim += 1;
+                    c.stream.inbox.drain(..h.size);
+                    c.heard = None;
                 }
-                c.stream.inbox.clear();
-                c.skip = body - have;
-                if c.skip == 0 {
-                    self.rest(now, at);
-                } else {
-                    c.idle_since = now;
+                Ok(Some(h)) => {
+                    c.stream.inbox.drain(..h.size);
+                    // Delivered by its first line, whatever is wrong with the rest.
+                    if let Some((task, started)) = c.task.take_if(|_| h.code == 200) {
+                        found.push(answered(task, &h, now - started));
+                        self.busy.remove(&task);
+                    }
+                    c.head = Some(h);
                 }
+                Ok(None) if flushed.is_ok() && fill == Fill::Blocked => return,
+                _ => return self.broke(now, at, found),
             }
-            Ok(None) if flushed.is_ok() && fill == Fill::Blocked => {}
-            _ => self.broke(now, at, found),
         }
+        self.body(now, at, flushed.is_ok() && fill == Fill::Blocked, found);
+    }
+
+    /// The head is there; the answer counts once its body is as long as it says.
+    fn body(&mut self, now: Ms, at: usize, open: bool, found: &mut Vec<Finding>) {
+        let Some(c) = self.conns.get_mut(at) else { return };
+        let Some(h) = &c.head else { return };
+        let have = c.stream.inbox.len() as u64;
+        let whole = match h.length {
+            _ if h.unsound => false,
+            Some(told) if told > BODY_MOST || have > told => false,
+            Some(told) if have < told && open => return,
+            Some(told) => have == told,
+            // In chunks or up to the connection's end: nothing to measure it by.
+            None => true,
+        };
+        if !whole {
+            return self.broke(now, at, found);
+        }
+        let reusable = h.reusable && c.written && open;
+        if let Some((task, started)) = c.task.take() {
+            found.push(answered(task, h, now - started));
+            self.busy.remove(&task);
+        }
+        if !reusable {
+            return self.close(at);
+        }
+        c.stream.inbox.clear();
+        (c.head, c.heard, c.idle_since) = (None, None, now);
+        self.idle.entry(c.unit.1).or_default().push(at);
     }
 
-    /// The connection carries nothing any more: how that is to be taken hangs on what was written.
+    /// The connection carries nothing any more: how that is to be taken hangs on what was written and what came. An
+    /// answer that was spoilt may have run whatever its head said, but the wait that it told is kept.
     fn broke(&mut self, now: Ms, at: usize, found: &mut Vec<Finding>) {
         let Some(c) = self.conns.get(at) else { return };
-        let outcome = match (c.written, status(&c.stream.inbox)) {
-            (_, Some(200)) => Outcome::Delivered,
-            (true, _) => Outcome::Reset,
-            (false, _) => Outcome::NoConnection,
+        let (outcome, wait) = match (&c.head, status(&c.stream.inbox)) {
+            (None, Some(200)) => (Outcome::Delivered, 0.0),
+            (h, _) if c.written => (Outcome::Reset, h.as_ref().map_or(0.0, |h| h.wait)),
+            (_, _) => (Outcome::NoConnection, 0.0),
         };
-        self.end(now, at, outcome, found);
+        if let Some((task, started)) = c.task {
+            found.push(Finding::Ended {
+                task,
+                outcome,
+                took: now - started,
+                wait,
+                report: Report::default(),
+                over: false,
+            });
+        }
+        self.close(at);
     }
 
     fn end(&mut self, now: Ms, at: usize, outcome: Outcome, found: &mut Vec<Finding>) {
@@ -303,33 +359,34 @@
         self.close(at);
     }
 
-    fn rest(&mut self, now: Ms, at: usize) {
-        let Some(c) = self.conns.get_mut(at) else { return };
-        c.idle_since = now;
-        self.idle.entry(c.address.clone()).or_default().push(at);
-    }
-
     /// When [`Workers::tick`] has something to do.
     pub fn next_due(&self) -> Option<Ms> {
         self.conns.iter().filter_map(|(_, c)| self.due(c)).min_by(f64::total_cmp)
     }
 
     fn due(&self, c: &Conn) -> Option<Ms> {
+        let heard = c.heard.map(|t| t + ANSWER_PATIENCE);
         match c.task {
             Some(_) if !c.up => Some(c.opened + self.connect_timeout),
-            Some((Task::Probe(_), started)) => Some(started + PROBE_PATIENCE),
-            Some(_) => None,
-            None => Some(c.idle_since + self.keep_idle).filter(|t| *t < f64::MAX),
+            Some((Task::Probe(_), started)) => {
+                Some((started + PROBE_PATIENCE).min(heard.unwrap_or(f64::MAX)))
+            }
+            Some(_) => heard,
+            None => heard.or(Some(c.idle_since + self.keep_idle)).filter(|t| *t < f64::MAX),
         }
     }
 
-    /// Gives up connections that do not come up and probes without an answer; closes what was idle too long.
+    /// Gives up connections that do not come up, probes without an answer and answers that do not end; closes what
+    /// was idle too long.
     pub fn tick(&mut self, now: Ms, found: &mut Vec<Finding>) {
         let due = |c: &Conn| self.due(c).is_some_and(|t| t <= now);
         let due: Vec<usize> = self.conns.iter().filter(|(_, c)| due(c)).map(|(at, _)| at).collect();
         for at in due {
-            let late = self.conns[at].up;
-            self.end(now, at, if late { Outcome::Late } else { Outcome::NoConnection }, found);
+            match &self.conns[at] {
+                c if c.heard.is_some() => self.broke(now, at, found),
+                c if c.up => self.end(now, at, Outcome::Late, found),
+                _ => self.end(now, at, Outcome::NoConnection, found),
+            }
         }
     }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -30,8 +30,8 @@
 const LEAVE_AFTER: Ms = 3_300.0;
 /// and with nothing held it leaves after this; until then clients still come.
 const LINGER: Ms = 700.0;
-/// After a client could not be accepted, for want of descriptors: how long until it is tried again.
-const ACCEPT_AGAIN: Ms = 100.0;
+/// After a client could not be accepted, for want of room: how long until it is tried again.
+const ACCEPT_AGAIN: Ms = 25.0;
 /// Descriptors for the listener, the journal, the poll, signals, watch, notices and a margin.
 const SOCKETS_OWN: usize = 40;
 
@@ -80,6 +80,8 @@
     sessions: Sessions,
     brokers: Brokers,
     workers: Workers,
+    /// Connections to workers and brokers together.
+    outward: usize,
     watch: Watch,
     notices: Notices,
     signals: Vec<(i32, UnixStream)>,
@@ -106,20 +108,20 @@
         }
         let (journal, records) = Journal::open(&config.state, config.limits.disk)?;
         let own = SOCKETS_OWN + mqtt.listen.map_or(0, |_| mqtt.sessions);
-        // Clients may have half of what is left, HTTP workers and brokers a quarter each.
+        // Clients may have half of what is left, workers the other half; brokers count among them, up to a quarter.
         let sockets = config.limits.sockets.saturating_sub(own).max(16);
-        let workers = Workers::new(&config.settings, sockets / 4);
+        let workers = Workers::new(&config.settings, sockets / 2);
         let brokers = Brokers::new(&config.settings, sockets / 4, format!("{}-{}", config.name, now as u64));
         let known = WorkerList { whole: true, ..std::mem::take(&mut config.known) };
         let rev = known.rev;
         let parts = Parts { settings: config.settings.clone(), names: config.names.clone(), journal };
         let mut core = Core::new(parts);
-        core.list(known, true);
+        core.list(now, known, true);
         core.restore(now, records);
-        let mut listener = TcpListener::bind(config.listen)?;
+        let mut listener = stream::listen(config.listen)?;
         poll.registry().register(&mut listener, token(Kind::Listener, 0), Interest::READABLE)?;
         // A number that no connection has tells this listener from the other.
-        let mut mqtt_listener = mqtt.listen.map(TcpListener::bind).transpose()?;
+        let mut mqtt_listener = mqtt.listen.map(stream::listen).transpose()?;
         if let Some(l) = &mut mqtt_listener {
             poll.registry().register(l, token(Kind::Listener, 1), Interest::READABLE)?;
             log::info!("MQTT clients are served on {}", l.local_addr()?);
@@ -131,6 +133,7 @@
             core,
             listener,
             acceptors: Acceptors::new(sockets / 2),
+            outward: sockets / 2,
             mqtt_listener,
             sessions: Sessions::new(mqtt.sessions),
             brokers,
@@ -164,9 +167,10 @@
                 Err(e) => return Err(e),
             }
             let now = self.clock.now();
-            for event in &events {
-                self.happened(now, event.token());
-            }
+            // Listeners last: what has come on a connection is read before it may have to make room.
+            let listens = |t: &Token| untoken(*t).0 == Some(Kind::Listener);
+            let (last, first): (Vec<Token>, Vec<Token>) = events.iter().map(|e| e.token()).partition(listens);
+            first.into_iter().chain(last).for_each(|t| self.happened(now, t));
             self.turn(now);
         }
     }
@@ -177,7 +181,8 @@
     }
 
     fn next_due(&self, now: Ms) -> Ms {
-        let wires = [self.workers.next_due(), self.brokers.next_due(), self.sessions.next_due()];
+        let wires = [self.workers.next_due(), self.brokers.next_due()];
+        let wires = wires.into_iter().chain([self.acceptors.next_due(), self.sessions.next_due()]);
         let own = [Some(self.watch.next_due()), self.notices.next_due()];
         let all = own.into_iter().chain(wires).chain([self.core.next_due(), self.leave_due(now)]);
         let due = all.chain([self.accept_at]).flatten().fold(f64::MAX, f64::min);
@@ -200,7 +205,7 @@
             (Some(Kind::Broker), at) => self.brokers.ready(now, at, &mut self.found),
             (Some(Kind::Watch), _) => {
                 let news = self.watch.ready(now, self.core.names());
-                news.into_iter().for_each(|list| self.core.list(list, false));
+                news.into_iter().for_each(|list| self.core.list(now, list, false));
             }
             (Some(Kind::Notice), _) => {
                 self.notices.ready(now).into_iter().for_each(|no| self.core.confirmed(now, no));
@@ -217,6 +222,12 @@
                 _ => Some(&self.listener),
             };
             let Some(listener) = listener else { return };
+            let room =
+                if which == 1 { self.sessions.room() } else { self.acceptors.room(now, &mut self.core) };
+            if !room {
+                self.accept_at = Some(now + ACCEPT_AGAIN);
+                return;
+            }
             match listener.accept() {
                 Ok((tcp, _)) if which == 1 => self.sessions.accept(now, tcp, self.poll.registry()),
                 Ok((tcp, _)) => self.acceptors.accept(now, tcp, self.poll.registry()),
@@ -279,7 +290,9 @@
         self.watch.tick(now, self.poll.registry());
         self.workers.tick(now, &mut self.found);
         self.brokers.tick(now, &mut self.found);
-        self.sessions.tick(now);
+        self.acceptors.tick(now, &mut self.core);
+        let heard = self.sessions.tick(now, &mut self.core);
+        heard.into_iter().for_each(|no| self.core.confirmed(now, no));
         for finding in std::mem::take(&mut self.found) {
             match finding {
                 Finding::Written(Task::Delegation(no, attempt)) => self.core.written(no, attempt),
@@ -301,6 +314,7 @@
     }
 
     fn carry_out(&mut self, now: Ms, order: Order) {
+        self.workers.limit(self.outward - self.brokers.len().min(self.outward));
         let registry = self.poll.registry();
         match order {
             Order::Answer { ticket, verdict } if ticket % 2 == 1 => {
@@ -325,8 +339,8 @@
             Order::Probe { route, dest, address } => {
                 self.workers.probe(now, (dest, route), &address, registry, &mut self.found);
             }
-            Order::CloseIdle { address } => {
-                self.workers.close_idle(&address);
+            Order::CloseIdle { route, address } => {
+                self.workers.close_idle(route);
                 self.brokers.close_idle(&address);
             }
             Order::Tell(told) if told.identity.0.is_empty() => self.notices.tell(told),
--- a/src/net/mqtt/acceptor.rs
+++ b/src/net/mqtt/acceptor.rs
@@ -5,6 +5,7 @@
 use crate::api::Ms;
 use crate::dispatch::{Core, Submission, Ticket, Told, Verdict};
 use crate::journal::{CallNo, Ending};
+use crate::net::resp::HELLO_PATIENCE;
 use crate::net::stream::Stream;
 use crate::net::{token, Kind};
 use mio::net::TcpStream;
@@ -20,8 +21,8 @@
 
 /// Where clients submit.
 pub const SUBMIT_TOPIC: &str = "lilacbank/submit";
-/// A connection that has not said CONNECT for so long is closed.
-const HELLO_PATIENCE: Ms = 5_000.0;
+/// A client is told what was not taken on for so long.
+const REFUSAL_KEPT: Ms = 5_000.0;
 /// Filters of one client at most.
 const FILTERS_MOST: usize = 32;
 /// Answers on their way to one client at a time.
@@ -67,6 +68,8 @@
     clients: HashMap<String, Client>,
     asked: HashMap<Ticket, Asked>,
     next_ticket: Ticket,
+    /// Connections that had more to read than one turn takes.
+    more: Vec<usize>,
     most: usize,
     draining: bool,
 }
@@ -115,14 +118,27 @@
             clients: HashMap::new(),
             asked: HashMap::new(),
             next_ticket: 0,
+            more: Vec::new(),
             most,
             draining: false,
         }
     }
 
+    /// Makes room once there are too many clients: the one goes that has said nothing for longest; sessions stay.
+    /// While draining all new ones are turned away by [`Sessions::accept`].
+    pub fn room(&mut self) -> bool {
+        if self.conns.len() <= self.most || self.draining {
+            return true;
+        }
+        let silent = self.conns.iter().filter(|(_, c)| c.client.is_none());
+        let pick = silent.min_by(|a, b| a.1.since.total_cmp(&b.1.since)).map(|c| c.0);
+        pick.into_iter().for_each(|at| self.close(at));
+        pick.is_some()
+    }
+
     /// A client has connected.
     pub fn accept(&mut self, now: Ms, tcp: TcpStream, registry: &Registry) {
-        if self.conns.len() >= self.most || self.draining {
+        if self.draining {
             return log::warn!("an MQTT connection is turned away");
         }
         let entry = self.conns.vacant_entry();
@@ -142,9 +158,13 @@
         if c.session.stream.flush().is_ok_and(|all| !all) {
             return heard;
         }
-        for packet in c.session.read(now) {
+        let (packets, more) = c.session.read(now);
+        for packet in packets {
             self.packet(now, at, packet, core, &mut heard);
         }
+        if more {
+            self.more.push(at);
+        }
         self.settle(now, at);
         heard
     }
@@ -314,7 +334,7 @@
         }
         if let Some(ending) = ending {
             let identity = (a.client, a.id);
-            self.tell(now, Told { no: 0, identity, ending, reply: a.reply, until: now + HELLO_PATIENCE });
+            self.tell(now, Told { no: 0, identity, ending, reply: a.reply, until: now + REFUSAL_KEPT });
         }
         self.settle(now, a.conn);
     }
@@ -377,11 +397,14 @@
     pub fn next_due(&self) -> Option<Ms> {
         let hello = |c: &Conn| c.client.is_none().then_some(c.since + HELLO_PATIENCE);
         let due = self.conns.iter().filter_map(|(_, c)| c.session.next_due().or_else(|| hello(c)));
-        due.min_by(f64::total_cmp)
+        due.chain((!self.more.is_empty()).then_some(0.0)).min_by(f64::total_cmp)
     }
 
-    /// Closes connections whose keep-alive is over or that never said who they are; drops answers nobody came for.
-    pub fn tick(&mut self, now: Ms) {
+    /// Goes on with clients that had more to read; closes connections whose keep-alive is over or that never said who
+    /// they are; drops answers nobody came for. Returns calls whose final answer was acknowledged.
+    pub fn tick(&mut self, now: Ms, core: &mut Core) -> Vec<CallNo> {
+        let more = std::mem::take(&mut self.more);
+        let heard = more.into_iter().flat_map(|at| self.ready(now, at, core)).collect();
         for client in self.clients.values_mut() {
             client.owed.retain(|_, o| o.told.until > now || o.out.is_some());
         }
@@ -396,6 +419,7 @@
             c.session.tick(now);
             self.settle(now, at);
         }
+        heard
     }
 
     /// Takes no new connections; those that are there keep being answered.
--- a/src/net/mqtt/broker.rs
+++ b/src/net/mqtt/broker.rs
@@ -84,6 +84,16 @@
         }
     }
 
+    /// Open sessions.
+    pub fn len(&self) -> usize {
+        self.conns.len()
+    }
+
+    /// Is no session open?
+    pub fn is_empty(&self) -> bool {
+        self.conns.is_empty()
+    }
+
     /// Starts a delegation.
     pub fn delegate(&mut self, now: Ms, d: &Delegation, registry: &Registry, found: &mut Vec<Finding>) {
         let patience = d.patience.round().max(0.0) as u64;
@@ -239,11 +249,14 @@
             }
         }
         self.push(now, at, found);
-        let Some(c) = self.conns.get_mut(at) else { return };
-        for packet in c.session.read(now) {
-            self.packet(now, at, packet, found);
-            if !self.conns.contains(at) {
-                return;
+        loop {
+            let Some(c) = self.conns.get_mut(at) else { return };
+            let (packets, more) = c.session.read(now);
+            for packet in packets {
+                self.packet(now, at, packet, found);
+            }
+            if !more {
+                break;
             }
         }
         self.push(now, at, found);
--- a/src/net/mqtt/mod.rs
+++ b/src/net/mqtt/mod.rs
@@ -69,25 +69,19 @@
         packets
     }
 
-    /// Reads what has come; the session is over if the connection is.
-    fn read(&mut self, now: Ms) -> Vec<Packet> {
+    /// Reads what has come, up to so much that others have their turn too; the session is over if the connection is.
+    /// The second value: there may be more.
+    fn read(&mut self, now: Ms) -> (Vec<Packet>, bool) {
         let mut packets = Vec::new();
-        loop {
-            let fill = self.stream.fill(INBOX_MOST);
-            let bytes = std::mem::take(&mut self.stream.inbox);
-            let mut cursor = Cursor::new(&bytes[..]);
-            while (cursor.position() as usize) < bytes.len() && !self.over {
-                let events = self.mqtt.recv(&mut cursor);
-                packets.extend(self.obey(now, events));
-            }
-            match fill {
-                Fill::Full if !self.over => {}
-                fill => {
-                    self.over |= fill == Fill::Ended;
-                    return packets;
-                }
-            }
+        let fill = self.stream.fill(INBOX_MOST);
+        let bytes = std::mem::take(&mut self.stream.inbox);
+        let mut cursor = Cursor::new(&bytes[..]);
+        while (cursor.position() as usize) < bytes.len() && !self.over {
+            let events = self.mqtt.recv(&mut cursor);
+            packets.extend(self.obey(now, events));
         }
+        self.over |= fill == Fill::Ended;
+        (packets, fill == Fill::Full && !self.over)
     }
 
     fn next_due(&self) -> Option<Ms> {
--- a/src/net/notice.rs
+++ b/src/net/notice.rs
@@ -153,7 +153,7 @@
                     }
                 };
                 self.single = told.is_empty();
-                let whole = h.length.is_some_and(|l| h.size + l == stream.inbox.len());
+                let whole = h.length.is_some_and(|l| h.size as u64 + l == stream.inbox.len() as u64);
                 stream.inbox.clear();
                 self.out = 0;
                 if !(h.reusable && whole && fill == Fill::Blocked) {
--- a/src/net/resp.rs
+++ b/src/net/resp.rs
@@ -18,15 +18,62 @@
 const LINE_MOST: usize = 32;
 /// Bytes read ahead of what has been answered.
 const INBOX_MOST: usize = PART_MOST + 8 * 1024;
+/// Commands of one client that are served before others have their turn.
+const COMMANDS_A_TURN: usize = 32;
+/// A connection on which nothing could be served yet is closed after this. Guards against crowds that connect and say
+/// nothing, half a command or nonsense: they are owed an end within 3 s, and usual clients ask as soon as they connect.
+pub(super) const HELLO_PATIENCE: Ms = 2_200.0;
+/// Half a command, or answers that are not read, may stand so long.
+const STALL_PATIENCE: Ms = 2_200.0;
+/// Between two requests a connection is kept so long; some clients ask once and keep theirs for good.
+const IDLE_PATIENCE: Ms = 20_000.0;
+/// When room is short, a connection that said nothing yet goes after this before others do: a usual client's first
+/// command is there by then.
+const YOUNG: Ms = 100.0;
+/// When room is short, an idle connection goes after this: many clients ask once and keep theirs all the same.
+const LEFT: Ms = 2_000.0;
+/// After an error the connection's end waits so long for the client to stop sending: bytes that meet a closed connection
+/// would have the error line thrown away unread.
+const LINGER: Ms = 1_000.0;
+/// What still comes is read in such steps, 64 KiB each: enough to keep the client going, too slow to keep this side busy.
+const LINGER_STEP: Ms = 20.0;
 
 #[derive(Debug)]
 struct Conn {
     stream: Stream,
     /// The command that is being answered.
     asked: Option<Ticket>,
-    /// Nothing more is read; closed once all is written.
+    /// Closed once all is written.
     ending: bool,
+    /// What came was no command and the client may be sending still.
+    faulty: bool,
+    /// All is written and this side has ended its sending; until then the rest is read and thrown away.
+    lingers: Option<Ms>,
+    /// A command was served here.
+    served: bool,
+    since: Ms,
     used: Ms,
+    /// Since when half a command, or half an answer, stands.
+    stuck: Option<Ms>,
+}
+
+impl Conn {
+    fn is_idle(&self) -> bool {
+        self.asked.is_none() && self.stream.inbox.is_empty() && self.stream.unwritten() == 0
+    }
+
+    /// When it is closed, or what lingers is read on.
+    fn due(&self) -> Ms {
+        match (self.lingers, self.stuck) {
+            (Some(since), _) => (self.used + LINGER_STEP).min(since + LINGER),
+            _ if self.asked.is_some() => f64::MAX,
+            (_, stuck) => {
+                let stalled = stuck.map_or(f64::MAX, |t| t + STALL_PATIENCE);
+                let idle = if self.served { self.used + IDLE_PATIENCE } else { self.since + HELLO_PATIENCE };
+                stalled.min(idle)
+            }
+        }
+    }
 }
 
 /// The connections of clients.
@@ -35,6 +82,8 @@
     conns: Slab<Conn>,
     asked: HashMap<Ticket, usize>,
     next_ticket: Ticket,
+    /// Connections with commands that wait for the next turn.
+    more: Vec<usize>,
     most: usize,
     draining: bool,
 }
@@ -123,7 +172,8 @@
 impl Acceptors {
     /// No connection yet, and so many at most.
     pub fn new(most: usize) -> Acceptors {
-        Acceptors { conns: Slab::new(), asked: HashMap::new(), next_ticket: 0, most, draining: false }
+        let (conns, asked, more) = (Slab::new(), HashMap::new(), Vec::new());
+        Acceptors { conns, asked, next_ticket: 0, more, most, draining: false }
     }
 
     /// Open connections.
@@ -136,19 +186,60 @@
         self.conns.is_empty()
     }
 
-    /// A client has connected. With too many, the one that has been silent for longest goes.
-    pub fn accept(&mut self, now: Ms, tcp: TcpStream, registry: &Registry) {
-        if self.conns.len() >= self.most {
-            let idle = self.conns.iter().filter(|(_, c)| c.asked.is_none() && c.stream.inbox.is_empty());
-            match idle.min_by(|a, b| a.1.used.total_cmp(&b.1.used)).map(|c| c.0) {
-                Some(at) => self.close(at),
-                None => return log::warn!("too many clients; a connection is turned away"),
+    /// Makes room once there are too many clients; false if nobody can go and new ones must wait where the system keeps
+    /// them. That is the last resort: it keeps few, and who finds no place there is silently put off for a second.
+    pub fn room(&mut self, now: Ms, core: &mut Core) -> bool {
+        while self.conns.len() > self.most {
+            let Some(at) = self.spare(now, core) else { return false };
+            self.close(at);
+        }
+        true
+    }
+
+    /// The connection that goes first: one that has had nothing served for a while, one that was served and is left
+    /// idle, a newer one, and only then one that is in use.
+    fn spare(&mut self, now: Ms, core: &mut Core) -> Option<usize> {
+        let stranger = |c: &Conn| c.lingers.is_some() || (!c.served && c.asked.is_none());
+        let pick = |fits: &dyn Fn(&Conn) -> bool, since: &dyn Fn(&Conn) -> Ms| {
+            let all = self.conns.iter().filter(|(_, c)| fits(c));
+            all.min_by(|a, b| since(a.1).total_cmp(&since(b.1))).map(|c| c.0)
+        };
+        let old = pick(&|c| stranger(c) && now - c.since >= YOUNG, &|c| c.since);
+        let left = || pick(&|c| c.served && c.is_idle() && now - c.used >= LEFT, &|c| c.used);
+        if let Some(at) = old.or_else(left) {
+            return Some(at);
+        }
+        let mut young: Vec<(Ms, usize)> =
+            self.conns.iter().filter(|(_, c)| stranger(c)).map(|(at, c)| (c.since, at)).collect();
+        young.sort_by(|a, b| a.0.total_cmp(&b.0));
+        for (_, at) in young {
+            // Its first command may have come and not been read yet.
+            self.ready(now, at, core);
+            if self.conns.get(at).is_none_or(stranger) {
+                return Some(at);
             }
         }
+        let idle = self.conns.iter().filter(|(_, c)| c.is_idle());
+        idle.min_by(|a, b| a.1.used.total_cmp(&b.1.used)).map(|c| c.0)
+    }
+
+    /// A client has connected.
+    pub fn accept(&mut self, now: Ms, tcp: TcpStream, registry: &Registry) {
         let entry = self.conns.vacant_entry();
         match Stream::accepted(tcp, registry, token(Kind::Acceptor, entry.key())) {
             Ok(stream) => {
-                entry.insert(Conn { stream, asked: None, ending: false, used: now });
+                let fresh = Conn {
+                    stream,
+                    asked: None,
+                    ending: false,
+                    faulty: false,
+                    lingers: None,
+                    served: false,
+                    since: now,
+                    used: now,
+                    stuck: None,
+                };
+                entry.insert(fresh);
             }
             Err(e) => log::warn!("a client's connection cannot be served: {e}"),
         }
@@ -162,20 +253,57 @@
         }
     }
 
+    /// When [`Acceptors::tick`] has something to do.
+    pub fn next_due(&self) -> Option<Ms> {
+        let due = self.conns.iter().map(|(_, c)| c.due()).min_by(f64::total_cmp);
+        if self.more.is_empty() {
+            due.filter(|t| *t < f64::MAX)
+        } else {
+            Some(0.0)
+        }
+    }
+
+    /// Goes on with clients that had more commands than one turn takes, and closes connections whose time is up.
+    pub fn tick(&mut self, now: Ms, core: &mut Core) {
+        for at in std::mem::take(&mut self.more) {
+            self.ready(now, at, core);
+        }
+        let due: Vec<usize> = self.conns.iter().filter(|(_, c)| c.due() <= now).map(|(at, _)| at).collect();
+        for at in due {
+            let Some(c) = self.conns.get_mut(at) else { continue };
+            match c.lingers {
+                Some(since) if now - since < LINGER => {
+                    c.used = now;
+                    let ended = c.stream.fill(PART_MOST) == Fill::Ended;
+                    c.stream.inbox.clear();
+                    if ended {
+                        self.close(at);
+                    }
+                }
+                _ => self.close(at),
+            }
+        }
+    }
+
     /// Something happened on a connection.
     pub fn ready(&mut self, now: Ms, at: usize, core: &mut Core) {
-        loop {
-            let Some(c) = self.conns.get_mut(at) else { return };
+        for _ in 0..COMMANDS_A_TURN {
+            let Some(c) = self.conns.get_mut(at).filter(|c| c.lingers.is_none()) else { return };
             if c.stream.flush().is_err() {
                 return self.close(at);
             }
             // Guards against a client that asks without end and reads nothing.
             if c.asked.is_some() || c.stream.unwritten() > 0 {
+                c.stuck = Some(c.stuck.unwrap_or(now)).filter(|_| c.asked.is_none());
                 return;
             }
             if c.ending {
                 c.stream.finish();
-                return self.close(at);
+                if !c.faulty {
+                    return self.close(at);
+                }
+                (c.lingers, c.used) = (Some(now), now);
+                return;
             }
             let fill = c.stream.fill(INBOX_MOST);
             let parsed = match parse(&c.stream.inbox) {
@@ -185,32 +313,39 @@
             match parsed {
                 Parse::Whole(parts, used) => {
                     c.stream.inbox.drain(..used);
-                    c.used = now;
+                    (c.used, c.stuck) = (now, None);
                     self.command(now, at, parts, core);
                 }
                 Parse::Bad(why) => {
                     core.counters.malformed += 1;
                     c.stream.queue(format!("-ERR {why}\r\n").as_bytes());
                     c.stream.inbox.clear();
-                    c.ending = true;
+                    (c.ending, c.faulty) = (true, true);
                 }
                 Parse::More if fill == Fill::Ended => return self.close(at),
-                Parse::More => return,
+                Parse::More => {
+                    c.stuck = if c.stream.inbox.is_empty() { None } else { c.stuck.or(Some(now)) };
+                    return;
+                }
             }
         }
+        self.more.push(at);
     }
 
     fn command(&mut self, now: Ms, at: usize, parts: Vec<Vec<u8>>, core: &mut Core) {
         let Some(c) = self.conns.get_mut(at) else { return };
         match parts[0].to_ascii_uppercase().as_slice() {
-            b"PING" => match parts.get(1) {
-                None => c.stream.queue(b"+PONG\r\n"),
-                Some(echo) => {
-                    c.stream.queue(format!("${}\r\n", echo.len()).as_bytes());
-                    c.stream.queue(echo);
-                    c.stream.queue(b"\r\n");
+            b"PING" => {
+                c.served = true;
+                match parts.get(1) {
+                    None => c.stream.queue(b"+PONG\r\n"),
+                    Some(echo) => {
+                        c.stream.queue(format!("${}\r\n", echo.len()).as_bytes());
+                        c.stream.queue(echo);
+                        c.stream.queue(b"\r\n");
+                    }
                 }
-            },
+            }
             b"SUBMIT" => match submission(parts) {
                 Ok(s) => {
                     let ticket = self.next_ticket * 2;
@@ -246,7 +381,8 @@
             Verdict::Failed(why) => format!("-ERR {why}\r\n"),
         };
         c.stream.queue(text.as_bytes());
-        c.asked = None;
+        (c.asked, c.stuck) = (None, None);
+        c.served |= !matches!(verdict, Verdict::Failed(_));
         // While draining, a connection ends once it has its answer.
         c.ending |= self.draining && c.stream.inbox.is_empty();
         self.ready(now, at, core);
@@ -258,8 +394,7 @@
         let all: Vec<usize> = self.conns.iter().map(|(at, _)| at).collect();
         for at in all {
             self.ready(now, at, core);
-            let idle = |c: &Conn| c.asked.is_none() && c.stream.inbox.is_empty() && c.stream.unwritten() == 0;
-            if self.conns.get(at).is_some_and(idle) {
+            if self.conns.get(at).is_some_and(Conn::is_idle) {
                 self.close(at);
             }
         }
--- a/src/net/stream.rs
+++ b/src/net/stream.rs
@@ -1,10 +1,26 @@
 //! A TCP connection with what has been read and what is still to be written.
 
-use mio::net::TcpStream;
+use mio::net::{TcpListener, TcpStream};
 use mio::{Interest, Registry, Token};
+use socket2::{Domain, Socket, Type};
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr};
 
+/// Clients that the system keeps until they are accepted. The usual 128 overflow when hundreds connect at once, and who
+/// finds no place tries again after a second, too late for its request.
+const BACKLOG: i32 = 1024;
+
+/// Listens on an address.
+pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+    // A restart finds its address free although connections of its predecessor are still closing.
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG)?;
+    socket.set_nonblocking(true)?;
+    Ok(TcpListener::from_std(socket.into()))
+}
+
 /// What a read came to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Fill {
--- a/src/state.rs
+++ b/src/state.rs
@@ -26,6 +26,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Route {
     pub(crate) row: Row,
+    /// Since when it is gone from the list.
+    pub(crate) gone: Option<Ms>,
     pub(crate) unit: usize,
     pub(crate) samples: Samples,
     pub(crate) window: f64,
@@ -47,6 +49,12 @@
         Route { row, unit, window, fails_at: now, ..never }
     }
 
+    /// What the list says of it now.
+    pub(crate) fn list(&mut self, now: Ms, row: Row) {
+        self.gone = (row.listing == Listing::Gone).then(|| self.gone.unwrap_or(now));
+        self.row = row;
+    }
+
     /// Share of failed attempts, faded with the half-life.
     pub(crate) fn fails_now(&self, now: Ms, half: Ms) -> f64 {
         self.fails * (0.5f64).powf((now - self.fails_at) / half)
@@ -220,6 +228,11 @@
         *self.by_dest.entry(dest).or_default() += 1;
     }
 
+    /// Forgets all other destinations.
+    pub(crate) fn keep(&mut self, listed: impl Fn(&DestId) -> bool) {
+        self.by_dest.retain(|dest, _| listed(dest));
+    }
+
     /// Messages a second for a destination of `dests`; few are drawn toward the mean by a weight in messages.
     pub(crate) fn rate(&self, now: Ms, dest: DestId, dests: usize, weight: f64) -> f64 {
         let span = (now - self.since.unwrap_or(now)).max(1_000.0) / 1000.0;
@@ -257,10 +270,17 @@
 
 /// Messages of each key in the order in which they came, and until when the key rests.
 #[derive(Debug, Default)]
-pub(crate) struct Keys(BTreeMap<u64, (VecDeque<MsgId>, Ms)>);
+pub(crate) struct Keys(BTreeMap<u64, (VecDeque<MsgId>, Ms)>, usize);
+
+const KEYS_LEAST: usize = 32;
 
 impl Keys {
-    pub(crate) fn enter(&mut self, key: u64, id: MsgId) {
+    pub(crate) fn enter(&mut self, now: Ms, key: u64, id: MsgId) {
+        // Most keys are never seen again; they are cleared out whenever their number has doubled.
+        if self.0.len() >= self.1 {
+            self.0.retain(|_, k| !k.0.is_empty() || k.1 > now);
+            self.1 = 2 * self.0.len().max(KEYS_LEAST);
+        }
         self.0.entry(key).or_insert((VecDeque::new(), f64::MIN)).0.push_back(id);
     }
 
