Close idle connections only at the route that refused one, and not after spoilt answers

Change: Ended.heard says that some of an answer had come; such a reset says nothing of idle links. Under 16 senders only the route that refused is relieved, for 5 s. Tests: two in tests/connections.rs; each fails with its half of the change taken back.

--- a/src/api.rs
+++ b/src/api.rs
@@ -288,6 +288,8 @@
     pub wait: Ms,
     /// What came with it of the limit.
     pub report: Report,
+    /// Some of an answer had come: the connection was alive, whatever became of it.
+    pub heard: bool,
 }
 
 /// A message that an earlier process of this sender had taken on. Given in the order of taking.
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -56,6 +56,8 @@
 
 // Connections.
 const LINK_MEMORY: Ms = 120_000.0; // evidence on idle connections says so long what now holds
+const LINK_CROWD: usize = 16; // senders that may fill a table of connections by keeping one each
+const LINK_FULL: Ms = 5_000.0; // with fewer, a table that was full is taken to be full for so long
 const LINK_WEIGHT: f64 = 0.3; // of the newest call in a share of failures
 const LINK_GAP: f64 = 0.15; // by which calls on idle connections fail more often where those are dropped
 const LINK_SLACK: f64 = 0.8; // of the shortest rest after which one was lost
@@ -240,8 +242,8 @@
         self.prune(now);
     }
 
-    /// Guards against growth where ids are new each time: a route gone for long is forgotten with all that was its own,
-    /// and so is a destination without routes.
+    /// Guards against growth where ids are new each time: a route gone for long is forgotten with all that was
+    /// its own, and so is a destination without routes.
     fn prune(&mut self, now: Ms) {
         let over = |r: &Route| r.calls == 0 && r.gone.is_some_and(|t| now - t >= GONE_KEPT);
         let due: Vec<RouteId> = self.routes.iter().filter(|(_, r)| over(r)).map(|(id, _)| *id).collect();
@@ -437,7 +439,7 @@
         }
         let idle = self.calls.get(&flight.call).and_then(|c| c.idle);
         if self.close_call(now, flight.call) {
-            self.learn_link(now, &flight, idle, e.outcome);
+            self.learn_link(now, &flight, idle, e);
             self.learn(now, &flight, e);
         }
         if over {
@@ -500,13 +502,16 @@
         }
     }
 
-    /// Calls on connections that had been idle fail more often than others: idle ones are dropped unseen.
-    fn learn_link(&mut self, now: Ms, f: &Flight, idle: Option<Ms>, outcome: Outcome) {
-        let Some(r) = self.routes.get(&f.route) else { return };
-        if outcome == Outcome::NoConnection {
+    /// Calls on connections that had been idle fail more often than others: idle ones are dropped unseen. One
+    /// that broke within its answer was not dropped.
+    fn learn_link(&mut self, now: Ms, f: &Flight, idle: Option<Ms>, e: &Ended) {
+        let Some(r) = self.routes.get_mut(&f.route) else { return };
+        if e.outcome == Outcome::NoConnection {
+            r.refused = Some(now);
             self.links.refused.insert(r.row.kind, now);
         }
-        let failed = match outcome {
+        let failed = match e.outcome {
+            Outcome::Reset if e.heard => 0.0,
             Outcome::NotSent | Outcome::NoConnection => return,
             Outcome::Late if f.watchdog => return,
             Outcome::Reset | Outcome::Late | Outcome::Cancelled => 1.0,
@@ -520,12 +525,16 @@
     }
 
     /// Guards against tables of connections filled by what hundreds of senders keep open and hardly use:
-    /// where a kind of destination refused a connection lately, none is kept idle. An outage looks the same;
-    /// then this costs handshakes and nothing else.
+    /// where a kind of destination refused a connection lately, none is kept idle. A few senders fill no table
+    /// by being there: only the route that refused is relieved. An outage, or a process that is replaced, looks
+    /// the same; then this costs handshakes and nothing else.
     fn close_idle(&mut self, now: Ms, out: &mut Vec<Action>) {
         for id in std::mem::take(&mut self.done) {
             let Some(r) = self.routes.get_mut(&id).filter(|r| r.calls == 0) else { continue };
-            if self.links.refused.get(&r.row.kind).is_some_and(|t| now - t < LINK_MEMORY) {
+            let crowd = self.links.refused.get(&r.row.kind).filter(|_| self.s.senders >= LINK_CROWD);
+            let (refused, memory) =
+                (crowd.copied().or(r.refused), if crowd.is_some() { LINK_MEMORY } else { LINK_FULL });
+            if refused.is_some_and(|t| now - t < memory) {
                 r.idle_since = None;
                 out.push(Action::CloseIdle(id));
             }
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -62,6 +62,28 @@
     pub patience: Ms,
 }
 
+/// How a delegation or a probe ended.
+#[derive(Debug, Clone, PartialEq)]
+pub struct End {
+    /// How.
+    pub outcome: Outcome,
+    /// The wait that was told; 0 if none.
+    pub wait: Ms,
+    /// What was told of the limit.
+    pub report: Report,
+    /// The call is over, as the platform says.
+    pub over: bool,
+    /// Some of an answer had come.
+    pub heard: bool,
+}
+
+impl End {
+    /// An end of which nothing more is known.
+    pub fn of(outcome: Outcome) -> End {
+        End { outcome, wait: 0.0, report: Report::default(), over: false, heard: false }
+    }
+}
+
 /// The final answer of a call that was taken on, to be told until it is confirmed.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Told {
--- a/src/dispatch/relay.rs
+++ b/src/dispatch/relay.rs
@@ -1,22 +1,13 @@
 //! Relay: the outcome of a delegation goes back to the module, and into the journal.
 
-use super::{Core, Order};
+use super::{Core, End, Order};
 use crate::api::*;
 use crate::journal::{CallNo, Ending, Sent};
 
 impl Core {
     /// A delegation ended. Exactly one outcome counts for each; later ones are passed over.
-    #[allow(clippy::too_many_arguments)]
-    pub fn outcome(
-        &mut self,
-        now: Ms,
-        no: CallNo,
-        attempt: u32,
-        outcome: Outcome,
-        wait: Ms,
-        report: Report,
-        over: bool,
-    ) {
+    pub fn outcome(&mut self, now: Ms, no: CallNo, attempt: u32, end: End) {
+        let End { outcome, wait, report, over, heard } = end;
         let Some(c) = self.calls.get_mut(&no) else { return };
         let Some(out) = c.out.take_if(|o| o.attempt == attempt) else { return };
         self.counters.note(outcome);
@@ -30,6 +21,7 @@
             over: over || delivered,
             wait,
             report,
+            heard,
         };
         self.events.push(Event::Ended(ended));
         if !outcome.never_ran() {
@@ -84,7 +76,7 @@
             // What was not written to the end cannot have run.
             let outcome = if out.written { outcome } else { Outcome::NoConnection };
             self.orders.push(Order::Abandon { no, attempt });
-            self.outcome(now, no, attempt, outcome, 0.0, Report::default(), false);
+            self.outcome(now, no, attempt, End::of(outcome));
         }
     }
 }
--- a/src/dispatch/send.rs
+++ b/src/dispatch/send.rs
@@ -1,6 +1,6 @@
 //! Send: a delegation is written down before its first byte goes out, and has a time at which it ends.
 
-use super::{Call, Core, Delegation, Order, Out};
+use super::{Call, Core, Delegation, End, Order, Out};
 use crate::api::*;
 use crate::journal::{CallNo, Record, Sent};
 
@@ -29,7 +29,7 @@
         let record = self.calls.get(&no).map(|c| self.state(no, c));
         if let Some(Err(e)) = record.map(|r| self.journal.append(&r)) {
             log::error!("a delegation cannot be written down and is not sent: {e}");
-            return self.outcome(now, no, attempt, Outcome::NotSent, 0.0, Report::default(), false);
+            return self.outcome(now, no, attempt, End::of(Outcome::NotSent));
         }
         self.counters.sent += 1;
         self.orders.push(Order::Delegate(delegation));
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -4,7 +4,7 @@
 use super::stream::{Fill, Stream};
 use super::{token, Kind};
 use crate::api::*;
-use crate::dispatch::Delegation;
+use crate::dispatch::{Delegation, End};
 use crate::journal::CallNo;
 use mio::Registry;
 use slab::Slab;
@@ -41,16 +41,10 @@
     Ended {
         /// Which.
         task: Task,
-        /// How.
-        outcome: Outcome,
         /// Since its start.
         took: Ms,
-        /// The wait that was told.
-        wait: Ms,
-        /// What was told of the limit.
-        report: Report,
-        /// The call is over, as the platform says.
-        over: bool,
+        /// How.
+        end: End,
     },
 }
 
@@ -340,14 +334,8 @@
             (_, _) => (Outcome::NoConnection, 0.0),
         };
         if let Some((task, started)) = c.task {
-            found.push(Finding::Ended {
-                task,
-                outcome,
-                took: now - started,
-                wait,
-                report: Report::default(),
-                over: false,
-            });
+            let end = End { wait, heard: c.heard.is_some(), ..End::of(outcome) };
+            found.push(Finding::Ended { task, took: now - started, end });
         }
         self.close(at);
     }
@@ -392,7 +380,7 @@
 }
 
 pub(super) fn ended(task: Task, outcome: Outcome, took: Ms) -> Finding {
-    Finding::Ended { task, outcome, took, wait: 0.0, report: Report::default(), over: false }
+    Finding::Ended { task, took, end: End::of(outcome) }
 }
 
 pub(super) fn answered(task: Task, h: &Head, took: Ms) -> Finding {
@@ -408,5 +396,5 @@
         }
     };
     let wait = if outcome == Outcome::Refused { h.wait } else { 0.0 };
-    Finding::Ended { task, outcome, took, wait, report: h.report, over }
+    Finding::Ended { task, took, end: End { outcome, wait, report: h.report, over, heard: true } }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -297,13 +297,11 @@
             match finding {
                 Finding::Written(Task::Delegation(no, attempt)) => self.core.written(no, attempt),
                 Finding::Written(Task::Probe(_)) => {}
-                Finding::Ended {
-                    task: Task::Delegation(no, attempt), outcome, wait, report, over, ..
-                } => {
-                    self.core.outcome(now, no, attempt, outcome, wait, report, over);
+                Finding::Ended { task: Task::Delegation(no, attempt), end, .. } => {
+                    self.core.outcome(now, no, attempt, end);
                 }
-                Finding::Ended { task: Task::Probe(route), outcome, took, report, .. } => {
-                    self.core.probed(route, outcome, took, report);
+                Finding::Ended { task: Task::Probe(route), took, end } => {
+                    self.core.probed(route, end.outcome, took, end.report);
                 }
             }
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -39,6 +39,8 @@
     pub(crate) last_used: Ms,
     /// Since when its connections are idle; `None` if none is open.
     pub(crate) idle_since: Option<Ms>,
+    /// When it last refused a connection.
+    pub(crate) refused: Option<Ms>,
     pub(crate) outage: Option<Outage>,
     pub(crate) ramp: Option<Ramp>,
 }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -288,7 +288,18 @@
         let report = report(p.opt("feedback")?)?;
         p.end()?;
         let wait = if outcome == Outcome::Refused { note } else { 0.0 };
-        inst.events.push(Event::Ended(Ended { id, attempt, route, outcome, took, over, wait, report }));
+        let heard = false;
+        inst.events.push(Event::Ended(Ended {
+            id,
+            attempt,
+            route,
+            outcome,
+            took,
+            over,
+            wait,
+            report,
+            heard,
+        }));
         Ok(())
     }
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -135,8 +135,17 @@
         let a = self.out(id).expect("no attempt is out");
         let over = outcome == Outcome::Delivered || self.seen[&id].finals > 0;
         let took = self.now - a.sent;
-        let e =
-            Ended { id, attempt: a.n, route: a.route, outcome, took, over, wait, report: Report::default() };
+        let e = Ended {
+            id,
+            attempt: a.n,
+            route: a.route,
+            outcome,
+            took,
+            over,
+            wait,
+            report: Report::default(),
+            heard: false,
+        };
         self.give(vec![Event::Ended(e)]);
     }
 
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -53,3 +53,51 @@
     );
     w.all_well();
 }
+
+/// A process that was replaced refuses connections as a full table does: with few senders all other routes of its kind
+/// lost their connections for two minutes.
+#[test]
+fn with_few_senders_only_the_route_that_refused_is_relieved_and_not_for_long() {
+    let mut w = Watched::new(settings(), vec![row(0, 1, 0, 0), row(1, 2, 0, 0)]);
+    let id = w.arrive(0, 2, None);
+    w.end(id, Outcome::NoConnection, 0.0);
+    deliver(&mut w, 1, 100.0);
+    assert!(!w.actions.contains(&Action::CloseIdle(0)), "another destination of that kind");
+    w.pass(1_000.0);
+    w.end(id, Outcome::Delivered, 0.0);
+    let before = closes(&w);
+    assert!(before > 0, "the one that refused");
+    w.pass(6_000.0);
+    deliver(&mut w, 2, 10.0);
+    assert_eq!(closes(&w), before, "it has had time");
+}
+
+/// A spoilt answer on a connection that had been idle was taken for a connection dropped unseen.
+#[test]
+fn a_connection_that_breaks_within_its_answer_was_not_lost_while_idle() {
+    let mut w = Watched::new(settings(), vec![row(0, 1, 0, 0)]);
+    (0..3).for_each(|_| deliver(&mut w, 1, 300.0));
+    w.pass(2_000.0);
+    let id = w.arrive(0, 1, None);
+    w.pass(20.0);
+    let a = w.out(id).expect("out");
+    let report = Report::default();
+    let e = Ended {
+        id,
+        attempt: a.n,
+        route: 0,
+        outcome: Outcome::Reset,
+        took: 20.0,
+        over: false,
+        wait: 0.0,
+        report,
+        heard: true,
+    };
+    w.give(vec![Event::Ended(e)]);
+    w.pass(1_000.0);
+    w.end(id, Outcome::Delivered, 0.0);
+    w.pass(3_000.0);
+    deliver(&mut w, 1, 0.0);
+    assert_eq!(closes(&w), 0, "idle connections are kept");
+    w.all_well();
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -199,6 +199,7 @@
         over: true,
         wait: 0.0,
         report: Report::default(),
+        heard: false,
     };
     let stray = Ended { id: 777, route: 55, ..e };
     let events = vec![
