--- a/src/brain.rs
+++ b/src/brain.rs
@@ -242,8 +242,8 @@
         self.prune(now);
     }
 
-    /// Guards against growth where ids are new each time: a route gone for long is forgotten with all that was
-    /// its own, and so is a destination without routes.
+    /// Guards against growth where ids are new each time: a route gone for long is forgotten with all that
+    /// was its own, and so is a destination without routes.
     fn prune(&mut self, now: Ms) {
         let over = |r: &Route| r.calls == 0 && r.gone.is_some_and(|t| now - t >= GONE_KEPT);
         let due: Vec<RouteId> = self.routes.iter().filter(|(_, r)| over(r)).map(|(id, _)| *id).collect();
@@ -525,9 +525,9 @@
     }
 
     /// Guards against tables of connections filled by what hundreds of senders keep open and hardly use:
-    /// where a kind of destination refused a connection lately, none is kept idle. A few senders fill no table
-    /// by being there: only the route that refused is relieved. An outage, or a process that is replaced, looks
-    /// the same; then this costs handshakes and nothing else.
+    /// where a kind of destination refused a connection lately, none is kept idle. Few senders fill no table
+    /// by being there: only the route that refused is relieved. An outage, or a process replaced, looks the
+    /// same; then this costs handshakes and nothing else.
     fn close_idle(&mut self, now: Ms, out: &mut Vec<Action>) {
         for id in std::mem::take(&mut self.done) {
             let Some(r) = self.routes.get_mut(&id).filter(|r| r.calls == 0) else { continue };
