--- a/src/brain.rs
+++ b/src/brain.rs
@@ -68,6 +68,7 @@
 const WATCH_GAP_MOST: Ms = 8_000.0;
 const ROOM_SHARE: f64 = 0.9; // of the room is filled before messages are handed back
 const GATHER: f64 = 0.1; // of the promise a message may wait for company in one call
+const PLANS_AHEAD: usize = 6; // messages of a destination that are planned while they cannot go yet
 const RANK_AHEAD: f64 = 0.5; // of the promise: delay by which the stake of a message is judged
 const RANK_WORTH: f64 = 0.1; // part of plain worth in its rank
 const RANK_CALL: Ms = 50.0; // time that any call takes beside its own, when slots are shared out
@@ -959,11 +960,12 @@
             return;
         }
         let mut ahead: BTreeMap<RouteId, usize> = BTreeMap::new();
+        let mut queued: BTreeMap<DestId, usize> = BTreeMap::new();
         let waiting = self.queues();
         waiting.keys().for_each(|dest| self.refill(now, *dest));
         for id in self.ranked(now) {
             let h = &self.held[&id];
-            if !self.can_finish(now, h) {
+            if !self.can_finish(now, h) || queued.get(&h.m.dest).is_some_and(|n| *n >= PLANS_AHEAD) {
                 continue;
             }
             let free = self.key_free(now, h).max(h.not_before).max(self.next_chance(now, h));
@@ -974,6 +976,7 @@
             let (at, route, trial) = self.plan(now, h, &ahead);
             let Some(route) = route.filter(|_| at <= now) else {
                 route.into_iter().for_each(|r| *ahead.entry(r).or_default() += 1);
+                *queued.entry(h.m.dest).or_default() += 1;
                 self.wake_at(at);
                 continue;
             };
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -35,6 +35,12 @@
 /// Descriptors for the listener, the journal, the poll, signals, watch, notices and a margin.
 const SOCKETS_OWN: usize = 40;
 
+/// After a turn of the core the next one waits for so many times its cost: with much held a turn is dear, and one for
+/// each event would use up this process's share of its core. A cheap turn is followed by the next at once.
+const CORE_REST: f64 = 5.0;
+/// The longest such wait: clients and workers are not kept longer.
+const CORE_REST_MOST: Ms = 20.0;
+
 /// What a token stands for; its number is in the bits above.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Kind {
@@ -86,6 +92,8 @@
     notices: Notices,
     signals: Vec<(i32, UnixStream)>,
     found: Vec<Finding>,
+    /// When the core may have its next turn.
+    core_at: Ms,
     /// When it was told to leave.
     leaving: Option<Ms>,
     /// When clients that could not be accepted are tried again; no event tells of them a second time.
@@ -143,6 +151,7 @@
             config,
             signals,
             found: Vec::new(),
+            core_at: 0.0,
             leaving: None,
             accept_at: None,
         })
@@ -184,13 +193,10 @@
         let wires = [self.workers.next_due(), self.brokers.next_due()];
         let wires = wires.into_iter().chain([self.acceptors.next_due(), self.sessions.next_due()]);
         let own = [Some(self.watch.next_due()), self.notices.next_due()];
-        let all = own.into_iter().chain(wires).chain([self.core.next_due(), self.leave_due(now)]);
-        let due = all.chain([self.accept_at]).flatten().fold(f64::MAX, f64::min);
-        if self.found.is_empty() {
-            due
-        } else {
-            0.0
-        }
+        let found = (!self.found.is_empty()).then_some(0.0);
+        let core = [self.core.next_due(), found].into_iter().flatten().map(|t| t.max(self.core_at));
+        let all = own.into_iter().chain(wires).chain([self.leave_due(now), self.accept_at]);
+        all.flatten().chain(core).fold(f64::MAX, f64::min)
     }
 
     fn happened(&mut self, now: Ms, token: Token) {
@@ -293,6 +299,15 @@
         self.acceptors.tick(now, &mut self.core);
         let heard = self.sessions.tick(now, &mut self.core);
         heard.into_iter().for_each(|no| self.core.confirmed(now, no));
+        if now >= self.core_at {
+            self.core_turn(now);
+            let cost = self.clock.now() - now;
+            self.core_at = now + cost + (CORE_REST * cost).min(CORE_REST_MOST);
+        }
+        self.notices.tick(now, self.poll.registry());
+    }
+
+    fn core_turn(&mut self, now: Ms) {
         for finding in std::mem::take(&mut self.found) {
             match finding {
                 Finding::Written(Task::Delegation(no, attempt)) => self.core.written(no, attempt),
@@ -308,7 +323,6 @@
         for order in self.core.turn(now) {
             self.carry_out(now, order);
         }
-        self.notices.tick(now, self.poll.registry());
     }
 
     fn carry_out(&mut self, now: Ms, order: Order) {
