--- a/src/brain.rs
+++ b/src/brain.rs
@@ -39,6 +39,7 @@
 // Failures, hangs, outages and returns.
 const FAIL_WEIGHT: f64 = 0.3; // of the newest attempt in a route's share of failures
 const FAIL_HALF: Ms = 3_000.0; // half-life of that share
+const FAIL_RESET: f64 = 0.7; // of a failure that a connection which broke counts as
 const FAIL_OUT: f64 = 0.5; // the route is out
 const FAIL_UNSAFE: f64 = 0.2; // unsafe messages stay away
 const SHUT_ROUNDS: u32 = 2; // of refusals without a success: shut
@@ -498,7 +499,7 @@
                 if e.outcome == Outcome::Late {
                     self.halve(f.route);
                 }
-                self.failed(now, f.route, e.outcome != Outcome::NoConnection);
+                self.failed(now, f.route, e.outcome);
             }
         }
     }
@@ -575,13 +576,16 @@
         r.map_or(0.0, |r| r.note(now, failed, FAIL_WEIGHT, FAIL_HALF, FAIL_UNSAFE))
     }
 
-    fn failed(&mut self, now: Ms, route: RouteId, harmful: bool) {
-        let fails = self.note(now, route, 1.0);
+    /// Guards against taking a network that loses connections here and there for routes that are down: a process
+    /// that has died refuses the next connection, so a reset alone says little, and a row of them is needed.
+    fn failed(&mut self, now: Ms, route: RouteId, outcome: Outcome) {
+        let broke = outcome == Outcome::Reset;
+        let fails = self.note(now, route, if broke { FAIL_RESET } else { 1.0 });
         let Some(r) = self.routes.get(&route) else { return };
         // A route that is seldom called is judged by one failure.
-        let seldom = now - self.units[r.unit].last_good_send > FAIL_HALF;
+        let seldom = !broke && now - self.units[r.unit].last_good_send > FAIL_HALF;
         if seldom || fails >= FAIL_OUT || r.outage.is_some() {
-            self.out(now, route, harmful, now);
+            self.out(now, route, outcome != Outcome::NoConnection, now);
         }
     }
 
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -101,3 +101,26 @@
     assert_eq!(closes(&w), 0, "idle connections are kept");
     w.all_well();
 }
+
+/// One connection lost on a route that is seldom called made it sick for seconds, and cold for thirteen more.
+#[test]
+fn a_lone_reset_is_no_outage_and_a_row_of_them_is() {
+    let mut w = Watched::new(settings(), vec![row(0, 1, 0, 0)]);
+    deliver(&mut w, 1, 10_000.0);
+    let id = w.arrive(2, 1, None);
+    w.pass(20.0);
+    w.end(id, Outcome::Reset, 0.0);
+    let next: Vec<MsgId> = (0..2).map(|_| w.arrive(0, 1, None)).collect();
+    assert!(next.iter().all(|id| w.out(*id).is_some()), "both go at once");
+    w.pass(20.0);
+    next.iter().for_each(|id| w.end(*id, Outcome::Delivered, 0.0));
+    w.pass(10_000.0);
+    for _ in 0..8 {
+        let id = w.arrive(0, 1, None);
+        if w.out(id).is_some() {
+            w.end(id, Outcome::Reset, 0.0);
+        }
+    }
+    let id = w.arrive(0, 1, None);
+    assert!(w.out(id).is_none(), "now it is taken for down");
+}
