Bring a route back warm after resets; four refused rounds make a destination shut

Checked: a trace of messages given up shows nearly every route in its cold start (ramp) and no pause left; outages lasted 1.1 s in the middle, most set off by two rounds of refusals in the first seconds. The lines at fault are SHUT_ROUNDS in brain.rs and the 13 s ramp it leads to. 130 calls broke within 2 ms on kept connections dropped unseen. Route, key and worker growth has tests now, MQTT crowds too.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -42,7 +42,7 @@
 const FAIL_RESET: f64 = 0.7; // of a failure that a connection which broke counts as
 const FAIL_OUT: f64 = 0.5; // the route is out
 const FAIL_UNSAFE: f64 = 0.2; // unsafe messages stay away
-const SHUT_ROUNDS: u32 = 2; // of refusals without a success: shut
+const SHUT_ROUNDS: u32 = 4; // of refusals without a success: shut
 const HANG_LEAST: Ms = 600.0; // a call is overdue after this,
 const HANG_TIMES: f64 = 3.0; // and so many times its route's slow calls;
 const HANG_UNSAFE: f64 = 2.0; // so many times that for an unsafe message: called off, it is lost
@@ -577,7 +577,7 @@
     }
 
     /// Guards against taking a network that loses connections here and there for routes that are down: a
-    /// process that has died refuses the next connection, so a lone reset says little; a row of them is needed.
+    /// process that has died refuses the next connection, so a lone reset says little; a row of them counts.
     fn failed(&mut self, now: Ms, route: RouteId, outcome: Outcome) {
         let broke = outcome == Outcome::Reset;
         let fails = self.note(now, route, if broke { FAIL_RESET } else { 1.0 });
@@ -585,21 +585,23 @@
         // A route that is seldom called is judged by one failure.
         let seldom = !broke && now - self.units[r.unit].last_good_send > FAIL_HALF;
         if seldom || fails >= FAIL_OUT || r.outage.is_some() {
-            self.out(now, route, outcome != Outcome::NoConnection, now);
+            self.out(now, route, outcome != Outcome::NoConnection, now, broke);
         }
     }
 
     /// Guards against pushing a shut or failing route: only single trials go there until one succeeds.
-    fn out(&mut self, now: Ms, route: RouteId, harmful: bool, not_before: Ms) {
+    fn out(&mut self, now: Ms, route: RouteId, harmful: bool, not_before: Ms, soft: bool) {
         let Some(r) = self.routes.get(&route) else { return };
         let unit = r.unit;
         let since = r.outage.as_ref().map_or(r.first_fail.unwrap_or(now), |o| o.since);
-        let next = not_before.max(now + self.trial_gap(now, unit, since));
+        let soft = soft && r.outage.as_ref().is_none_or(|o| o.soft);
+        let gap = if soft { TRIAL_GAP } else { self.trial_gap(now, unit, since) };
+        let next = not_before.max(now + gap);
         let Some(r) = self.routes.get_mut(&route) else { return };
         r.window = (r.window / 2.0).max(1.0);
-        r.ramp = None;
-        let o = r.outage.get_or_insert(Outage { since, harmful, trying: None, shut: false });
-        o.trying = None;
+        r.ramp = r.ramp.take().filter(|_| soft);
+        let o = r.outage.get_or_insert(Outage { since, harmful, trying: None, shut: false, soft });
+        (o.trying, o.soft) = (None, soft);
         o.harmful |= harmful;
         o.shut |= not_before > now;
         self.units[unit].next_trial = self.units[unit].next_trial.max(next);
@@ -661,7 +663,7 @@
         if known || wait > self.s.overload_for || u.rounds >= SHUT_ROUNDS {
             let (until, whole) = (u.pause_until, wait > self.s.overload_for || u.rounds >= SHUT_ROUNDS);
             let shut = self.sharing(route).into_iter().filter(|id| whole || *id == route);
-            shut.for_each(|id| self.out(now, id, false, until));
+            shut.for_each(|id| self.out(now, id, false, until, false));
         }
     }
 
@@ -689,6 +691,10 @@
         r.samples.ring.retain(|s| s.2);
         r.first_fail = None;
         r.fails = r.fails.min(FAIL_OUT / 2.0);
+        // Where nothing but connections broke, the route was up all the time and is not cold.
+        if o.soft {
+            return;
+        }
         let from = if now - o.since < self.s.overload_for { 0.5 } else { self.s.cold_from };
         r.ramp = Some(Ramp { since: now, from, tokens: Bucket { level: self.random.next(), at: now } });
         self.units[unit].next_trial = now + self.trial_gap(now, unit, o.since);
@@ -703,7 +709,7 @@
         if outcome == Outcome::Delivered {
             self.recover(now, route);
         } else {
-            self.out(now, route, false, now);
+            self.out(now, route, false, now, false);
         }
     }
 
@@ -727,7 +733,7 @@
         }
         for route in hung {
             self.note(now, route, 1.0);
-            self.out(now, route, true, now);
+            self.out(now, route, true, now, false);
         }
         if self.s.can_cancel {
             self.cut_hung(now, out);
--- a/src/dispatch/route.rs
+++ b/src/dispatch/route.rs
@@ -133,3 +133,55 @@
         self.worker_of.retain(|_, route| workers.contains_key(route));
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::dispatch::Parts;
+    use crate::journal::Journal;
+
+    fn worker(uid: &str, dest: DestId, listing: Listing) -> Worker {
+        let address = "127.0.0.1:1".into();
+        Worker { uid: uid.into(), address, zone: 0, kind: 0, dest, listing, weight: 1.0 }
+    }
+
+    fn core(name: &str) -> Core {
+        let dir = std::env::temp_dir().join(format!("lilacbank-route-{name}-{}", std::process::id()));
+        let (journal, _) = Journal::open(&dir, 1 << 20).unwrap();
+        std::fs::remove_dir_all(dir).unwrap();
+        Core::new(Parts { settings: Settings::default(), names: Default::default(), journal })
+    }
+
+    fn news(core: &mut Core, now: Ms, workers: Vec<Worker>) {
+        core.list(now, WorkerList { rev: 1, whole: false, workers }, false);
+        core.turn(now);
+    }
+
+    /// Guards against growth: on a day of releases every id is new.
+    #[test]
+    fn workers_gone_for_long_are_forgotten_and_one_that_comes_back_soon_is_the_same() {
+        let mut core = core("growth");
+        for n in 0..1_000 {
+            let now = Ms::from(n) * 1_000.0;
+            let old = worker(&format!("u{}", n - 1), 1, Listing::Gone);
+            news(&mut core, now, vec![old, worker(&format!("u{n}"), 1, Listing::Ready)]);
+        }
+        assert!(core.workers.len() < 40 && core.worker_of.len() < 40, "{}", core.workers.len());
+        let number = core.worker_of["u999"];
+        news(&mut core, 1e6, vec![worker("u999", 1, Listing::Gone)]);
+        news(&mut core, 1e6 + 5_000.0, vec![worker("u999", 1, Listing::Ready)]);
+        assert_eq!(core.worker_of["u999"], number);
+    }
+
+    /// Guards against an id that serves another destination all at once, with calls for the old one.
+    #[test]
+    fn an_id_that_changes_its_destination_is_another_worker() {
+        let mut core = core("moved");
+        news(&mut core, 0.0, vec![worker("u", 1, Listing::Ready)]);
+        let number = core.worker_of["u"];
+        news(&mut core, 1.0, vec![worker("u", 2, Listing::Ready)]);
+        assert_ne!(core.worker_of["u"], number);
+        assert_eq!(core.worker(number).map(|w| w.listing), Some(Listing::Gone));
+        assert!(core.is_listed(2) && !core.is_listed(3));
+    }
+}
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -20,6 +20,9 @@
 const ANSWER_PATIENCE: Ms = 500.0;
 /// Bytes of an answer's body at most; one that claims more is spoilt.
 const BODY_MOST: u64 = 64 * 1024;
+/// A kept connection that breaks so soon after a call was written to it had been dropped unseen while it was idle; the
+/// others to that worker are as old and no better, and each would cost a call.
+const STALE_WITHIN: Ms = 10.0;
 /// Answers of status 1xx in front of one answer at most.
 const INTERIM_MOST: u32 = 16;
 
@@ -333,11 +336,21 @@
             (h, _) if c.written => (Outcome::Reset, h.as_ref().map_or(0.0, |h| h.wait)),
             (_, _) => (Outcome::NoConnection, 0.0),
         };
+        let (route, stale) = match c.task {
+            Some((_, started)) => {
+                let at_once = now - started < STALE_WITHIN && c.heard.is_none();
+                (c.unit.1, at_once && started > c.opened)
+            }
+            None => (c.unit.1, false),
+        };
         if let Some((task, started)) = c.task {
             let end = End { wait, heard: c.heard.is_some(), ..End::of(outcome) };
             found.push(Finding::Ended { task, took: now - started, end });
         }
         self.close(at);
+        if stale {
+            self.close_idle(route);
+        }
     }
 
     fn end(&mut self, now: Ms, at: usize, outcome: Outcome, found: &mut Vec<Finding>) {
--- a/src/net/mqtt/acceptor.rs
+++ b/src/net/mqtt/acceptor.rs
@@ -34,6 +34,8 @@
     session: Session<Server>,
     client: Option<String>,
     since: Ms,
+    /// Tells it from an earlier connection in the same place, also one of the same client.
+    serial: u64,
 }
 
 /// A final answer that a client is owed until it acknowledges it.
@@ -56,6 +58,7 @@
 #[derive(Debug)]
 struct Asked {
     conn: usize,
+    serial: u64,
     client: String,
     packet: Option<u16>,
     id: String,
@@ -68,6 +71,7 @@
     clients: HashMap<String, Client>,
     asked: HashMap<Ticket, Asked>,
     next_ticket: Ticket,
+    next_serial: u64,
     /// Connections that had more to read than one turn takes.
     more: Vec<usize>,
     most: usize,
@@ -118,6 +122,7 @@
             clients: HashMap::new(),
             asked: HashMap::new(),
             next_ticket: 0,
+            next_serial: 0,
             more: Vec::new(),
             most,
             draining: false,
@@ -144,7 +149,9 @@
         let entry = self.conns.vacant_entry();
         match Stream::accepted(tcp, registry, token(Kind::Session, entry.key())) {
             Ok(stream) => {
-                entry.insert(Conn { session: Session::new(stream), client: None, since: now });
+                self.next_serial += 1;
+                let (session, serial) = (Session::new(stream), self.next_serial);
+                entry.insert(Conn { session, client: None, since: now, serial });
             }
             Err(e) => log::warn!("an MQTT connection cannot be served: {e}"),
         }
@@ -298,7 +305,8 @@
                 let ticket = self.next_ticket * 2 + 1;
                 self.next_ticket += 1;
                 let (id, reply) = (s.identity.1.clone(), s.reply.clone());
-                let asked = Asked { conn: at, client: client.to_string(), packet: p.packet_id(), id, reply };
+                let (serial, client) = (self.conns[at].serial, client.to_string());
+                let asked = Asked { conn: at, serial, client, packet: p.packet_id(), id, reply };
                 self.asked.insert(ticket, asked);
                 core.submit(now, ticket, s);
             }
@@ -328,8 +336,8 @@
                 Some(Ending::GivenUp)
             }
         };
-        // The connection may be another client's by now.
-        if self.clients.get(&a.client).is_some_and(|c| c.conn == Some(a.conn)) {
+        // Guards against acknowledging on the client's next connection, in the same place, what it never sent there.
+        if self.conns.get(a.conn).is_some_and(|c| c.serial == a.serial) {
             self.acknowledge(now, a.conn, a.packet, PubackReasonCode::Success);
         }
         if let Some(ending) = ending {
--- a/src/state.rs
+++ b/src/state.rs
@@ -13,6 +13,8 @@
     pub(crate) trying: Option<Ms>,
     /// What shares its limit was shut, not this route alone.
     pub(crate) shut: bool,
+    /// All that was seen of it are connections that broke.
+    pub(crate) soft: bool,
 }
 
 /// A drip of calls for a route that has come back and may be cold.
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -102,6 +102,25 @@
     w.all_well();
 }
 
+/// Where ids and keys are new each time, what was known of the old ones must not pile up.
+#[test]
+fn routes_and_keys_that_never_come_back_are_forgotten() {
+    let mut w = Watched::new(settings(), vec![row(0, 1, 0, 0)]);
+    let mut sizes = Vec::new();
+    for n in 1..=400u32 {
+        let gone = Row { listing: Listing::Gone, ..row(n - 1, 1, 0, 0) };
+        w.give(vec![Event::List { rows: vec![gone, row(n, 1, 0, 0)], whole: false, cached: false }]);
+        let id = w.arrive(3, 1, Some(u64::from(n)));
+        w.pass(80.0);
+        w.end(id, Outcome::Delivered, 0.0);
+        w.pass(1_000.0);
+        sizes.push(format!("{:?}", w.brain).len());
+    }
+    let (half, end) = (sizes[199], sizes[399]);
+    assert!(end < half + half / 10, "from {half} to {end} letters of state");
+    w.all_well();
+}
+
 /// One connection lost on a route that is seldom called made it sick for seconds, and cold for thirteen more.
 #[test]
 fn a_lone_reset_is_no_outage_and_a_row_of_them_is() {
@@ -124,3 +143,24 @@
     let id = w.arrive(0, 1, None);
     assert!(w.out(id).is_none(), "now it is taken for down");
 }
+
+/// Routes of which nothing but connections had broken came back cold: their backlogs stood for 13 s beside free slots.
+#[test]
+fn after_nothing_but_resets_a_route_comes_back_warm() {
+    let slots = Settings { cold: 13_000.0, ..settings() };
+    let mut w = Watched::new(slots, vec![row(0, 1, 0, 0)]);
+    (0..8).for_each(|_| deliver(&mut w, 1, 100.0));
+    for _ in 0..6 {
+        let id = w.arrive(0, 1, None);
+        if w.out(id).is_some() {
+            w.end(id, Outcome::Reset, 0.0);
+        }
+    }
+    for _ in 0..40 {
+        w.pass(100.0);
+        let out: Vec<MsgId> = w.seen.keys().copied().filter(|id| w.out(*id).is_some()).collect();
+        out.into_iter().for_each(|id| w.end(id, Outcome::Delivered, 0.0));
+    }
+    let next: Vec<MsgId> = (0..3).map(|_| w.arrive(0, 1, None)).collect();
+    assert!(next.iter().all(|id| w.out(*id).is_some()), "all go at once");
+}
--- a/tests/mqtt.rs
+++ b/tests/mqtt.rs
@@ -9,7 +9,7 @@
 use stand_mqtt::*;
 use std::io::{Read, Write};
 use std::net::TcpStream;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const SAFE: &str = "class=safe,dest=1,tenant=acme";
 const PAY: &str = "class=pay,dest=1";
@@ -265,6 +265,32 @@
     assert!(d.running());
 }
 
+/// Guards against a crowd that connects and says nothing, or half a CONNECT, shutting out the usual clients.
+#[test]
+fn silent_sessions_are_ended_in_time_and_push_nobody_out() {
+    let broker = Broker::start(|_, _| Does::Answers(200, None));
+    let site = behind(&[&broker]);
+    let d = site.start();
+    let mut old = MqttClient::connect(d.mqtt.unwrap(), "old");
+    let start = Instant::now();
+    let mut crowd: Vec<TcpStream> = (0..200).map(|_| TcpStream::connect(d.mqtt.unwrap()).unwrap()).collect();
+    for tcp in crowd.iter_mut().step_by(2) {
+        let _ = tcp.write_all(b"\x10\x14\0\x04MQ");
+    }
+    let mut new = MqttClient::connect(d.mqtt.unwrap(), "new");
+    new.submit("n", PAY, 10);
+    assert_eq!(new.outcome("n"), "delivered");
+    old.submit("o", PAY, 10);
+    assert_eq!(old.outcome("o"), "delivered");
+    for tcp in &mut crowd {
+        tcp.set_read_timeout(Some(PATIENCE)).unwrap();
+        assert_eq!(tcp.read(&mut [0; 16]).unwrap_or(0), 0, "closed without a word");
+    }
+    assert!(start.elapsed() < Duration::from_secs(6), "{:?}", start.elapsed());
+    old.submit("p", "class=safe,dest=77", 10);
+    assert_eq!(old.outcome("p"), "handed_back", "a destination that no list names");
+}
+
 /// Clients of both fronts at one worker that is full: its wait holds for all of them.
 #[test]
 fn a_full_worker_is_left_alone_by_both_fronts() {
