Let the longest idle client go before newcomers, unless newcomers are a crowd

Conclusion: with few newcomers the longest idle client goes; it asks again. The crowd tests stay green; a test of its own for a crowd of usual clients is still open.

--- a/src/net/resp.rs
+++ b/src/net/resp.rs
@@ -211,6 +211,13 @@
         }
         let mut young: Vec<(Ms, usize)> =
             self.conns.iter().filter(|(_, c)| stranger(c)).map(|(at, c)| (c.since, at)).collect();
+        // A few newcomers among many clients are clients too, whose first command is on its way; only a crowd is not.
+        // Who was served and loses an idle connection asks again on a new one.
+        if young.len() * 2 < self.most {
+            if let Some(at) = pick(&|c| c.served && c.is_idle(), &|c| c.used) {
+                return Some(at);
+            }
+        }
         young.sort_by(|a, b| a.0.total_cmp(&b.0));
         for (_, at) in young {
             // Its first command may have come and not been read yet.
