Add the settings package: agreements and applications as typed records, and their checks

Each value is now read by one typed record with its unit and range, unknown keys refused, all faults of all files in one go, and checks that need more than one value or file are one module without I/O: shares and connections that add up over the member's, repeats that a member forbids, windows shorter than deadlines, sums of descriptors, memory and disk, clashes on one machine.

Not yet reachable from the command line.

--- a/crates/limits/tests/any_span.rs
+++ b/crates/limits/tests/any_span.rs
@@ -6,14 +6,25 @@
 const TRAVEL: f64 = 40.0;
 
 fn promise(calls: u32, span: f64, scope: Scope) -> Promise {
-    Promise { member: "m".into(), dest: 1, calls: Some(calls), span, travel: TRAVEL, scope, connections: Some(6) }
+    Promise {
+        member: "m".into(),
+        dest: 1,
+        calls: Some(calls),
+        span,
+        travel: TRAVEL,
+        scope,
+        connections: Some(6),
+    }
 }
 
 /// The most arrivals in any span, half open.
 fn worst(arrivals: &[f64], span: f64) -> usize {
     let mut times = arrivals.to_vec();
     times.sort_by(f64::total_cmp);
-    (0..times.len()).map(|i| times[i..].iter().take_while(|t| **t < times[i] + span).count()).max().unwrap_or(0)
+    (0..times.len())
+        .map(|i| times[i..].iter().take_while(|t| **t < times[i] + span).count())
+        .max()
+        .unwrap_or(0)
 }
 
 #[derive(Debug, Clone)]
@@ -93,11 +104,12 @@
                     let room = self.ceilings.room(self.now, 1, NAMES[endpoint]).unwrap();
                     let took = self.ceilings.take(self.now, 1, NAMES[endpoint]);
                     assert_eq!(took.is_ok(), room.calls > 0);
-                    if took.is_ok() {
-                        self.note(endpoint, Step::Started);
-                        self.out.push(Out { endpoint, written_at: self.now + write, travel, fails });
-                    } else {
-                        assert!(took.unwrap_err().wait > 0.0);
+                    match took {
+                        Ok(()) => {
+                            self.note(endpoint, Step::Started);
+                            self.out.push(Out { endpoint, written_at: self.now + write, travel, fails });
+                        }
+                        Err(over) => assert!(over.wait > 0.0),
                     }
                 }
                 Deed::Kill(away) => {
@@ -120,9 +132,7 @@
     fn worst(&self) -> usize {
         let of = |e: usize| self.arrivals.iter().filter(|a| a.0 == e).map(|a| a.1).collect::<Vec<_>>();
         match self.promise.scope {
-            Scope::Member => {
-                worst(&self.arrivals.iter().map(|a| a.1).collect::<Vec<_>>(), self.promise.span)
-            }
+            Scope::Member => worst(&self.arrivals.iter().map(|a| a.1).collect::<Vec<_>>(), self.promise.span),
             Scope::Endpoint => (0..3).map(|e| worst(&of(e), self.promise.span)).max().unwrap_or(0),
         }
     }
--- /dev/null
+++ b/crates/settings/src/render.rs
@@ -0,0 +1,174 @@
+//! From an application and its agreements to the JSON that its dispatcher reads.
+
+use crate::agreement::{Area, MemberKind, Repeats};
+use crate::application::{LogFormat, LogLevel};
+use crate::check::effective;
+use crate::served::*;
+use crate::set::{AppFile, Set, Used};
+use crate::units::{Name, Span, WHOLE};
+use std::collections::BTreeMap;
+
+fn effect(r: Repeats) -> String {
+    match r {
+        Repeats::Forbidden => "at_most_once",
+        Repeats::Dropped => "deduplicated",
+        Repeats::Harmless => "idempotent",
+    }
+    .into()
+}
+
+/// The member's endpoints that the application uses; several uses of one member are one promise.
+fn target(u: &Used, i: usize) -> Option<Target> {
+    let e = &u.agreement.endpoints[i];
+    let id = e.id.as_ref()?;
+    Some(Target {
+        uid: id.0.clone(),
+        endpoint: e.address.as_ref()?.to_string(),
+        az: e.building.as_ref()?.0.clone(),
+        model: u.agreement.kind.name().into(),
+        pod_group: u.agreement.destination?,
+        state: "in_service".into(),
+        ..Target::default()
+    })
+}
+
+/// What the application promised of a member, over all uses of it.
+pub fn member(all: &[Used]) -> Member {
+    let (u, a) = (&all[0], all[0].agreement);
+    // Each use is rounded down by itself, as the check has reckoned.
+    let calls = a.limit.map(|l| all.iter().filter_map(|u| u.used.share).map(|s| s.of(l.calls)).sum());
+    let accepts = a.classes.iter().map(|(name, c)| {
+        let window = c.dropped_for.map(|s| s.0);
+        (name.0.clone(), Accepts { effect: effect(c.repeats.unwrap_or(Repeats::Forbidden)), window })
+    });
+    Member {
+        name: u.member().into(),
+        dest: a.destination.unwrap_or(0),
+        calls,
+        span: a.limit.map_or(0.0, |l| l.span.0),
+        travel: a.travel.0,
+        each: a.kind == MemberKind::LowVolume,
+        connections: all.iter().map(|u| u.used.connections).sum(),
+        accepts: accepts.collect(),
+    }
+}
+
+/// The JSON for an application whose files have passed the check.
+pub fn render(set: &Set, app: &AppFile) -> Served {
+    let a = &app.record;
+    let mut by_member: BTreeMap<&str, Vec<Used>> = BTreeMap::new();
+    let mut order: Vec<&str> = Vec::new();
+    for u in set.uses(app) {
+        if !by_member.contains_key(u.terms.file.as_str()) {
+            order.push(&u.terms.file);
+        }
+        by_member.entry(&u.terms.file).or_default().push(u);
+    }
+    let groups: Vec<&Vec<Used>> = order.iter().map(|f| &by_member[f]).collect();
+    let mut zones: Vec<String> = a.building.iter().map(|b| b.0.clone()).collect();
+    let mut kinds: Vec<MemberKind> = Vec::new();
+    let mut targets = Vec::new();
+    for all in &groups {
+        let terms = all[0].agreement;
+        let more: Vec<String> =
+            terms.buildings.iter().map(|b| b.0.clone()).filter(|b| !zones.contains(b)).collect();
+        zones.extend(more);
+        if !kinds.contains(&terms.kind) {
+            kinds.push(terms.kind);
+        }
+        for (i, e) in terms.endpoints.iter().enumerate() {
+            let used = |u: &&Used| e.id.as_ref().is_some_and(|id| u.takes(id));
+            targets.extend(all.iter().find(used).and_then(|u| target(u, i)));
+        }
+    }
+    let mut once = Vec::new();
+    let mut classes = Vec::new();
+    for (name, c) in &a.classes {
+        let e = effective(set, app, name, c);
+        if e.repeats == Repeats::Forbidden {
+            once.push(Once { class: name.0.clone(), remembered: c.remembered.0 });
+        }
+        classes.push(Class {
+            name: name.0.clone(),
+            effect: effect(e.repeats),
+            group: if e.area == Area::Building { "zone" } else { "all" }.into(),
+            promise: Some(c.wanted.0),
+            deadline: c.deadline.0,
+            window: if e.repeats == Repeats::Dropped { e.span.0 } else { 0.0 },
+            in_order: c.ordered,
+            worth: c.worth,
+            late_worth: c.late_worth,
+            aim_stretch: None,
+        });
+    }
+    let least = |f: fn(&Used) -> Span| groups.iter().map(|g| f(&g[0]).0).fold(f64::MAX, f64::min);
+    let most = |f: fn(&Used) -> Span| groups.iter().map(|g| f(&g[0]).0).fold(0.0, f64::max);
+    let probes = a.work.probes && groups.iter().all(|g| g[0].agreement.probes);
+    // Others hold the rest of the shares: the module is told how many senders of this size there may be.
+    let parts = groups.iter().flat_map(|g| g.iter()).filter_map(|u| u.used.share);
+    let senders =
+        parts.map(|s| f64::from(WHOLE) / f64::from(s.0.max(1))).fold(1.0, f64::max).round().min(64.0);
+    let tenant = |(name, t): (&Name, &crate::application::Tenant)| Tenant {
+        name: name.0.clone(),
+        quota_per_s: t.share.map_or(1e6, |l| l.per_second()),
+    };
+    let log = Log {
+        format: if a.log.format == LogFormat::Json { "json" } else { "text" }.into(),
+        level: match a.log.level {
+            LogLevel::Error => "error",
+            LogLevel::Warn => "warn",
+            LogLevel::Info => "info",
+            LogLevel::Debug => "debug",
+        }
+        .into(),
+    };
+    Served {
+        name: a.application.as_ref().map_or(String::new(), |n| n.0.clone()),
+        listen: a.listen.resp.map(|l| l.to_string()),
+        discovery: a.discovery.map(|d| d.to_string()),
+        notices: a.notices.clone(),
+        seed: None,
+        state: a.state.clone(),
+        limits: Limits {
+            cores: None,
+            sockets: a.process.descriptors,
+            disk_mb: a.process.disk.0 as f64 / 1e6,
+            memory_mb: a.process.memory.0 as f64 / 1e6,
+        },
+        known: Known { rev: 0, all: true, targets },
+        settings: Settings {
+            balancers: senders,
+            classes,
+            ceilings: Ceilings {
+                probes,
+                max_retry_after: most(|u| u.agreement.wait_most).max(1_000.0),
+                connect_timeout: a.work.connect_timeout.0,
+                keepalive: a.work.keep_alive.0,
+                max_open: a.work.held,
+                most_tries: a.work.attempts,
+                ..Ceilings::default()
+            },
+            guarantees: Guarantees {
+                drain_grace: least(|u| u.agreement.drain).min(2_000.0),
+                ..Guarantees::default()
+            },
+            family_info: Family {
+                slots: a.work.slots,
+                kind_apart: kinds.iter().map(|k| *k == MemberKind::LowVolume).collect(),
+                ..Family::default()
+            },
+            kinds: kinds.iter().map(|k| k.name().to_string()).collect(),
+            zones,
+            zone: a.building.as_ref().map_or(String::new(), |b| b.0.clone()),
+            tenants: a.tenants.iter().map(tenant).collect(),
+            over_share_worth: Some(0.2),
+            ..Settings::default()
+        },
+        sidecar: Some(Sidecar {
+            members: groups.iter().map(|g| member(g)).collect(),
+            once,
+            mqtt: a.listen.mqtt.map(|m| Mqtt { listen: m.to_string(), sessions: a.listen.mqtt_sessions }),
+            log: Some(log),
+        }),
+    }
+}
--- /dev/null
+++ b/crates/settings/src/units.rs
@@ -0,0 +1,384 @@
+//! Values that bear their unit. Each is written as one text, read by one function and shown the same way.
+
+use schemars::{json_schema, JsonSchema, Schema, SchemaGenerator};
+use serde::{Deserialize, Serialize};
+use std::borrow::Cow;
+use std::fmt;
+use std::net::SocketAddr;
+use std::str::FromStr;
+
+/// Makes a type read from and written as a text; the pattern is what its schema tells.
+macro_rules! textual {
+    ($type:ident, $pattern:expr, $about:expr) => {
+        impl TryFrom<String> for $type {
+            type Error = String;
+            fn try_from(text: String) -> Result<Self, String> {
+                text.parse()
+            }
+        }
+        impl From<$type> for String {
+            fn from(value: $type) -> String {
+                value.to_string()
+            }
+        }
+        impl JsonSchema for $type {
+            fn schema_name() -> Cow<'static, str> {
+                stringify!($type).into()
+            }
+            fn json_schema(_: &mut SchemaGenerator) -> Schema {
+                json_schema!({ "type": "string", "pattern": $pattern, "description": $about })
+            }
+        }
+    };
+}
+
+/// Splits a number from the unit behind it.
+fn split(text: &str) -> Result<(f64, &str), String> {
+    let at = text.find(|c: char| !c.is_ascii_digit() && c != '.').unwrap_or(text.len());
+    let (digits, unit) = text.split_at(at);
+    let number = digits.parse::<f64>().map_err(|_| format!("'{text}' does not begin with a number"))?;
+    Ok((number, unit.trim()))
+}
+
+/// A number without needless digits.
+fn plain(n: f64) -> String {
+    let text = format!("{n:.6}");
+    text.trim_end_matches('0').trim_end_matches('.').to_string()
+}
+
+/// A span of time, in milliseconds.
+#[derive(Debug, Clone, Copy, PartialEq, PartialOrd, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct Span(pub f64);
+
+const SPANS: [(&str, f64); 5] =
+    [("d", 86_400_000.0), ("h", 3_600_000.0), ("min", 60_000.0), ("s", 1_000.0), ("ms", 1.0)];
+/// A span is at most a year: longer ones are slips of the pen.
+const SPAN_MOST: f64 = 366.0 * 86_400_000.0;
+
+impl FromStr for Span {
+    type Err = String;
+    fn from_str(text: &str) -> Result<Span, String> {
+        let (n, unit) = split(text)?;
+        let scale = SPANS.iter().find(|s| s.0 == unit).map(|s| s.1);
+        let scale =
+            scale.ok_or_else(|| format!("'{text}' has no unit of time; write it as \"1500ms\" or \"2s\""))?;
+        let ms = n * scale;
+        if ms > SPAN_MOST {
+            return Err(format!("'{text}' is longer than a year"));
+        }
+        Ok(Span(ms))
+    }
+}
+
+impl fmt::Display for Span {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let whole = |scale: f64| self.0 >= scale && (self.0 / scale).fract() == 0.0;
+        let (unit, scale) = SPANS.into_iter().find(|s| whole(s.1)).unwrap_or(("ms", 1.0));
+        write!(f, "{}{unit}", plain(self.0 / scale))
+    }
+}
+
+textual!(Span, r"^[0-9]+(\.[0-9]+)?(ms|s|min|h|d)$", "a span of time, such as \"1500ms\" or \"2s\"");
+
+/// An amount of bytes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct Size(pub u64);
+
+const SIZES: [(&str, f64); 7] = [
+    ("GiB", 1_073_741_824.0),
+    ("GB", 1e9),
+    ("MiB", 1_048_576.0),
+    ("MB", 1e6),
+    ("KiB", 1_024.0),
+    ("kB", 1e3),
+    ("B", 1.0),
+];
+
+impl FromStr for Size {
+    type Err = String;
+    fn from_str(text: &str) -> Result<Size, String> {
+        let (n, unit) = split(text)?;
+        let scale = SIZES.iter().find(|s| s.0 == unit).map(|s| s.1);
+        let scale = scale.ok_or_else(|| format!("'{text}' has no unit; write it as \"64KiB\" or \"3MB\""))?;
+        if n * scale > 1e15 {
+            return Err(format!("'{text}' is more than any machine has"));
+        }
+        Ok(Size((n * scale) as u64))
+    }
+}
+
+impl fmt::Display for Size {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let n = self.0 as f64;
+        let whole = |scale: f64| n >= scale && (n / scale).fract() == 0.0;
+        let (unit, scale) = SIZES.into_iter().find(|s| whole(s.1)).unwrap_or(("B", 1.0));
+        write!(f, "{}{unit}", plain(n / scale))
+    }
+}
+
+textual!(Size, r"^[0-9]+(\.[0-9]+)?(B|kB|KiB|MB|MiB|GB|GiB)$", "an amount of bytes, such as \"64KiB\"");
+
+/// A limit: at most so many calls in any span. A rate is the same with the smallest whole number of calls.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct Limit {
+    /// Calls.
+    pub calls: u32,
+    /// In any span so long.
+    pub span: Span,
+}
+
+impl Limit {
+    /// Calls a second in the long run.
+    pub fn per_second(&self) -> f64 {
+        f64::from(self.calls) * 1_000.0 / self.span.0
+    }
+}
+
+/// The digits behind the point of a rate that are read.
+const RATE_DIGITS: u32 = 3;
+
+impl FromStr for Limit {
+    type Err = String;
+    fn from_str(text: &str) -> Result<Limit, String> {
+        let form =
+            || format!("'{text}' is not a limit; write a count as \"24 in 2s\" or a rate as \"2.4/s\"");
+        let limit = if let Some((calls, span)) = text.split_once(" in ") {
+            Limit { calls: calls.trim().parse().map_err(|_| form())?, span: span.trim().parse()? }
+        } else {
+            let (rate, unit) = text.split_once('/').ok_or_else(form)?;
+            let rate: f64 = rate.trim().parse().map_err(|_| form())?;
+            let one: Span = format!("1{}", unit.trim()).parse().map_err(|_| form())?;
+            let scale = 10u64.pow(RATE_DIGITS);
+            let parts = (rate * scale as f64).round();
+            if !(0.0..=4e9).contains(&parts) || (parts / scale as f64 - rate).abs() > 1e-9 {
+                return Err(format!(
+                    "'{text}' has more than {RATE_DIGITS} digits behind the point, or is too much"
+                ));
+            }
+            let (mut a, mut b) = (parts as u64, scale);
+            while b > 0 {
+                (a, b) = (b, a % b);
+            }
+            let divisor = a.max(1);
+            let calls = u32::try_from(parts as u64 / divisor).map_err(|_| form())?;
+            Limit { calls, span: Span(one.0 * (scale / divisor) as f64) }
+        };
+        if limit.calls == 0 || limit.span.0 < 1.0 {
+            return Err(format!("'{text}' allows nothing"));
+        }
+        Ok(limit)
+    }
+}
+
+impl fmt::Display for Limit {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} in {}", self.calls, self.span)
+    }
+}
+
+textual!(
+    Limit,
+    r"^([0-9]+ in [0-9]+(\.[0-9]+)?(ms|s|min|h|d)|[0-9]+(\.[0-9]{1,3})?/(s|min|h|d))$",
+    "a count in any span, such as \"24 in 2s\", or a rate, such as \"2.4/s\""
+);
+
+/// A part of a whole, in millionths, so that parts add up exactly.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct Share(pub u32);
+
+/// All of it.
+pub const WHOLE: u32 = 1_000_000;
+
+impl Share {
+    /// So many whole calls of that count; rounded down, so that the parts of all never exceed the count.
+    pub fn of(&self, calls: u32) -> u32 {
+        (u64::from(calls) * u64::from(self.0) / u64::from(WHOLE)) as u32
+    }
+}
+
+impl FromStr for Share {
+    type Err = String;
+    fn from_str(text: &str) -> Result<Share, String> {
+        let form = || format!("'{text}' is not a share; write it as \"40%\"");
+        let digits = text.strip_suffix('%').ok_or_else(form)?.trim();
+        let (whole, part) = digits.split_once('.').unwrap_or((digits, ""));
+        if part.len() > 4 {
+            return Err(format!("'{text}' has more than 4 digits behind the point"));
+        }
+        let number = |t: &str| if t.is_empty() { Ok(0) } else { t.parse::<u32>().map_err(|_| form()) };
+        let (whole, part) = (number(whole)?, number(&format!("{part:0<4}"))?);
+        match whole.checked_mul(10_000).and_then(|w| w.checked_add(part)) {
+            Some(n) if n <= WHOLE => Ok(Share(n)),
+            _ => Err(format!("'{text}' is more than all of it")),
+        }
+    }
+}
+
+impl fmt::Display for Share {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}%", plain(f64::from(self.0) / 10_000.0))
+    }
+}
+
+textual!(Share, r"^[0-9]{1,3}(\.[0-9]{1,4})?%$", "a part of the whole, such as \"40%\"");
+
+/// A name: small letters, digits and `-`, `_`, `.`; up to 64 of them, a letter or digit first.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct Name(pub String);
+
+impl FromStr for Name {
+    type Err = String;
+    fn from_str(text: &str) -> Result<Name, String> {
+        let first = text.bytes().next().is_some_and(|b| b.is_ascii_lowercase() || b.is_ascii_digit());
+        let rest = text.bytes().all(|b| b.is_ascii_lowercase() || b.is_ascii_digit() || b"-_.".contains(&b));
+        match first && rest && text.len() <= 64 {
+            true => Ok(Name(text.to_string())),
+            false => Err(format!("'{text}' is not a name; use small letters, digits and - _ . (64 at most)")),
+        }
+    }
+}
+
+impl fmt::Display for Name {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl std::ops::Deref for Name {
+    type Target = str;
+    fn deref(&self) -> &str {
+        &self.0
+    }
+}
+
+textual!(Name, r"^[a-z0-9][a-z0-9._-]{0,63}$", "a name of small letters, digits and - _ .");
+
+/// Where something listens.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct Address(pub SocketAddr);
+
+impl FromStr for Address {
+    type Err = String;
+    fn from_str(text: &str) -> Result<Address, String> {
+        let why = || {
+            format!(
+                "'{text}' is not an address with a port; names are not looked up, write \"127.0.0.1:6379\""
+            )
+        };
+        text.parse().map(Address).map_err(|_| why())
+    }
+}
+
+impl fmt::Display for Address {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+textual!(Address, r"^.+:[0-9]+$", "an IP address with a port, such as \"127.0.0.1:6379\"");
+
+/// Where an endpoint is reached: over HTTP, or behind an MQTT broker.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub enum Target {
+    /// An address that speaks HTTP.
+    Http(SocketAddr),
+    /// A broker's address and the topic.
+    Mqtt(SocketAddr, String),
+}
+
+impl Target {
+    /// The address to connect to.
+    pub fn address(&self) -> SocketAddr {
+        match self {
+            Target::Http(a) | Target::Mqtt(a, _) => *a,
+        }
+    }
+}
+
+impl FromStr for Target {
+    type Err = String;
+    fn from_str(text: &str) -> Result<Target, String> {
+        let Some(rest) = text.strip_prefix("mqtt://") else {
+            return text.parse::<Address>().map(|a| Target::Http(a.0));
+        };
+        let (address, topic) = rest
+            .split_once('/')
+            .ok_or_else(|| format!("'{text}' names no topic; write \"mqtt://ADDRESS:PORT/TOPIC\""))?;
+        if topic.is_empty() || topic.contains(['+', '#', '\0']) {
+            return Err(format!("'{topic}' is not a topic that can be published to"));
+        }
+        address.parse::<Address>().map(|a| Target::Mqtt(a.0, topic.into()))
+    }
+}
+
+impl fmt::Display for Target {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Target::Http(a) => a.fmt(f),
+            Target::Mqtt(a, topic) => write!(f, "mqtt://{a}/{topic}"),
+        }
+    }
+}
+
+textual!(
+    Target,
+    r"^(mqtt://.+:[0-9]+/.+|.+:[0-9]+)$",
+    "\"ADDRESS:PORT\" over HTTP, or \"mqtt://ADDRESS:PORT/TOPIC\""
+);
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against a unit that is guessed, lost or shown as another one.
+    #[test]
+    fn values_keep_their_unit_both_ways() {
+        let span = |t: &str| t.parse::<Span>().map(|s| (s.0, s.to_string()));
+        assert_eq!(span("1500ms"), Ok((1_500.0, "1500ms".into())));
+        assert_eq!(span("2.5s"), Ok((2_500.0, "2500ms".into())));
+        assert_eq!(span("120s"), Ok((120_000.0, "2min".into())));
+        assert!(["2", "s", "-1s", "2 weeks", "9999d", "1e9s"].iter().all(|t| span(t).is_err()));
+        let size = |t: &str| t.parse::<Size>().map(|s| (s.0, s.to_string()));
+        assert_eq!(size("64KiB"), Ok((65_536, "64KiB".into())));
+        assert_eq!(size("3MB"), Ok((3_000_000, "3MB".into())));
+        assert!(["64", "64K", "9999999GB"].iter().all(|t| size(t).is_err()));
+        let limit = |t: &str| t.parse::<Limit>().map(|l| (l.calls, l.span.0));
+        assert_eq!(limit("24 in 2s"), Ok((24, 2_000.0)));
+        assert_eq!(limit("2.4/s"), Ok((12, 5_000.0)));
+        assert_eq!(limit("90/min"), Ok((90, 60_000.0)));
+        assert!(["0/s", "0 in 2s", "5", "x/s", "2.4444/s", "5 in 0s"].iter().all(|t| limit(t).is_err()));
+        assert_eq!("12/s".parse::<Limit>().unwrap().to_string(), "12 in 1s");
+    }
+
+    /// Guards against thirds that add up to more or less than the whole.
+    #[test]
+    fn shares_add_up_exactly() {
+        let share = |t: &str| t.parse::<Share>();
+        let thirds: u32 = ["33.3333%", "33.3333%", "33.3334%"].iter().map(|t| share(t).unwrap().0).sum();
+        assert_eq!(thirds, WHOLE);
+        assert_eq!((share("40%").unwrap().of(24), share("40%").unwrap().to_string()), (9, "40%".into()));
+        assert!(
+            ["101%", "40", "33.33333%", "-1%", "%%"].iter().all(|t| share(t).is_err()),
+            "{:?}",
+            share("%%")
+        );
+    }
+
+    #[test]
+    fn names_and_addresses() {
+        assert!(["a", "0-x_y.z"].iter().all(|t| t.parse::<Name>().is_ok()));
+        assert!(["", "A", "-a", "a b"].iter().all(|t| t.parse::<Name>().is_err()));
+        let target = |t: &str| t.parse::<Target>().map(|t| t.to_string());
+        assert_eq!(target("mqtt://127.0.0.1:1/a/b"), Ok("mqtt://127.0.0.1:1/a/b".into()));
+        assert!(["mqtt://127.0.0.1:1", "mqtt://h:1/a", "mqtt://127.0.0.1:1/#", "host:1"]
+            .iter()
+            .all(|t| target(t).is_err()));
+    }
+}
--- /dev/null
+++ b/crates/settings/tests/samples.rs
@@ -0,0 +1,148 @@
+//! Broken files, each caught with its own code at its own line; and good ones that must pass.
+//!
+//! A sample marks the line of each fault by `# <- LBnnnn`; it says at its top with which others it is checked
+//! (`# with: FILE ...`) and how its folder looks (`# folder: readonly`).
+
+use lilacbank_settings::check::{check, Folder, Folders};
+use lilacbank_settings::finding::{refused, show, Finding, Severity};
+use lilacbank_settings::set::{beside, Set};
+use std::collections::BTreeSet;
+use std::path::{Path, PathBuf};
+
+fn here(path: &str) -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join(path)
+}
+
+struct Look(String);
+
+impl Folders for Look {
+    fn look(&self, _: &str) -> Folder {
+        match self.0.split_once(' ').unwrap_or((self.0.as_str(), "")) {
+            ("missing", _) => Folder::Missing,
+            ("impossible", why) => Folder::Impossible(why.into()),
+            ("readonly", _) => Folder::ReadOnly,
+            ("of", other) => Folder::Of(other.into()),
+            _ => Folder::Good,
+        }
+    }
+}
+
+fn head(text: &str, name: &str) -> String {
+    let line = text.lines().find_map(|l| l.strip_prefix("# ")?.strip_prefix(name)?.strip_prefix(": "));
+    line.unwrap_or("").to_string()
+}
+
+fn run(files: &[String], folder: String) -> (Set, Vec<Finding>) {
+    let mut found = Vec::new();
+    let set = Set::load(files, &|f| std::fs::read_to_string(f), &mut found);
+    found.extend(check(&set, &Look(folder)));
+    (set, found)
+}
+
+type Marks = BTreeSet<(String, usize, String)>;
+
+fn marks(set: &Set) -> Marks {
+    let mut all = Marks::new();
+    for (file, s) in &set.sources {
+        for (n, line) in s.text.lines().enumerate() {
+            let codes = line.split("# <- ").nth(1).unwrap_or("");
+            all.extend(codes.split_whitespace().map(|c| (file.clone(), n + 1, c.to_string())));
+        }
+    }
+    all
+}
+
+#[test]
+fn every_broken_sample_is_caught_with_its_code_at_its_line() {
+    let (mut samples, mut codes, mut bad) = (0, BTreeSet::new(), String::new());
+    let mut files: Vec<PathBuf> =
+        std::fs::read_dir(here("tests/broken")).unwrap().map(|e| e.unwrap().path()).collect();
+    files.sort();
+    for path in files.iter().filter(|p| !p.file_name().unwrap().to_str().unwrap().starts_with('_')) {
+        let (file, text) = (path.display().to_string(), std::fs::read_to_string(path).unwrap());
+        let with = head(&text, "with");
+        let all: Vec<String> =
+            std::iter::once(file.clone()).chain(with.split_whitespace().map(|w| beside(&file, w))).collect();
+        let (set, found) = run(&all, head(&text, "folder"));
+        let wanted = marks(&set);
+        let got: Marks =
+            found.iter().map(|f| (f.place.file.clone(), f.place.line, f.code.to_string())).collect();
+        if wanted != got || wanted.is_empty() || got.len() != found.len() {
+            bad += &format!(
+                "{file}\n wanted {wanted:#?}\n got {got:#?}\n{}\n",
+                show(&found, &set.texts(), false)
+            );
+        }
+        for f in &found {
+            assert!(!f.wrong.is_empty() && !f.mend.is_empty() && f.place.column > 0, "{f:?}");
+        }
+        codes.extend(got.into_iter().map(|g| g.2));
+        samples += 1;
+    }
+    assert!(bad.is_empty(), "{bad}");
+    assert!(samples >= 40, "{samples}");
+    // Every code that the source may give has a sample here, and an entry on the operators' page.
+    let source: String = ["check", "set", "source"]
+        .map(|f| std::fs::read_to_string(here(&format!("src/{f}.rs"))).unwrap())
+        .concat();
+    let given: BTreeSet<String> = source.split("\"LB").skip(1).map(|c| format!("LB{}", &c[..4])).collect();
+    assert_eq!(given.difference(&codes).collect::<Vec<_>>(), Vec::<&String>::new(), "codes without a sample");
+    let page = std::fs::read_to_string(here("../../docs/operators/sidecar.md")).unwrap();
+    let lost: Vec<&String> = given.iter().filter(|c| !page.contains(c.as_str())).collect();
+    assert!(lost.is_empty(), "codes that the operators' page does not tell: {lost:?}");
+}
+
+/// Nearly wrong, and right: shares that add up to the whole exactly, one member under two tenants.
+#[test]
+fn the_examples_pass_together_and_alone() {
+    let files =
+        ["claims", "payroll"].map(|n| here(&format!("../../deploy/examples/{n}.toml")).display().to_string());
+    for group in [&files[..], &files[..1], &files[1..]] {
+        let (set, found) = run(group, String::new());
+        assert!(found.is_empty(), "{}", show(&found, &set.texts(), false));
+        assert_eq!(set.apps.len(), group.len());
+    }
+}
+
+/// Guards against a fault that hides the next one, in the same file or another.
+#[test]
+fn all_faults_of_all_files_come_in_one_go() {
+    let good = std::fs::read_to_string(here("../../deploy/examples/payroll.toml")).unwrap();
+    let bad = good
+        .replace("wanted = \"3s\"", "wanted = \"3\"\nwantde = \"1s\"")
+        .replace("slots = 14", "slots = \"x\"");
+    let bad =
+        bad.replace("share = \"40%\"", "share = \"140%\"").replace("connections = 7", "connections = 17");
+    let agreement =
+        std::fs::read_to_string(here("../../deploy/examples/agreements/sotrans-dakar.toml")).unwrap();
+    let agreement = agreement.replace("drain = \"2s\"", "drain = \"9s\"\nrest = 1");
+    let read = |f: &str| Ok(if f.ends_with("bad.toml") { bad.clone() } else { agreement.clone() });
+    let mut found = Vec::new();
+    let set = Set::load(&["bad.toml".into()], &read, &mut found);
+    found.extend(check(&set, &Look(String::new())));
+    let codes: Vec<&str> = found.iter().map(|f| f.code).collect();
+    let mut sorted = codes.clone();
+    sorted.sort();
+    assert_eq!(sorted, ["LB0004", "LB0004", "LB0005", "LB0005", "LB0005", "LB0302", "LB0402"], "{codes:?}");
+    assert!(refused(&found) && found.iter().all(|f| f.severity == Severity::Error));
+    let text = show(&found, &set.texts(), false);
+    for part in ["did you mean 'wanted'?", "error[LB0302]", "bad.toml:", "| "] {
+        assert!(text.contains(part), "{part} is not in:\n{text}");
+    }
+}
+
+/// The hard case: the finding names every application with its part of the sum.
+#[test]
+fn a_sum_over_the_limit_names_each_part() {
+    let path = here("tests/broken/LB0401-three-shares.toml").display().to_string();
+    let text = std::fs::read_to_string(&path).unwrap();
+    let with = head(&text, "with");
+    let files: Vec<String> =
+        std::iter::once(path.clone()).chain(with.split_whitespace().map(|w| beside(&path, w))).collect();
+    let (_, found) = run(&files, String::new());
+    let f = found.iter().find(|f| f.code == "LB0401").unwrap();
+    for part in ["110%", "24 in 2s", "app 40%", "second 40%", "third 30%"] {
+        assert!(f.wrong.contains(part), "{part} is not in: {}", f.wrong);
+    }
+    assert_eq!(f.with.len(), 3, "the two other shares and the limit: {f:?}");
+}
