--- a/crates/limits/src/ceilings.rs
+++ b/crates/limits/src/ceilings.rs
@@ -71,10 +71,14 @@
 /// How much may go to an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Room {
-    /// Calls that may start now.
+    /// Calls that its window still takes now.
     pub calls: u32,
     /// With none: when to look again.
     pub again: Ms,
+    /// Connections that are promised to be enough.
+    pub links: u32,
+    /// Those of them that carry nothing now.
+    pub links_left: u32,
 }
 
 #[derive(Debug)]
@@ -127,17 +131,12 @@
     }
 
     fn room(&mut self, now: Ms, endpoint: &str) -> Room {
-        let links = self.links_left(endpoint);
-        let (calls, at) = match self.window(endpoint) {
+        let (links, links_left) = (self.promise.connections.unwrap_or(u32::MAX), self.links_left(endpoint));
+        let (calls, again) = match self.window(endpoint) {
             None => (u32::MAX, now),
-            Some(w) => (w.room(now), w.when(now, 0)),
+            Some(w) => (w.room(now), w.when(now, 0).max(now)),
         };
-        let again = match (calls, links) {
-            (0, _) => at.max(now),
-            (_, 0) => now + LOOK_AGAIN,
-            _ => now,
-        };
-        Room { calls: calls.min(links), again }
+        Room { calls, again, links, links_left }
     }
 }
 
@@ -210,6 +209,8 @@
         let room = m.room(now, endpoint);
         if room.calls == 0 {
             return Err(Over { wait: (room.again - now).max(1.0) });
+        } else if room.links_left == 0 {
+            return Err(Over { wait: LOOK_AGAIN });
         }
         if let Some(w) = m.window(endpoint) {
             w.take(now);
@@ -297,6 +298,11 @@
         std::mem::take(&mut self.dirty)
     }
 
+    /// All destinations count as changed.
+    pub fn touch(&mut self) {
+        self.dirty.extend(self.members.keys());
+    }
+
     /// Asks for a destination to be among the changed ones at that time.
     pub fn remind(&mut self, at: Ms, dest: u64) {
         self.due.insert((at.ceil() as u64, dest));
@@ -353,6 +359,6 @@
                 w.add(latest, n);
             }
         }
-        self.dirty.extend(self.members.keys());
+        self.touch();
     }
 }
--- a/crates/limits/tests/any_span.rs
+++ b/crates/limits/tests/any_span.rs
@@ -103,7 +103,7 @@
                 Deed::Try { endpoint, write, travel, fails } => {
                     let room = self.ceilings.room(self.now, 1, NAMES[endpoint]).unwrap();
                     let took = self.ceilings.take(self.now, 1, NAMES[endpoint]);
-                    assert_eq!(took.is_ok(), room.calls > 0);
+                    assert_eq!(took.is_ok(), room.calls > 0 && room.links_left > 0);
                     match took {
                         Ok(()) => {
                             self.note(endpoint, Step::Started);
@@ -214,7 +214,7 @@
     let mut c = Ceilings::new([p]);
     for _ in 0..50 {
         (0..6).for_each(|_| c.take(0.0, 1, "a").unwrap());
-        assert!(c.take(0.0, 1, "a").is_err() && c.room(0.0, 1, "b").unwrap().calls == 6);
+        assert!(c.take(0.0, 1, "a").is_err() && c.room(0.0, 1, "b").unwrap().links_left == 6);
         (0..6).for_each(|_| c.ended(1, "a", true));
     }
     assert!(c.take(0.0, 2, "x").is_ok(), "nothing is promised of other destinations");
--- a/crates/settings/src/compose.rs
+++ b/crates/settings/src/compose.rs
@@ -6,6 +6,9 @@
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
 
+/// Slots where nothing else bounds them.
+const SLOTS: u32 = 32;
+
 /// What is asked for.
 #[derive(Debug, Clone)]
 pub struct Wanted {
@@ -92,7 +95,13 @@
             );
         }
     }
-    t += "\n[work]\n# Calls out at once, messages held at once.\nslots = 32\nheld = 500\n";
+    let links = agreements.iter().map(|(_, a)| {
+        let fewest = a.endpoints.iter().filter_map(|e| e.connections.or(a.connections)).min();
+        fewest.map(|takes| w.share.of(takes).max(1) * a.endpoints.len() as u32)
+    });
+    // No more slots than connections that are promised; half the descriptors are for clients.
+    let slots = links.sum::<Option<u32>>().unwrap_or(SLOTS).clamp(1, SLOTS);
+    let _ = writeln!(t, "\n[work]\n# Calls out at once, messages held at once.\nslots = {slots}\nheld = 500");
     let probes = agreements
         .iter()
         .all(|(_, a)| a.limit.is_none_or(|l| (l.span.0 / 500.0).ceil() < f64::from(w.share.of(l.calls))));
--- a/src/api.rs
+++ b/src/api.rs
@@ -331,6 +331,17 @@
     Closing(Ms),
     /// An attempt ended.
     Ended(Ended),
+    /// How much the ceilings of this sender let go to a route; nothing is said of a route without any.
+    Room {
+        /// The route.
+        route: RouteId,
+        /// Calls that may start to it, or to all that share its limit, from now on.
+        calls: u32,
+        /// With none: when there may be room again.
+        again: Ms,
+        /// Connections that it may have.
+        links: u32,
+    },
     /// A probe ended.
     Probed {
         /// The route.
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -6,6 +6,7 @@
 use crate::state::*;
 use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet};
+mod adopt;
 // Samples and payoffs. A ring of aged samples learns a lasting shift within one turn.
 const RING: usize = 32; // samples a route
 const SAMPLE_AGE: Ms = 20_000.0; // older samples say nothing of now
@@ -191,6 +192,11 @@
             Event::Closing(at) => self.closing = Some(*at),
             Event::Ended(e) => self.ended(now, e, out),
             Event::Probed { route, outcome, report, .. } => self.probed(now, *route, *outcome, report),
+            Event::Room { route, calls, again, links } => {
+                let Some(r) = self.routes.get_mut(route) else { return };
+                r.links = Some(*links).filter(|l| *l < u32::MAX);
+                self.units[r.unit].room = Some((*calls, *again)).filter(|c| c.0 < u32::MAX);
+            }
             Event::ClientGone(id) => self.end(*id),
             Event::Timer(_) => self.armed = self.armed.filter(|a| *a > now + 0.5),
         }
@@ -370,7 +376,7 @@
 
     /// When its destination is next expected to take a message.
     fn next_chance(&self, now: Ms, h: &Held) -> Ms {
-        let ready = |r: &Route, u: &Unit| r.outage.as_ref().map_or(now, |_| u.next_trial).max(u.pause_until);
+        let ready = |r: &Route, u: &Unit| r.outage.as_ref().map_or(now, |_| u.next_trial).max(u.shut_until());
         self.routes_to(h).map(|r| ready(r, &self.units[r.unit])).fold(f64::MAX, f64::min)
     }
 
@@ -778,7 +784,7 @@
             };
             let u = &mut self.units[r.unit];
             let Some(o) = r.outage.as_mut().filter(|o| o.trying.is_none()) else { continue };
-            let at = u.next_trial.max(u.pause_until);
+            let at = u.next_trial.max(u.shut_until());
             if at <= now {
                 o.trying = Some(now);
                 u.next_trial = now + TRIAL_GAP;
@@ -839,7 +845,7 @@
     /// When the route can next take a call: pauses, pace, ramp, window and slots of the destination.
     fn ready(&self, now: Ms, r: &Route, ahead: usize) -> Ms {
         let u = &self.units[r.unit];
-        let mut at = now.max(u.pause_until);
+        let mut at = now.max(u.shut_until());
         let mut gap: Ms = 0.0;
         if let Some(p) = u.pace {
             at = at.max(now + (1.0 - u.tokens.level) * 1000.0 / p);
@@ -850,7 +856,7 @@
             at = at.max(now + (1.0 - ramp.tokens.level) * 1000.0 / rate);
             gap = gap.max(1000.0 / rate);
         }
-        if r.calls >= r.window as usize || !self.dest_room(r.row.dest) {
+        if r.calls >= Unit::most_out(r) || !self.dest_room(r.row.dest) {
             let turn = (self.typical(r) / r.window.max(1.0)).max(self.s.round).max(1.0);
             at = at.max(now + turn);
             gap = gap.max(turn);
@@ -901,7 +907,7 @@
             let id = &r.row.route;
             if let Some(o) = &r.outage {
                 let u = &self.units[r.unit];
-                let at = u.next_trial.max(u.pause_until);
+                let at = u.next_trial.max(u.shut_until());
                 if !self.s.can_probe && o.trying.is_none() && self.may_try(now, h, o) {
                     if at <= now && self.dest_room(h.m.dest) {
                         return (now, Some(*id), true);
@@ -1025,6 +1031,7 @@
             self.next_call += 1;
             r.calls += 1;
             self.units[r.unit].tokens.level -= 1.0;
+            self.units[r.unit].use_room();
             if let Some(ramp) = &mut r.ramp {
                 ramp.tokens.level -= 1.0;
             }
--- a/src/config.rs
+++ b/src/config.rs
@@ -4,6 +4,7 @@
 //! settings to the adapter. Every complaint names the key at fault. Keys that are not known are skipped.
 
 use crate::api::*;
+use lilacbank_limits::{Promise, Scope};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -138,6 +139,60 @@
     pub tenants: Vec<String>,
 }
 
+impl Names {
+    /// Changed settings, fitted to numbers that are in use: what was there keeps its place, and what is new comes behind.
+    /// Returns them with the names that are only kept for what is held. The workers of a list are renumbered, too.
+    pub fn carry(
+        &self,
+        old: &Settings,
+        names: &Names,
+        new: &Settings,
+        list: &mut WorkerList,
+    ) -> (Settings, Names, Names) {
+        let join = |a: &[String], b: &[String]| -> Vec<String> {
+            a.iter().chain(b.iter().filter(|n| !a.contains(n))).cloned().collect()
+        };
+        let all = Names {
+            classes: join(&self.classes, &names.classes),
+            zones: join(&self.zones, &names.zones),
+            kinds: join(&self.kinds, &names.kinds),
+            tenants: join(&self.tenants, &names.tenants),
+        };
+        let gone = |a: &[String], b: &[String]| a.iter().filter(|n| !b.contains(n)).cloned().collect();
+        let retired = Names {
+            classes: gone(&self.classes, &names.classes),
+            tenants: gone(&self.tenants, &names.tenants),
+            ..Names::default()
+        };
+        // Each list of values by the joined names: the new value, or the old one where there is none.
+        fn values<T: Clone>(all: &[String], new: (&[String], &[T]), old: (&[String], &[T])) -> Vec<T> {
+            let of = |of: (&[String], &[T]), n: &String| place(of.0, n).and_then(|i| of.1.get(i)).cloned();
+            all.iter().filter_map(|n| of(new, n).or_else(|| of(old, n))).collect()
+        }
+        let renumber = |all: &[String], names: &[String], at: usize| -> usize {
+            names.get(at).and_then(|n| place(all, n)).unwrap_or(all.len())
+        };
+        for w in &mut list.workers {
+            w.zone = renumber(&all.zones, &names.zones, w.zone);
+            w.kind = renumber(&all.kinds, &names.kinds, w.kind);
+        }
+        let settings = Settings {
+            seed: old.seed,
+            classes: values(&all.classes, (&names.classes, &new.classes), (&self.classes, &old.classes)),
+            kinds: values(&all.kinds, (&names.kinds, &new.kinds), (&self.kinds, &old.kinds)),
+            zone_fees: values(&all.zones, (&names.zones, &new.zone_fees), (&self.zones, &old.zone_fees)),
+            tenant_quota: values(
+                &all.tenants,
+                (&names.tenants, &new.tenant_quota),
+                (&self.tenants, &old.tenant_quota),
+            ),
+            zone: renumber(&all.zones, &names.zones, new.zone),
+            ..new.clone()
+        };
+        (settings, all, retired)
+    }
+}
+
 /// The place of a name in its list.
 pub fn place(names: &[String], name: &str) -> Option<usize> {
     names.iter().position(|n| n == name)
@@ -298,40 +353,6 @@
     text.parse().or_else(|e| fault(name, format!("not JSON: {e}")))
 }
 
-/// Checks an application's configuration file, more strictly than a start does: values that a platform would not
-/// give are faults here. Says nothing of the environment.
-pub fn check(text: &str) -> Checked<Config> {
-    let config = Config::from_json(text, &|_| None)?;
-    let key = |i: usize, key: &str| format!("settings.classes[{i}].{key}");
-    for (i, c) in config.settings.classes.iter().enumerate() {
-        let name = &config.names.classes[i];
-        if name.is_empty() || place(&config.names.classes, name) != Some(i) {
-            return fault(key(i, "name"), format!("'{name}' is empty or there twice"));
-        } else if c.deadline <= 0.0 {
-            return fault(key(i, "deadline"), "a time was expected");
-        } else if c.promise > c.deadline {
-            return fault(key(i, "promise"), "it is after the deadline");
-        }
-    }
-    if config.settings.slots == 0 {
-        return fault("settings.family_info.slots", "at least one is needed");
-    } else if config.settings.max_held == 0 {
-        return fault("settings.ceilings.max_open", "at least one is needed");
-    } else if config.settings.most_attempts == 0 {
-        return fault("settings.ceilings.most_tries", "at least one is needed");
-    }
-    for (i, w) in config.known.workers.iter().enumerate() {
-        let broker = w.address.strip_prefix("mqtt://").and_then(|a| a.split_once('/')).map(|a| a.0);
-        if broker.unwrap_or(&w.address).parse::<SocketAddr>().is_err() {
-            return fault(
-                format!("known.targets[{i}].endpoint"),
-                format!("'{}' is not an address", w.address),
-            );
-        }
-    }
-    Ok(config)
-}
-
 /// What the dispatcher may use.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Limits {
@@ -350,8 +371,12 @@
     pub name: String,
     /// Where acceptors connect.
     pub listen: SocketAddr,
-    /// Where the registry is.
-    pub registry: SocketAddr,
+    /// Where the registry is; none: the list below is all.
+    pub registry: Option<SocketAddr>,
+    /// Where the ends of calls are told that were taken on and not delivered.
+    pub notices: Notify,
+    /// What makes it a sidecar; none on the platform.
+    pub sidecar: Option<Sidecar>,
     /// The folder that lasts.
     pub state: PathBuf,
     /// What it may use.
@@ -364,6 +389,66 @@
     pub names: Names,
 }
 
+/// Where notices go.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Notify {
+    /// To this address, by the platform's protocol.
+    To(SocketAddr),
+    /// Into the log.
+    Log,
+}
+
+/// What a sidecar promised and needs beside a platform's dispatcher.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Sidecar {
+    /// What is promised of the members' limits.
+    pub promises: Vec<Promise>,
+    /// Classes that are never repeated, each with the span for which a message is remembered after its end.
+    pub once: Vec<(String, Ms)>,
+    /// The MQTT front.
+    pub mqtt: Mqtt,
+    /// The log is JSON.
+    pub log_json: bool,
+    /// What is logged, where the environment does not say.
+    pub log_level: String,
+}
+
+fn sidecar(v: &Node) -> Checked<Sidecar> {
+    let member = |m: &Node| -> Checked<Promise> {
+        let count = |key: &str| -> Checked<Option<u32>> {
+            let n = m.get(key);
+            Ok(if n.absent() { None } else { Some(n.amount(0.0)? as u32) })
+        };
+        Ok(Promise {
+            member: m.get("name").text()?.to_string(),
+            dest: m.get("dest").amount(0.0)? as DestId,
+            calls: count("calls")?,
+            span: m.get("span").amount(0.0)?,
+            travel: m.get("travel").amount(0.0)?,
+            scope: if m.get("each").flag()? { Scope::Endpoint } else { Scope::Member },
+            connections: count("connections")?,
+        })
+    };
+    let once = |o: &Node| -> Checked<(String, Ms)> {
+        Ok((o.get("class").text()?.to_string(), o.get("remembered").amount(0.0)?))
+    };
+    let (mqtt, log) = (v.get("mqtt"), v.get("log"));
+    let listen = match mqtt.get("listen").text()? {
+        "" => None,
+        text => match text.parse() {
+            Ok(address) => Some(address),
+            Err(_) => return mqtt.get("listen").fault("an address with a port was expected"),
+        },
+    };
+    Ok(Sidecar {
+        promises: v.get("members").items()?.iter().map(member).collect::<Checked<_>>()?,
+        once: v.get("once").items()?.iter().map(once).collect::<Checked<_>>()?,
+        mqtt: Mqtt { listen, sessions: mqtt.get("sessions").amount(MQTT_SESSIONS as f64)? as usize },
+        log_json: log.get("format").text()? == "json",
+        log_level: log.get("level").text()?.to_string(),
+    })
+}
+
 /// Where a value of the environment comes from; tests pass their own.
 pub type Lookup<'a> = &'a dyn Fn(&str) -> Option<String>;
 
@@ -373,7 +458,8 @@
         Config::from_json(&Config::text(env)?, env)
     }
 
-    fn text(env: Lookup) -> Checked<String> {
+    /// The text of the file that `ROUTER_CONFIG` names.
+    pub fn text(env: Lookup) -> Checked<String> {
         match env("ROUTER_CONFIG") {
             None => fault("ROUTER_CONFIG", "missing"),
             Some(path) => std::fs::read_to_string(&path)
@@ -383,22 +469,27 @@
 
     /// Reads the same again while it serves. Here the file's `discovery` wins: the variable is as old as the process,
     /// and the file was replaced since.
-    pub fn reread(env: Lookup) -> Checked<Config> {
-        let text = Config::text(env)?;
-        let value = json("ROUTER_CONFIG", &text)?;
+    pub fn reread(text: &str, env: Lookup) -> Checked<Config> {
+        let value = json("ROUTER_CONFIG", text)?;
         let named = !Node::root("", &value).get("discovery").absent();
-        Config::from_json(&text, &|name| env(name).filter(|_| !(named && name == "ROUTER_DISCOVERY")))
+        Config::from_json(text, &|name| env(name).filter(|_| !(named && name == "ROUTER_DISCOVERY")))
     }
 
     /// Keys in which another configuration differs and that are read only at the start.
     pub fn needs_restart(&self, other: &Config) -> Vec<&'static str> {
         let settings = Settings { seed: self.settings.seed, ..other.settings.clone() };
+        let mqtt = |c: &Config| c.sidecar.as_ref().map(|s| s.mqtt.clone());
+        let log = |c: &Config| c.sidecar.as_ref().map(|s| (s.log_json, s.log_level.clone()));
         let differs = [
             ("name", self.name != other.name),
             ("listen", self.listen != other.listen),
             ("state", self.state != other.state),
             ("limits", self.limits != other.limits),
-            ("settings", self.settings != settings || self.names != other.names),
+            // A sidecar takes these over while it serves.
+            ("settings", self.sidecar.is_none() && (self.settings != settings || self.names != other.names)),
+            ("sidecar.mqtt", mqtt(self) != mqtt(other)),
+            ("sidecar.log", log(self) != log(other)),
+            ("sidecar", self.sidecar.is_some() != other.sidecar.is_some()),
         ];
         differs.into_iter().filter(|d| d.1).map(|d| d.0).collect()
     }
@@ -414,9 +505,28 @@
                 None => Ok((key.to_string(), v.get(key).text()?.to_string())),
             }
         };
+        let parse = |key: &str, text: &str| -> Checked<SocketAddr> {
+            text.parse().or_else(|_| fault(key, format!("'{text}' is not an address with a port")))
+        };
         let address = |variable: &str, key: &str| -> Checked<SocketAddr> {
             let (key, text) = told(variable, key)?;
-            text.parse().or_else(|_| fault(key, format!("'{text}' is not an address with a port")))
+            parse(&key, &text)
+        };
+        let known = v.get("known");
+        // A list of its own takes the registry's place; then somebody else must hear of ends.
+        let registry = match told("ROUTER_DISCOVERY", "discovery")?.1.is_empty()
+            && !known.get("targets").items()?.is_empty()
+        {
+            true => None,
+            false => Some(address("ROUTER_DISCOVERY", "discovery")?),
+        };
+        let notices = match (v.get("notices").text()?, registry) {
+            ("log", _) => Notify::Log,
+            ("", Some(to)) => Notify::To(to),
+            ("", None) => {
+                return v.get("notices").fault("without a registry, an address or \"log\" is needed")
+            }
+            (text, _) => Notify::To(parse("notices", text)?),
         };
         let state = told("ROUTER_STATE", "state")?.1;
         if state.is_empty() {
@@ -435,11 +545,13 @@
         if settings.classes.is_empty() {
             return v.get("settings").get("classes").fault("at least one class is needed");
         }
-        let known = v.get("known");
+        let side = v.get("sidecar");
         Ok(Config {
             name: told("ROUTER_NAME", "name")?.1,
             listen: address("ROUTER_LISTEN", "listen")?,
-            registry: address("ROUTER_DISCOVERY", "discovery")?,
+            registry,
+            notices,
+            sidecar: if side.absent() { None } else { Some(sidecar(&side)?) },
             state: PathBuf::from(state),
             limits: Limits {
                 sockets: limits.get("sockets").amount(1024.0)? as usize,
@@ -467,9 +579,12 @@
 const MQTT_SESSIONS: usize = 64;
 
 impl Mqtt {
-    /// Reads the file that `LILACBANK_MQTT` names, or the usual one if it is there.
-    pub fn read(env: Lookup) -> Checked<Mqtt> {
+    /// Reads the file that `LILACBANK_MQTT` names, or the usual one if it is there. A sidecar has it in its own file.
+    pub fn read(env: Lookup, sidecar: Option<&Sidecar>) -> Checked<Mqtt> {
         let named = env("LILACBANK_MQTT").filter(|p| !p.is_empty());
+        if let (None, Some(sidecar)) = (&named, sidecar) {
+            return Ok(sidecar.mqtt.clone());
+        }
         let path = named.as_deref().unwrap_or(MQTT_FILE);
         match std::fs::read_to_string(path) {
             Ok(text) => Mqtt::from_toml(&text),
--- a/src/dispatch/admit.rs
+++ b/src/dispatch/admit.rs
@@ -1,6 +1,6 @@
 //! Admit: a call is written down and numbered before anything is done for it; after a restart it is read back.
 
-use super::{Call, Core, Known, Ticket, Verdict};
+use super::{Call, Core, Known, Once, Ticket, Verdict};
 use crate::api::*;
 use crate::config::place;
 use crate::journal::{CallNo, Ending, Identity, Record, Taken};
@@ -23,7 +23,10 @@
     pub(super) fn admit(&mut self, class: usize, taken: Taken, again: bool, ticket: Ticket) -> bool {
         let record = Record::Taken(taken);
         let size = record.size() + MARGIN;
-        if self.calls.len() >= self.settings.max_held || !self.journal.has_room(self.live_bytes + size) {
+        let Record::Taken(t) = &record else { return false };
+        let name = self.once.name(&t.class, &t.idempotency, &t.identity.1);
+        let needed = self.live_bytes + size + self.once.bytes() + name.as_ref().map_or(0, |n| Once::size(n));
+        if self.calls.len() >= self.settings.max_held || !self.journal.has_room(needed) {
             return false;
         }
         self.compact_if_full();
@@ -35,6 +38,8 @@
         let no = taken.no;
         self.next_no = no + 1;
         self.live_bytes += size;
+        name.into_iter().for_each(|n| self.once.held(n, no));
+        self.ceilings.queue(taken.dest);
         self.counters.taken += 1;
         self.events.push(Event::Arrived(self.message(class, &taken, again)));
         let known = Known { no, verdict: Verdict::Taken, ending: None, until: taken.valid_until + MEMORY };
@@ -89,6 +94,8 @@
 
     /// Takes up what an earlier process left. A delegation without an outcome may have run; the module learns so.
     pub fn restore(&mut self, now: Ms, records: Vec<Record>) {
+        self.now = now;
+        let mut spent = Vec::new();
         let mut left: BTreeMap<CallNo, (Call, bool)> = BTreeMap::new();
         for record in records {
             match record {
@@ -118,8 +125,14 @@
                 Record::Known { identity, ending, until } => {
                     self.recall(now, identity, 0, Some(ending), until)
                 }
+                Record::Spent(s) => spent.push(s),
+                Record::Once { name, ending, until } if until > now => {
+                    self.once.remember(name, ending, until)
+                }
+                Record::Once { .. } => {}
             }
         }
+        self.ceilings.restore(now, spent);
         for (no, (mut call, cut_off)) in left {
             let class = place(&self.names.classes, &call.taken.class);
             if class.is_none() && call.ending.is_none() {
@@ -139,6 +152,12 @@
             let until = call.taken.valid_until + MEMORY;
             self.recall(now, call.taken.identity.clone(), no, call.ending, until.max(now + MEMORY));
             self.live_bytes += call.size;
+            let t = &call.taken;
+            let name = self.once.name(&t.class, &t.idempotency, &t.identity.1);
+            name.into_iter().for_each(|n| self.once.held(n, no));
+            if call.ending.is_none() {
+                self.ceilings.queue(t.dest);
+            }
             self.counters.resumed += 1;
             self.calls.insert(no, call);
             self.tell(no);
@@ -175,6 +194,10 @@
             let known = |ending| Record::Known { identity: identity.clone(), ending, until: k.until };
             records.extend(k.ending.map(known));
         }
+        records.extend(self.ceilings.spent(self.now).into_iter().map(Record::Spent));
+        let once =
+            |(name, ending, until): (&String, Ending, Ms)| Record::Once { name: name.clone(), ending, until };
+        records.extend(self.once.ends().map(once));
         if let Err(e) = self.journal.compact(records.into_iter()) {
             log::error!("the journal cannot be compacted: {e}");
         }
--- a/src/dispatch/book.rs
+++ b/src/dispatch/book.rs
@@ -36,7 +36,8 @@
     pub(super) fn finish(&mut self, now: Ms, no: CallNo, ending: Ending) {
         let Some(c) = self.calls.get_mut(&no).filter(|c| c.ending.is_none()) else { return };
         c.ending = Some(ending);
-        let identity = c.taken.identity.clone();
+        let (identity, dest) = (c.taken.identity.clone(), c.taken.dest);
+        self.ceilings.unqueue(dest);
         let platform = identity.0.is_empty();
         self.note(&Record::Ended { no, ending });
         let asking = self.asking.iter().any(|a| a.0 == no);
@@ -93,6 +94,17 @@
     pub(super) fn close_over(&mut self, now: Ms, no: CallNo) {
         let Some(c) = self.calls.remove(&no) else { return };
         self.live_bytes -= c.size;
+        if c.ending.is_none() {
+            self.ceilings.unqueue(c.taken.dest);
+        }
+        let name = self.once.name(&c.taken.class, &c.taken.idempotency, &c.taken.identity.1);
+        if let Some(name) = name {
+            // Without an end of its own it may have run.
+            let ending = c.ending.unwrap_or(Ending::GivenUp);
+            if let Some(until) = self.once.ended(now, &c.taken.class, &name, ending) {
+                self.note(&Record::Once { name, ending, until });
+            }
+        }
         self.events.push(Event::Heard(no));
         let until = now + MEMORY;
         if let Some(k) = self.known.get_mut(&c.taken.identity) {
--- a/src/dispatch/counters.rs
+++ b/src/dispatch/counters.rs
@@ -39,6 +39,8 @@
     pub cancelled: u64,
     /// Delegations not sent.
     pub unsent: u64,
+    /// Delegations and probes that a ceiling kept back.
+    pub over: u64,
     /// Final answers that clients have confirmed.
     pub confirmed: u64,
 }
@@ -53,7 +55,7 @@
         write!(
             f,
             "sent: {} delegations ({} error, {} refused, {} late, {} unconnected, {} reset, {} cancelled, \
-             {} unsent), {} probes; ",
+             {} unsent, {} over), {} probes; ",
             self.sent,
             self.errors,
             self.refused,
@@ -62,6 +64,7 @@
             self.resets,
             self.cancelled,
             self.unsent,
+            self.over,
             self.probes
         )?;
         write!(
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -1,13 +1,15 @@
 //! The core of the dispatcher. It knows calls, delegations and workers, and no wire.
 //!
 //! A call passes a chain of stages, one unit each: [`take_in`] checks what a front handed over, [`admit`] writes it
-//! down and numbers it, [`route`] lets the decision module choose, [`send`] starts a delegation, [`relay`] takes its
+//! down and numbers it, [`route`] lets the decision module choose, [`pace`] keeps what was promised, [`send`] starts a delegation, [`relay`] takes its
 //! outcome back and [`book`] ends the call. Fronts and worker connections put events in by methods and carry out the
 //! [`Order`]s that come back from [`Core::turn`].
 
 mod admit;
 mod book;
 mod counters;
+mod once;
+mod pace;
 mod relay;
 mod route;
 mod send;
@@ -17,9 +19,11 @@
 use crate::brain::Brain;
 use crate::config::{Names, Worker};
 use crate::journal::{CallNo, Ending, Identity, Journal, Sent};
+use lilacbank_limits::{Ceilings, Promise};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 pub use counters::Counters;
+use once::Once;
 pub use take_in::Submission;
 
 /// How long after its time is up a session's client may still come for a final answer.
@@ -156,6 +160,8 @@
     until: Ms,
     /// Its last byte has been written: from then on it may run.
     written: bool,
+    /// Where it is counted.
+    charge: Option<pace::Charge>,
 }
 
 /// A call that was taken on.
@@ -194,6 +200,24 @@
     pub names: Names,
     /// The journal.
     pub journal: Journal,
+    /// What was promised of the members' limits.
+    pub promises: Vec<Promise>,
+    /// Classes that are never repeated, each with the span for which a message is remembered after its end.
+    pub once: Vec<(String, Ms)>,
+}
+
+/// What a reload takes over.
+pub struct Reloaded {
+    /// The settings, under the names below.
+    pub settings: Settings,
+    /// The names: those that were there keep their numbers.
+    pub names: Names,
+    /// Names that are only kept for what is held.
+    pub retired: Names,
+    /// See [`Parts::promises`].
+    pub promises: Vec<Promise>,
+    /// See [`Parts::once`].
+    pub once: Vec<(String, Ms)>,
 }
 
 /// The dispatcher without its wires.
@@ -216,6 +240,18 @@
     asking: Vec<(CallNo, Ticket)>,
     events: Vec<Event>,
     orders: Vec<Order>,
+    ceilings: Ceilings,
+    once: Once,
+    /// Routes by destination.
+    routes_of: BTreeMap<DestId, Vec<RouteId>>,
+    /// Room as the module knows it.
+    room_told: HashMap<RouteId, (u32, Ms, u32)>,
+    /// Probes that are counted.
+    probes: HashMap<RouteId, pace::Charge>,
+    /// Names that the settings have no more, while calls that bear them are held.
+    retired: Names,
+    /// The last moment that it was told.
+    now: Ms,
     /// When the module wants to be woken.
     alarms: Vec<(Ms, u64)>,
     closing: Option<Ms>,
@@ -243,6 +279,13 @@
             asking: Vec::new(),
             events: Vec::new(),
             orders: Vec::new(),
+            ceilings: Ceilings::new(parts.promises),
+            once: Once::new(parts.once),
+            routes_of: BTreeMap::new(),
+            room_told: HashMap::new(),
+            probes: HashMap::new(),
+            retired: Names::default(),
+            now: 0.0,
             alarms: Vec::new(),
             closing: None,
             counters: Counters::default(),
@@ -274,8 +317,18 @@
         if !self.events.is_empty() || !self.orders.is_empty() || !self.asking.is_empty() {
             return Some(0.0);
         }
+        let room = self.ceilings.next_due().filter(|_| !self.ceilings.is_empty());
         let outs = self.calls.values().filter_map(|c| c.out.as_ref()).map(|o| o.until);
-        outs.chain(self.alarms.iter().map(|a| a.0)).min_by(f64::total_cmp)
+        outs.chain(self.alarms.iter().map(|a| a.0)).chain(room).min_by(f64::total_cmp)
+    }
+
+    /// Takes changed settings over, under names that [`crate::config::Names::carry`] has made to fit. What is held, what has
+    /// gone out, waits and drains stay.
+    pub fn reload(&mut self, now: Ms, parts: Reloaded) {
+        self.brain.adopt(parts.settings.clone());
+        (self.settings, self.names, self.retired) = (parts.settings, parts.names, parts.retired);
+        self.ceilings.change(now, parts.promises);
+        self.once.change(parts.once);
     }
 
     /// This process ends at that time: what cannot finish until then is left to the next one.
--- a/src/dispatch/relay.rs
+++ b/src/dispatch/relay.rs
@@ -9,7 +9,10 @@
     pub fn outcome(&mut self, now: Ms, no: CallNo, attempt: u32, end: End) {
         let End { outcome, wait, report, over, heard } = end;
         let Some(c) = self.calls.get_mut(&no) else { return };
-        let Some(out) = c.out.take_if(|o| o.attempt == attempt) else { return };
+        let Some(mut out) = c.out.take_if(|o| o.attempt == attempt) else { return };
+        if let Some(charge) = out.charge.take() {
+            self.charge_ended(now, charge);
+        }
         self.counters.note(outcome);
         let delivered = outcome == Outcome::Delivered;
         let ended = Ended {
@@ -51,11 +54,6 @@
         self.orders.push(Order::Hold { dest, route });
     }
 
-    /// A probe ended.
-    pub fn probed(&mut self, route: RouteId, outcome: Outcome, took: Ms, report: Report) {
-        self.events.push(Event::Probed { route, outcome, took, report });
-    }
-
     /// The module calls a delegation off: its connection is closed, and it may have run.
     pub(super) fn cancel(&mut self, now: Ms, no: CallNo, attempt: u32) {
         self.break_off(now, no, attempt, Outcome::Cancelled);
--- a/src/dispatch/route.rs
+++ b/src/dispatch/route.rs
@@ -15,10 +15,12 @@
 impl Core {
     /// Lets the module decide on all that has come in, and returns what is to be done on the wires.
     pub fn turn(&mut self, now: Ms) -> Vec<Order> {
+        self.now = now;
         self.expire(now);
         self.lapse(now);
         self.ring(now);
         for _ in 0..STEPS_MOST {
+            self.tell_room(now);
             if self.events.is_empty() {
                 break;
             }
@@ -29,6 +31,7 @@
             self.give_verdicts();
         }
         self.fade(now);
+        self.once.fade(now);
         std::mem::take(&mut self.orders)
     }
 
@@ -48,12 +51,7 @@
             Action::Cancel { id, attempt } => self.cancel(now, id, attempt),
             Action::Deny { id, retry_in } => self.hand_back(now, id, retry_in),
             Action::Fail(id) => self.give_up(now, id),
-            Action::Probe(route) => {
-                self.counters.probes += 1;
-                let address = self.address(route);
-                let dest = self.worker(route).map_or(0, |w| w.dest);
-                self.orders.push(Order::Probe { route, dest, address });
-            }
+            Action::Probe(route) => self.probe(now, route),
             Action::CloseIdle(route) => {
                 let address = self.address(route);
                 self.orders.push(Order::CloseIdle { route, address });
@@ -119,6 +117,18 @@
         }
         self.events.push(Event::List { rows, whole: list.whole, cached });
         self.prune(now);
+        self.index();
+    }
+
+    /// The routes of each destination; the module is to hear of their room.
+    fn index(&mut self) {
+        self.routes_of.clear();
+        for (route, w) in &self.workers {
+            self.routes_of.entry(w.worker.dest).or_default().push(*route);
+        }
+        let workers = &self.workers;
+        self.room_told.retain(|route, _| workers.contains_key(route));
+        self.ceilings.touch();
     }
 
     /// Forgets workers that have been gone for long and have no delegation out.
@@ -149,7 +159,8 @@
         let dir = std::env::temp_dir().join(format!("lilacbank-route-{name}-{}", std::process::id()));
         let (journal, _) = Journal::open(&dir, 1 << 20).unwrap();
         std::fs::remove_dir_all(dir).unwrap();
-        Core::new(Parts { settings: Settings::default(), names: Default::default(), journal })
+        let (promises, once) = (Vec::new(), Vec::new());
+        Core::new(Parts { settings: Settings::default(), names: Default::default(), journal, promises, once })
     }
 
     fn news(core: &mut Core, now: Ms, workers: Vec<Worker>) {
--- a/src/dispatch/send.rs
+++ b/src/dispatch/send.rs
@@ -13,7 +13,7 @@
         let left = c.taken.valid_until - now;
         let patience = cap.map_or(left, |cap| cap.min(left)).max(0.0);
         c.attempts += 1;
-        c.out = Some(Out { attempt, route, sent: now, until: now + patience, written: false });
+        c.out = Some(Out { attempt, route, sent: now, until: now + patience, written: false, charge: None });
         let delegation = Delegation {
             no,
             attempt,
@@ -25,6 +25,15 @@
             body: c.taken.body.clone(),
             patience,
         };
+        match self.charge(now, route) {
+            Ok(None) => {}
+            Err(wait) => return self.over(now, no, attempt, wait),
+            Ok(charge) => {
+                if let Some(out) = self.calls.get_mut(&no).and_then(|c| c.out.as_mut()) {
+                    out.charge = charge;
+                }
+            }
+        }
         self.compact_if_full();
         let record = self.calls.get(&no).map(|c| self.state(no, c));
         if let Some(Err(e)) = record.map(|r| self.journal.append(&r)) {
@@ -36,9 +45,15 @@
     }
 
     /// The last byte of a delegation has been written.
-    pub fn written(&mut self, no: CallNo, attempt: u32) {
+    pub fn written(&mut self, now: Ms, no: CallNo, attempt: u32) {
+        let out = self.calls.get_mut(&no).and_then(|c| c.out.as_mut()).filter(|o| o.attempt == attempt);
+        let Some(o) = out else { return };
+        o.written = true;
+        // It stays out meanwhile: the journal may be written anew here.
+        let Some(mut charge) = o.charge.take() else { return };
+        self.charge_written(now, &mut charge);
         if let Some(o) = self.calls.get_mut(&no).and_then(|c| c.out.as_mut()) {
-            o.written |= o.attempt == attempt;
+            o.charge = Some(charge);
         }
     }
 
--- a/src/dispatch/take_in.rs
+++ b/src/dispatch/take_in.rs
@@ -1,9 +1,10 @@
 //! Take in: checks what a front hands over, and answers at once what needs no decision.
 
+use super::once::Judgement;
 use super::{Core, Order, Ticket, Verdict};
 use crate::api::{Effect, Ms};
 use crate::config::place;
-use crate::journal::{Identity, Taken};
+use crate::journal::{Ending, Identity, Taken};
 
 /// The largest body.
 pub const BODY_MOST: usize = 64 * 1024;
@@ -59,7 +60,15 @@
             }
             return;
         }
-        let verdict = match self.check(&s) {
+        self.now = now;
+        let checked = self.check(&s);
+        if checked.is_ok() {
+            if let Some(verdict) = self.once_verdict(now, &s) {
+                self.counters.repeated += 1;
+                return self.orders.push(Order::Answer { ticket, verdict });
+            }
+        }
+        let verdict = match checked {
             Err(why) => {
                 self.counters.malformed += 1;
                 Verdict::Failed(why)
@@ -69,6 +78,11 @@
             Ok(class) => {
                 let deadline = self.settings.classes[class].deadline;
                 let left = s.left.unwrap_or(deadline).min(deadline);
+                if let Some(wait) = self.door_wait(now, s.dest, left) {
+                    self.counters.busy += 1;
+                    let verdict = Verdict::Busy(wait.min(self.settings.max_advice));
+                    return self.orders.push(Order::Answer { ticket, verdict });
+                }
                 let taken = Taken {
                     no: self.next_no,
                     identity: s.identity,
@@ -91,9 +105,33 @@
         self.orders.push(Order::Answer { ticket, verdict });
     }
 
+    /// What a message of a class that is never repeated is answered if it was handed in before, by whoever and wherever.
+    fn once_verdict(&mut self, now: Ms, s: &Submission) -> Option<Verdict> {
+        let name = self.once.name(&s.class, &s.idempotency, &s.identity.1)?;
+        match self.once.judge(&name) {
+            Judgement::New => None,
+            // Its end is not known yet, and somebody else is told of it.
+            Judgement::Held(_) => Some(Verdict::Busy(NO_ROOM_ADVICE.min(self.settings.max_advice))),
+            Judgement::Ended(ending @ Ending::Delivered) => {
+                if !s.identity.0.is_empty() {
+                    let until = now + super::ANSWER_KEPT;
+                    let (identity, reply) = (s.identity.clone(), s.reply.clone());
+                    self.orders.push(Order::Tell(super::Told { no: 0, identity, ending, reply, until }));
+                }
+                Some(Verdict::Taken)
+            }
+            Judgement::Ended(_) => {
+                Some(Verdict::Failed("it may have taken effect, and is not sent again".into()))
+            }
+        }
+    }
+
     /// The class of a call that makes sense.
     fn check(&self, s: &Submission) -> Result<usize, String> {
         let class = place(&self.names.classes, &s.class).ok_or("unknown class")?;
+        if self.retired.classes.contains(&s.class) || self.retired.tenants.contains(&s.tenant) {
+            return Err("the class or tenant is not served any more".into());
+        }
         let keyed = matches!(self.settings.classes[class].effect, Effect::Keyed { .. });
         let printable = |t: &str| t.bytes().all(|b| b.is_ascii_graphic());
         if !s.tenant.is_empty() && place(&self.names.tenants, &s.tenant).is_none() {
--- a/src/journal.rs
+++ b/src/journal.rs
@@ -5,6 +5,7 @@
 //! a second file, which then takes the first one's name; both together stay within the folder's limit.
 
 use crate::api::Ms;
+use lilacbank_limits::{Spent, Step};
 use std::fs::{File, OpenOptions};
 use std::io::{self, Read, Write};
 use std::path::{Path, PathBuf};
@@ -90,6 +91,17 @@
         /// Until when.
         until: Ms,
     },
+    /// Calls that count against what was promised of a member.
+    Spent(Spent),
+    /// A message that is never to be repeated has ended and may have run.
+    Once {
+        /// Under which name it is known.
+        name: String,
+        /// How it ended.
+        ending: Ending,
+        /// Until when it is remembered.
+        until: Ms,
+    },
     /// A call that is over, for the memory of identities.
     Known {
         /// Who and which.
@@ -213,6 +225,24 @@
                 o.u64(*no);
                 o.ms(*until);
             }
+            Record::Spent(s) => {
+                o.0.push(b'P');
+                o.u64(s.dest);
+                o.bytes(s.endpoint.as_bytes());
+                o.ms(s.at);
+                o.u64(u64::from(s.calls));
+                o.0.push(match s.step {
+                    Step::Started => 0,
+                    Step::Written => 1,
+                    Step::GivenBack => 2,
+                });
+            }
+            Record::Once { name, ending, until } => {
+                o.0.push(b'N');
+                o.bytes(name.as_bytes());
+                o.ending(*ending);
+                o.ms(*until);
+            }
             Record::Known { identity, ending, until } => {
                 o.0.push(b'K');
                 o.identity(identity);
@@ -253,6 +283,19 @@
             },
             b'E' => Record::Ended { no: i.u64()?, ending: i.ending()? },
             b'O' => Record::Over { no: i.u64()?, until: i.ms()? },
+            b'P' => Record::Spent(Spent {
+                dest: i.u64()?,
+                endpoint: i.text()?,
+                at: i.ms()?,
+                calls: u32::try_from(i.u64()?).ok()?,
+                step: match i.u8()? {
+                    0 => Step::Started,
+                    1 => Step::Written,
+                    2 => Step::GivenBack,
+                    _ => return None,
+                },
+            }),
+            b'N' => Record::Once { name: i.text()?, ending: i.ending()?, until: i.ms()? },
             b'K' => Record::Known { identity: i.identity()?, ending: i.ending()?, until: i.ms()? },
             _ => return None,
         };
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,44 +1,45 @@
-//! The dispatcher. Without arguments it serves; `lilacbank config` works on configuration.
+//! The dispatcher. Without a command it serves; the others work on files.
 #![forbid(unsafe_code)]
 
-use lilacbank::config::{environment, Config, ConfigError, Mqtt};
-use lilacbank::net::Server;
+use clap::Parser;
+use lilacbank::config::{Config, ConfigError, Mqtt};
+use lilacbank::logging;
+use lilacbank::net::{check_sidecar, Server};
 use lilacbank::tool;
+use lilacbank::tool::cli::{Cli, Command, LogFormat, Serve};
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    let mut arguments = std::env::args_os().skip(1);
-    match arguments.next() {
-        None => serve(),
-        Some(word) if word == "config" => match tool::run(arguments) {
-            Ok(()) => ExitCode::SUCCESS,
-            Err(e) => {
-                eprintln!("lilacbank: {e}");
-                ExitCode::from(2)
-            }
-        },
-        Some(word) if word == "--help" || word == "-h" => {
-            print!("{}", tool::USAGE);
-            ExitCode::SUCCESS
-        }
-        Some(word) => {
-            eprintln!("lilacbank: '{}' is not understood\n\n{}", word.to_string_lossy(), tool::USAGE);
-            ExitCode::from(2)
-        }
+    let cli = Cli::parse();
+    match cli.command {
+        None => serve(cli.serve),
+        Some(Command::Serve(how)) => serve(how),
+        Some(command) => tool::run(command),
     }
 }
 
-fn serve() -> ExitCode {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
-    let read = || Ok((Config::read(&environment)?, Mqtt::read(&environment)?));
-    let (config, mqtt) = match read() {
+fn serve(how: Serve) -> ExitCode {
+    let environment = how.environment();
+    let read = || -> Result<(Config, Mqtt), Vec<String>> {
+        let one = |e: ConfigError| vec![e.to_string()];
+        let text = Config::text(&environment).map_err(one)?;
+        let config = Config::from_json(&text, &environment).map_err(one)?;
+        check_sidecar(&config, &text)?;
+        let mqtt = Mqtt::read(&environment, config.sidecar.as_ref()).map_err(one)?;
+        Ok((config, mqtt))
+    };
+    let read = read();
+    let sidecar = read.as_ref().ok().and_then(|r| r.0.sidecar.as_ref());
+    let json = how.log_format.map_or(sidecar.is_some_and(|s| s.log_json), |f| f == LogFormat::Json);
+    logging::start(json, sidecar.map_or("", |s| &s.log_level));
+    let (config, mqtt) = match read {
         Ok(both) => both,
-        Err::<_, ConfigError>(e) => {
-            log::error!("configuration: {e}");
+        Err(why) => {
+            why.iter().for_each(|w| log::error!("configuration: {w}"));
             return ExitCode::from(2);
         }
     };
-    match Server::start(config, mqtt).and_then(Server::run) {
+    match Server::start(config, mqtt, Box::new(environment)).and_then(Server::run) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             log::error!("{e}");
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -83,17 +83,24 @@
 impl Workers {
     /// No connection yet, and so many at most.
     pub fn new(settings: &Settings, most: usize) -> Workers {
-        let connect_timeout = if settings.connect_timeout > 0.0 { settings.connect_timeout } else { 1_000.0 };
-        let keep = settings.keep_idle;
-        let keep_idle = if keep > 0.0 { (keep - IDLE_MARGIN).max(keep / 2.0) } else { f64::MAX };
-        Workers {
+        let mut workers = Workers {
             conns: Slab::new(),
             idle: HashMap::new(),
             busy: HashMap::new(),
             most,
-            connect_timeout,
-            keep_idle,
-        }
+            connect_timeout: 0.0,
+            keep_idle: 0.0,
+        };
+        workers.settle(settings);
+        workers
+    }
+
+    /// Takes times from changed settings.
+    pub fn settle(&mut self, settings: &Settings) {
+        self.connect_timeout =
+            if settings.connect_timeout > 0.0 { settings.connect_timeout } else { 1_000.0 };
+        let keep = settings.keep_idle;
+        self.keep_idle = if keep > 0.0 { (keep - IDLE_MARGIN).max(keep / 2.0) } else { f64::MAX };
     }
 
     /// Starts a delegation.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -10,11 +10,13 @@
 pub mod stream;
 
 use crate::api::Ms;
-use crate::config::{environment, Config, Mqtt, WorkerList};
-use crate::dispatch::{Core, Order, Parts};
-use crate::journal::Journal;
+use crate::config::{Config, Mqtt, Notify, WorkerList};
+use crate::disk;
+use crate::dispatch::{Core, Order, Parts, Reloaded, Told};
+use crate::journal::{Ending, Journal};
 use clock::Clock;
 use http::{Finding, Task, Workers};
+use lilacbank_settings::served::Served;
 use mio::net::{TcpListener, UnixStream};
 use mio::{Events, Interest, Poll, Token};
 use mqtt::acceptor::Sessions;
@@ -73,11 +75,22 @@
     (KINDS.get(token.0 & 7).copied(), token.0 >> 3)
 }
 
+/// Where values of the environment come from.
+pub type Environment = Box<dyn Fn(&str) -> Option<String>>;
+
+fn address_of(notices: Notify) -> Option<std::net::SocketAddr> {
+    match notices {
+        Notify::To(address) => Some(address),
+        Notify::Log => None,
+    }
+}
+
 /// The whole dispatcher: core, wires and the loop between them.
 pub struct Server {
     clock: Clock,
     /// As it was last read; the list is the core's.
     config: Config,
+    environment: Environment,
     poll: Poll,
     core: Core,
     listener: TcpListener,
@@ -102,7 +115,7 @@
 
 impl Server {
     /// Reads the journal back and begins to listen.
-    pub fn start(mut config: Config, mqtt: Mqtt) -> io::Result<Server> {
+    pub fn start(mut config: Config, mqtt: Mqtt, environment: Environment) -> io::Result<Server> {
         let clock = Clock::start();
         let now = clock.now();
         let poll = Poll::new()?;
@@ -114,6 +127,9 @@
             poll.registry().register(&mut reader, token(Kind::Signal, signals.len()), Interest::READABLE)?;
             signals.push((signal, reader));
         }
+        if config.sidecar.is_some() {
+            disk::claim(&config.state, &config.name)?;
+        }
         let (journal, records) = Journal::open(&config.state, config.limits.disk)?;
         let own = SOCKETS_OWN + mqtt.listen.map_or(0, |_| mqtt.sessions);
         // Clients may have half of what is left, workers the other half; brokers count among them, up to a quarter.
@@ -122,7 +138,10 @@
         let brokers = Brokers::new(&config.settings, sockets / 4, format!("{}-{}", config.name, now as u64));
         let known = WorkerList { whole: true, ..std::mem::take(&mut config.known) };
         let rev = known.rev;
-        let parts = Parts { settings: config.settings.clone(), names: config.names.clone(), journal };
+        let (settings, names) = (config.settings.clone(), config.names.clone());
+        let (promises, once) =
+            config.sidecar.as_ref().map_or_else(Default::default, |s| (s.promises.clone(), s.once.clone()));
+        let parts = Parts { settings, names, journal, promises, once };
         let mut core = Core::new(parts);
         core.list(now, known, true);
         core.restore(now, records);
@@ -147,8 +166,9 @@
             brokers,
             workers,
             watch: Watch::new(config.registry, rev),
-            notices: Notices::new(config.registry),
+            notices: Notices::new(address_of(config.notices)),
             config,
+            environment,
             signals,
             found: Vec::new(),
             core_at: 0.0,
@@ -254,7 +274,7 @@
         if *signal == SIGUSR1 {
             log::info!("holds {} calls, {} out; {}", self.core.holds(), self.core.out(), self.core.counters);
         } else if *signal == SIGHUP {
-            self.reload();
+            self.reload(now);
         } else if self.leaving.is_none() {
             log::info!("told to leave, with {} calls held", self.core.holds());
             self.leaving = Some(now);
@@ -264,12 +284,28 @@
         }
     }
 
-    /// Reads the configuration again. Only the registry's address changes while it serves; a file with a fault changes
-    /// nothing.
-    fn reload(&mut self) {
-        let new = match Config::reread(&environment) {
+    /// The end of a call whose client reads the log.
+    fn log_end(&mut self, now: Ms, told: &Told) {
+        let id = told.identity.1.as_str();
+        match told.ending {
+            Ending::HandedBack(wait) => {
+                log::warn!(id = id, outcome = "handed_back", wait_ms = wait.ceil(); "{id} is handed back, to come again");
+            }
+            Ending::GivenUp | Ending::Delivered => {
+                log::warn!(id = id, outcome = "given_up"; "{id} is given up");
+            }
+        }
+        self.core.confirmed(now, told.no);
+    }
+
+    /// Reads the configuration again. A file with a fault changes nothing.
+    fn reload(&mut self, now: Ms) {
+        let new = match self.reread() {
             Ok(new) => new,
-            Err(e) => return log::error!("configuration: {e}; the one in use stays"),
+            Err(why) => {
+                why.iter().for_each(|w| log::error!("configuration: {w}"));
+                return log::error!("the configuration in use stays");
+            }
         };
         for key in self.config.needs_restart(&new) {
             log::warn!("configuration: {key} has changed; it takes effect with the next start");
@@ -277,9 +313,44 @@
         if new.registry != self.config.registry {
             self.config.registry = new.registry;
             self.watch.redirect(new.registry);
-            self.notices.redirect(new.registry);
         }
-        log::info!("configuration read again; the registry is at {}", new.registry);
+        if new.notices != self.config.notices {
+            self.config.notices = new.notices;
+            self.notices.redirect(address_of(new.notices));
+            if new.notices == Notify::Log {
+                self.notices.take_owed().iter().for_each(|told| self.log_end(now, told));
+            }
+        }
+        if self.config.sidecar.is_some() && new.sidecar.is_some() {
+            self.adopt(now, new);
+        }
+        let registry =
+            self.config.registry.map_or("no registry".into(), |r| format!("the registry is at {r}"));
+        log::info!("configuration read again; {registry}");
+    }
+
+    /// The file as it is now; else all that is wrong with it.
+    fn reread(&self) -> Result<Config, Vec<String>> {
+        let one = |e: crate::config::ConfigError| vec![e.to_string()];
+        let text = Config::text(&*self.environment).map_err(one)?;
+        let new = Config::reread(&text, &*self.environment).map_err(one)?;
+        check_sidecar(&new, &text)?;
+        Ok(new)
+    }
+
+    /// Takes over what a sidecar may change while it serves.
+    fn adopt(&mut self, now: Ms, new: Config) {
+        let mut known = WorkerList { whole: true, ..new.known };
+        let (settings, names, retired) =
+            self.core.names().carry(self.core.settings(), &new.names, &new.settings, &mut known);
+        self.workers.settle(&settings);
+        let Some(sidecar) = &new.sidecar else { return };
+        let (promises, once) = (sidecar.promises.clone(), sidecar.once.clone());
+        self.core.reload(now, Reloaded { settings, names, retired, promises, once });
+        if self.config.registry.is_none() {
+            self.core.list(now, known, false);
+        }
+        self.config.sidecar = new.sidecar;
     }
 
     fn may_leave(&self, now: Ms) -> bool {
@@ -310,13 +381,13 @@
     fn core_turn(&mut self, now: Ms) {
         for finding in std::mem::take(&mut self.found) {
             match finding {
-                Finding::Written(Task::Delegation(no, attempt)) => self.core.written(no, attempt),
-                Finding::Written(Task::Probe(_)) => {}
+                Finding::Written(Task::Delegation(no, attempt)) => self.core.written(now, no, attempt),
+                Finding::Written(Task::Probe(route)) => self.core.probe_written(now, route),
                 Finding::Ended { task: Task::Delegation(no, attempt), end, .. } => {
                     self.core.outcome(now, no, attempt, end);
                 }
                 Finding::Ended { task: Task::Probe(route), took, end } => {
-                    self.core.probed(route, end.outcome, took, end.report);
+                    self.core.probed(now, route, end.outcome, took, end.report);
                 }
             }
         }
@@ -355,10 +426,33 @@
                 self.workers.close_idle(route);
                 self.brokers.close_idle(&address);
             }
-            Order::Tell(told) if told.identity.0.is_empty() => self.notices.tell(told),
+            Order::Tell(told) if told.identity.0.is_empty() => match self.config.notices {
+                Notify::To(_) => self.notices.tell(told),
+                Notify::Log => self.log_end(now, &told),
+            },
             Order::Tell(told) => self.sessions.tell(now, told),
             // The watch is always open or being opened: there is nothing to ask anew.
             Order::Watch => {}
         }
     }
 }
+
+/// A sidecar's file is checked as strictly as the tool does; a platform's file may hold what is not known here.
+///
+/// # Errors
+///
+/// All that is wrong with it, one text each.
+pub fn check_sidecar(config: &Config, text: &str) -> Result<(), Vec<String>> {
+    if config.sidecar.is_none() {
+        return Ok(());
+    }
+    let mut found = Vec::new();
+    Served::read("ROUTER_CONFIG", text, &disk::Disk, &mut found);
+    if !lilacbank_settings::finding::refused(&found) {
+        return Ok(());
+    }
+    let show = |f: &lilacbank_settings::finding::Finding| {
+        format!("{}: line {}: {}: {} ({})", f.code, f.place.line, f.place.key, f.wrong, f.mend)
+    };
+    Err(found.iter().map(show).collect())
+}
--- a/src/net/notice.rs
+++ b/src/net/notice.rs
@@ -19,7 +19,7 @@
 /// Notices that are owed, and the connection that carries them.
 #[derive(Debug)]
 pub struct Notices {
-    address: SocketAddr,
+    address: Option<SocketAddr>,
     owed: VecDeque<Told>,
     /// Those in the request that is out.
     out: usize,
@@ -48,7 +48,7 @@
 
 impl Notices {
     /// Nothing owed yet.
-    pub fn new(address: SocketAddr) -> Notices {
+    pub fn new(address: Option<SocketAddr>) -> Notices {
         Notices {
             address,
             owed: VecDeque::new(),
@@ -62,11 +62,17 @@
     }
 
     /// The platform is elsewhere from now on. A request that is out goes again there: its answer may never come here.
-    pub fn redirect(&mut self, address: SocketAddr) {
+    pub fn redirect(&mut self, address: Option<SocketAddr>) {
         (self.address, self.stream, self.out) = (address, None, 0);
         (self.open_at, self.again) = (0.0, AGAIN_FIRST);
     }
 
+    /// What is owed is told by somebody else from now on.
+    pub fn take_owed(&mut self) -> Vec<Told> {
+        self.out = 0;
+        self.owed.drain(..).collect()
+    }
+
     /// Owes one more.
     pub fn tell(&mut self, told: Told) {
         self.owed.push_back(told);
@@ -74,7 +80,9 @@
 
     /// When [`Notices::tick`] has something to do.
     pub fn next_due(&self) -> Option<Ms> {
-        if self.out > 0 {
+        if self.address.is_none() {
+            None
+        } else if self.out > 0 {
             Some(self.since + PATIENCE)
         } else if self.owed.is_empty() {
             None
@@ -85,14 +93,14 @@
 
     /// Sends what is owed, and gives up a request without an answer.
     pub fn tick(&mut self, now: Ms, registry: &mio::Registry) {
-        if self.next_due().is_none_or(|t| t > now) {
+        let Some(address) = self.address.filter(|_| self.next_due().is_some_and(|t| t <= now)) else {
             return;
-        }
+        };
         if self.out > 0 {
             return self.lost(now);
         }
         if self.stream.is_none() {
-            match Stream::connect(self.address, registry, token(Kind::Notice, 0)) {
+            match Stream::connect(address, registry, token(Kind::Notice, 0)) {
                 Ok(stream) => self.stream = Some(stream),
                 Err(_) => return self.lost(now),
             }
@@ -101,7 +109,7 @@
         self.out = self.owed.len().min(if self.single { 1 } else { BATCH_MOST });
         self.since = now;
         let body: String = self.owed.iter().take(self.out).map(line).collect();
-        let (host, len) = (self.address, body.len());
+        let (host, len) = (address, body.len());
         let head = format!("POST /v1/outcomes HTTP/1.1\r\nHost: {host}\r\nContent-Length: {len}\r\n\r\n");
         stream.queue(head.as_bytes());
         stream.queue(body.as_bytes());
--- a/src/net/registry.rs
+++ b/src/net/registry.rs
@@ -5,6 +5,7 @@
 use super::{token, Kind};
 use crate::api::Ms;
 use crate::config::{self, Names, Node, WorkerList};
+use crate::logging::Complaint;
 use std::net::SocketAddr;
 
 /// The registry says something every two seconds; after so long it is gone.
@@ -20,7 +21,8 @@
 /// The watch.
 #[derive(Debug)]
 pub struct Watch {
-    address: SocketAddr,
+    /// None: there is no registry, and nothing is watched.
+    address: Option<SocketAddr>,
     stream: Option<Stream>,
     asked: bool,
     begun: bool,
@@ -32,11 +34,12 @@
     heard: Ms,
     open_at: Ms,
     again: Ms,
+    complaint: Complaint,
 }
 
 impl Watch {
     /// A watch that goes on from a version and is opened at once.
-    pub fn new(address: SocketAddr, rev: u64) -> Watch {
+    pub fn new(address: Option<SocketAddr>, rev: u64) -> Watch {
         Watch {
             address,
             stream: None,
@@ -49,18 +52,21 @@
             heard: 0.0,
             open_at: 0.0,
             again: AGAIN_FIRST,
+            complaint: Complaint::default(),
         }
     }
 
     /// The registry is elsewhere from now on: the watch is opened there at once and goes on from the version held.
-    pub fn redirect(&mut self, address: SocketAddr) {
+    pub fn redirect(&mut self, address: Option<SocketAddr>) {
         (self.address, self.stream) = (address, None);
         (self.open_at, self.again) = (0.0, AGAIN_FIRST);
     }
 
     /// When [`Watch::tick`] has something to do.
     pub fn next_due(&self) -> Ms {
-        if self.stream.is_some() {
+        if self.address.is_none() {
+            f64::MAX
+        } else if self.stream.is_some() {
             self.heard + if self.begun { SILENCE } else { BEGIN }
         } else {
             self.open_at
@@ -69,22 +75,22 @@
 
     /// Opens the watch, or gives it up where nothing was heard for too long.
     pub fn tick(&mut self, now: Ms, registry: &mio::Registry) {
-        if self.next_due() > now {
-            return;
-        }
+        let Some(address) = self.address.filter(|_| self.next_due() <= now) else { return };
         if self.stream.is_some() {
             return self.lost(now, "nothing was heard");
         }
         (self.asked, self.begun, self.chunk, self.heard) = (false, false, 0, now);
         self.line.clear();
-        match Stream::connect(self.address, registry, token(Kind::Watch, 0)) {
+        match Stream::connect(address, registry, token(Kind::Watch, 0)) {
             Ok(stream) => self.stream = Some(stream),
             Err(e) => self.lost(now, &e.to_string()),
         }
     }
 
     fn lost(&mut self, now: Ms, why: &str) {
-        log::info!("the watch on the registry ended: {why}");
+        if let Some(count) = self.complaint.raise(now) {
+            log::info!(cause = why, count = count; "the watch on the registry ended: {why}");
+        }
         self.stream = None;
         self.open_at = now + self.again;
         self.again = (self.again * 2.0).min(AGAIN_MOST);
@@ -106,7 +112,7 @@
         }
         if !self.asked {
             self.asked = true;
-            let (rev, host) = (self.rev, self.address);
+            let (rev, host) = (self.rev, self.address.map_or(String::new(), |a| a.to_string()));
             let get = format!("GET /v1/endpoints?watch=1&after={rev} HTTP/1.1\r\nHost: {host}\r\n\r\n");
             stream.queue(get.as_bytes());
         }
@@ -125,6 +131,7 @@
                     Some(h) => {
                         stream.inbox.drain(..h.size);
                         (self.begun, self.chunked, self.again) = (true, h.chunked, AGAIN_FIRST);
+                        self.complaint.settle();
                     }
                 }
             }
--- a/src/state.rs
+++ b/src/state.rs
@@ -45,6 +45,8 @@
     pub(crate) refused: Option<Ms>,
     pub(crate) outage: Option<Outage>,
     pub(crate) ramp: Option<Ramp>,
+    /// Connections that a ceiling lets it have.
+    pub(crate) links: Option<u32>,
 }
 
 impl Route {
@@ -116,6 +118,8 @@
     pub(crate) dest: DestId,
     pub(crate) routes: usize,
     pub(crate) pause_until: Ms,
+    /// Calls that a ceiling still lets go, and with none, when it may let go more.
+    pub(crate) room: Option<(u32, Ms)>,
     /// Its limit, calls a second from all senders, as last told or listed.
     pub(crate) limit: Option<f64>,
     pub(crate) next_trial: Ms,
@@ -134,6 +138,22 @@
         Unit { dest, good, pause_until: f64::MIN, last_good_send: f64::MIN, ..Unit::default() }
     }
 
+    /// Until then nothing may be sent: a told wait, or a ceiling.
+    pub(crate) fn shut_until(&self) -> Ms {
+        let ceiling = self.room.filter(|r| r.0 == 0).map_or(f64::MIN, |r| r.1);
+        self.pause_until.max(ceiling)
+    }
+
+    /// Calls that a route's window and its ceiling let be out at once.
+    pub(crate) fn most_out(r: &Route) -> usize {
+        (r.window as usize).min(r.links.map_or(usize::MAX, |l| l as usize))
+    }
+
+    /// A call goes out.
+    pub(crate) fn use_room(&mut self) {
+        self.room = self.room.map(|(calls, again)| (calls.saturating_sub(1), again));
+    }
+
     /// Takes in what was told of the limit; 0 says that there is none but the capacity.
     pub(crate) fn hear(&mut self, report: &Report) {
         if let Some(limit) = report.limit {
--- /dev/null
+++ b/src/tool/cli.rs
@@ -0,0 +1,255 @@
+//! The command line.
+
+use crate::config::environment;
+use clap::{Args, Parser, Subcommand, ValueEnum};
+use lilacbank_settings::units::{Address, Name, Share};
+use std::path::PathBuf;
+
+/// Delivers messages to many outside destinations, beside one application or on a platform.
+#[derive(Debug, Parser)]
+#[command(name = "lilacbank", version, about, max_term_width = 110, after_help = AFTER)]
+pub struct Cli {
+    /// What to do; without it, serve.
+    #[command(subcommand)]
+    pub command: Option<Command>,
+    /// How to serve.
+    #[command(flatten)]
+    pub serve: Serve,
+}
+
+const AFTER: &str = "\
+The configuration to serve on is the JSON file that ROUTER_CONFIG names; ROUTER_NAME, ROUTER_LISTEN, ROUTER_DISCOVERY \
+and ROUTER_STATE win over its keys, and LILACBANK_MQTT names the MQTT front's own file. RUST_LOG says what is logged.
+
+Exit status: 0 good, 1 faults were found or serving failed, 2 it could not be done.";
+
+/// How to serve.
+#[derive(Debug, Clone, Default, Args)]
+pub struct Serve {
+    /// The configuration, a JSON file; wins over ROUTER_CONFIG.
+    #[arg(long, value_name = "FILE")]
+    pub config: Option<PathBuf>,
+    /// The form of the log; wins over the file's.
+    #[arg(long, value_name = "FORM")]
+    pub log_format: Option<LogFormat>,
+}
+
+impl Serve {
+    /// The environment, with what the command line says in front of it.
+    pub fn environment(&self) -> impl Fn(&str) -> Option<String> + use<> {
+        let config = self.config.as_ref().map(|c| c.display().to_string());
+        move |name| match name {
+            "ROUTER_CONFIG" => config.clone().or_else(|| environment(name)),
+            _ => environment(name),
+        }
+    }
+}
+
+/// Forms of the log.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
+pub enum LogFormat {
+    /// Lines for people.
+    Text,
+    /// One JSON object a line.
+    Json,
+}
+
+/// What to do.
+#[derive(Debug, Subcommand)]
+pub enum Command {
+    /// Serve (as without any command).
+    Serve(Serve),
+    /// Write, check, explain and render an application's file.
+    #[command(subcommand)]
+    App(App),
+    /// Print the record of a file.
+    Schema {
+        /// Which record.
+        record: Record,
+        /// As CUE definitions, not as JSON Schema.
+        #[arg(long)]
+        cue: bool,
+    },
+    /// Work on the JSON that a dispatcher reads.
+    #[command(subcommand)]
+    Config(Box<Config>),
+    /// Print completions for a shell.
+    Completions {
+        /// The shell.
+        shell: clap_complete::Shell,
+    },
+}
+
+/// The records.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
+pub enum Record {
+    /// A member firm's.
+    Agreement,
+    /// An application's.
+    Application,
+}
+
+/// Forms of a report.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, ValueEnum)]
+pub enum Format {
+    /// For people: each fault with its line.
+    #[default]
+    Text,
+    /// One JSON object a line.
+    Json,
+}
+
+/// Work on an application's file.
+#[derive(Debug, Subcommand)]
+pub enum App {
+    /// Write a commented application from agreements; it passes the check as it stands.
+    New(Box<New>),
+    /// Check files together: applications of one machine or member, and agreements.
+    #[command(
+        after_help = "Codes and remedies: docs/operators/sidecar.md. Exit status: 0 good, 1 faults, 2 could not."
+    )]
+    Check {
+        /// Applications and agreements; the agreements that applications name are read by themselves.
+        #[arg(required = true)]
+        files: Vec<String>,
+        /// How it is checked and reported on.
+        #[command(flatten)]
+        how: How,
+    },
+    /// Write the JSON that `serve` reads, once the file passes the check.
+    Render {
+        /// The application.
+        file: String,
+        /// Where to; without it, standard output.
+        #[arg(short, long, value_name = "FILE")]
+        output: Option<PathBuf>,
+        /// How it is checked and reported on.
+        #[command(flatten)]
+        how: How,
+    },
+    /// Tell every value in force and where it comes from.
+    Explain {
+        /// The application.
+        file: String,
+        /// How it is checked and reported on.
+        #[command(flatten)]
+        how: How,
+    },
+}
+
+/// How files are checked and reported on.
+#[derive(Debug, Clone, Copy, Default, Args)]
+pub struct How {
+    /// The form of the report.
+    #[arg(long, value_enum, default_value_t)]
+    pub format: Format,
+    /// The files are meant for another machine: its folders are not looked at.
+    #[arg(long)]
+    pub elsewhere: bool,
+}
+
+/// A new application.
+#[derive(Debug, Args)]
+pub struct New {
+    /// The agreements of the members that it uses.
+    #[arg(required = true)]
+    pub agreements: Vec<String>,
+    /// Its name.
+    #[arg(long)]
+    pub name: Name,
+    /// Where RESP2 clients connect.
+    #[arg(long, value_name = "ADDRESS:PORT", default_value = "127.0.0.1:6379")]
+    pub resp: Address,
+    /// Where MQTT clients connect; without it that front is off.
+    #[arg(long, value_name = "ADDRESS:PORT")]
+    pub mqtt: Option<Address>,
+    /// The folder that outlasts the process; without it, /var/lib/lilacbank/NAME.
+    #[arg(long, value_name = "FOLDER")]
+    pub state: Option<String>,
+    /// The part of each member's limit and connections that it promises to keep within.
+    #[arg(long, default_value = "25%")]
+    pub share: Share,
+    /// Its building; without it, the first of the first member.
+    #[arg(long)]
+    pub building: Option<Name>,
+    /// The registry; without it the agreements' endpoints are all there are.
+    #[arg(long, value_name = "ADDRESS:PORT")]
+    pub discovery: Option<Address>,
+    /// Where ends of undelivered messages are told: ADDRESS:PORT or log.
+    #[arg(long)]
+    pub notices: Option<String>,
+    /// A tenant; may be given several times.
+    #[arg(long = "tenant", value_name = "NAME")]
+    pub tenants: Vec<Name>,
+    /// Where to; without it, standard output.
+    #[arg(short, long, value_name = "FILE")]
+    pub output: Option<PathBuf>,
+}
+
+/// Work on the JSON that a dispatcher reads.
+#[derive(Debug, Subcommand)]
+pub enum Config {
+    /// Write one without agreements.
+    Write(Wanted),
+    /// Check one, more strictly than a platform's start does.
+    Check {
+        /// The JSON file.
+        file: PathBuf,
+        /// The MQTT front's file.
+        #[arg(long, value_name = "FILE")]
+        mqtt: Option<PathBuf>,
+        /// How it is checked and reported on.
+        #[command(flatten)]
+        how: How,
+    },
+    /// Make one of HAProxy's; what has no counterpart is reported with its line.
+    ImportHaproxy {
+        /// HAProxy's file.
+        file: PathBuf,
+        /// What wins over what is imported.
+        #[command(flatten)]
+        wanted: Wanted,
+    },
+}
+
+/// What is written, or wins over what is imported.
+#[derive(Debug, Default, Args)]
+pub struct Wanted {
+    /// The dispatcher's name.
+    #[arg(long)]
+    pub name: Option<String>,
+    /// Where clients connect.
+    #[arg(long, value_name = "ADDRESS:PORT")]
+    pub listen: Option<String>,
+    /// The registry.
+    #[arg(long, value_name = "ADDRESS:PORT")]
+    pub discovery: Option<String>,
+    /// The folder that lasts.
+    #[arg(long, value_name = "FOLDER")]
+    pub state: Option<String>,
+    /// A class: NAME,EFFECT,PROMISE,DEADLINE[,WINDOW][,ordered]; EFFECT is idempotent, deduplicated or at_most_once,
+    /// times are milliseconds; may be given several times.
+    #[arg(long = "class", value_name = "CLASS", value_parser = super::class)]
+    pub classes: Vec<lilacbank_settings::served::Class>,
+    /// The zones, the own one first.
+    #[arg(long, value_delimiter = ',', value_name = "A,B")]
+    pub zones: Vec<String>,
+    /// The kinds of destination.
+    #[arg(long, value_delimiter = ',', value_name = "A,B")]
+    pub kinds: Vec<String>,
+    /// The tenants.
+    #[arg(long, value_delimiter = ',', value_name = "A,B")]
+    pub tenants: Vec<String>,
+    /// Calls out at once.
+    #[arg(long)]
+    pub slots: Option<u32>,
+    /// Messages held at once.
+    #[arg(long)]
+    pub max_open: Option<u32>,
+    /// Where to; without it, standard output.
+    #[arg(short, long, value_name = "FILE")]
+    pub output: Option<PathBuf>,
+    /// Also write FILE.mqtt.toml, by which MQTT clients are served there.
+    #[arg(long, value_name = "ADDRESS:PORT", requires = "output")]
+    pub mqtt: Option<Address>,
+}
--- a/src/tool/haproxy.rs
+++ b/src/tool/haproxy.rs
@@ -2,7 +2,7 @@
 //! destinations, their servers workers, and timeouts, limits of connections, retries and health checks become
 //! settings. Every other directive is reported with its line; nothing is dropped in silence.
 
-use super::application::{Application, Worker};
+use lilacbank_settings::served::{Served, Target};
 
 /// A directive that was not mapped.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -100,7 +100,7 @@
     probes: bool,
     dest: u32,
     backends: Vec<String>,
-    workers: Vec<Worker>,
+    workers: Vec<Target>,
     slots: u32,
     /// Limit of servers that have none of their own, in this section and in `defaults`.
     server_limit: Option<u32>,
@@ -108,7 +108,7 @@
 }
 
 /// Reads HAProxy's format.
-pub fn import(text: &str) -> (Application, Vec<Skipped>) {
+pub fn import(text: &str) -> (Served, Vec<Skipped>) {
     let mut skipped = Vec::new();
     let mut i = Import::default();
     let mut section = Section::None;
@@ -233,7 +233,9 @@
         if self.workers.iter().any(|w| w.uid == uid) {
             return Err("the server is left out: its name is taken".into());
         }
-        self.workers.push(Worker { uid, endpoint: address.clone(), dest: self.dest, kind });
+        let state = "in_service".into();
+        let (endpoint, pod_group) = (address.clone(), u64::from(self.dest));
+        self.workers.push(Target { uid, endpoint, pod_group, model: kind, state, ..Target::default() });
         Ok(())
     }
 
@@ -259,26 +261,29 @@
         limit
     }
 
-    fn finish(self) -> Application {
-        let mut app = Application { probes: self.probes, workers: self.workers, ..Application::default() };
-        app.listen = self.listen.unwrap_or(app.listen);
-        app.connect_timeout = self.connect.0.unwrap_or(app.connect_timeout);
-        app.keepalive = self.keepalive.0.unwrap_or(app.keepalive);
-        app.most_tries = self.retries.0.map_or(app.most_tries, |n| n as u32);
-        app.max_open = self.max_open.0.map_or(app.max_open, |n| n as u32);
+    fn finish(self) -> Served {
+        let mut served = super::usual();
+        served.known.targets = self.workers;
+        served.listen = self.listen.or(served.listen);
+        let settings = &mut served.settings;
+        let c = &mut settings.ceilings;
+        c.probes = self.probes;
+        c.connect_timeout = self.connect.0.unwrap_or(c.connect_timeout);
+        c.keepalive = self.keepalive.0.unwrap_or(c.keepalive);
+        c.most_tries = self.retries.0.map_or(c.most_tries, |n| n as u32);
+        c.max_open = self.max_open.0.map_or(c.max_open, |n| n as u32);
         if self.slots > 0 {
-            app.slots = self.slots;
+            settings.family_info.slots = self.slots;
         }
-        if let (Some(deadline), [class]) = (self.server.0, &mut app.classes[..]) {
-            class.deadline = deadline;
-            class.window = deadline;
-            class.promise = class.promise.min(deadline);
+        if let (Some(deadline), [class]) = (self.server.0, &mut settings.classes[..]) {
+            (class.deadline, class.window) = (deadline, deadline);
+            class.promise = class.promise.map(|p| p.min(deadline));
         }
         if !self.backends.is_empty() {
-            app.kinds = self.backends;
-            app.kinds.dedup();
+            settings.kinds = self.backends;
+            settings.kinds.dedup();
         }
-        app
+        served
     }
 }
 
@@ -327,19 +332,19 @@
   user x password y
 ";
         let (app, skipped) = import(text);
-        assert_eq!((app.connect_timeout, app.max_open, app.most_tries, app.slots), (2_000.0, 500, 4, 12));
-        assert_eq!(
-            (app.listen.as_str(), app.classes[0].deadline, app.probes),
-            ("0.0.0.0:8080", 30_000.0, true)
-        );
+        let (c, slots) = (&app.settings.ceilings, app.settings.family_info.slots);
+        assert_eq!((c.connect_timeout, c.max_open, c.most_tries, slots), (2_000.0, 500, 4, 12));
+        assert_eq!((app.listen.as_deref(), c.probes), (Some("0.0.0.0:8080"), true));
+        assert_eq!(app.settings.classes[0].deadline, 30_000.0);
+        let targets = &app.known.targets;
         let workers: Vec<_> =
-            app.workers.iter().map(|w| (w.uid.as_str(), w.endpoint.as_str(), w.dest)).collect();
+            targets.iter().map(|w| (w.uid.as_str(), w.endpoint.as_str(), w.pod_group)).collect();
         let wanted =
             [("pay/p1", "10.0.0.1:80", 1), ("pay/p2", "10.0.0.2:80", 1), ("mail/m1", "10.0.0.3:80", 2)];
         assert_eq!(workers, wanted);
         let lines: Vec<usize> = skipped.iter().map(|s| s.line).collect();
         assert_eq!(lines, [3, 5, 8, 12, 14, 16, 18, 20, 23, 24], "{skipped:?}");
-        let checked = crate::config::check(&app.text()).unwrap();
-        assert_eq!((checked.known.workers.len(), checked.settings.slots), (3, 12));
+        let read = crate::config::Config::from_json(&app.text(), &|_| None).unwrap();
+        assert_eq!((read.known.workers.len(), read.settings.slots), (3, 12));
     }
 }
--- a/src/tool/mod.rs
+++ b/src/tool/mod.rs
@@ -1,56 +1,42 @@
-//! The tool for a sidecar's configuration: writes one for an application, checks one, imports HAProxy's.
+//! The tool for a sidecar's files: writes, checks, explains and renders them, and imports HAProxy's.
+//!
+//! What is wrong with files is found by the package `lilacbank-settings`; here files are opened and reports printed.
+
+pub mod cli;
 
-pub mod application;
 pub mod haproxy;
 
-use crate::config::{self, ConfigError, Mqtt};
-use application::{class, Application};
-use lexopt::prelude::*;
-use std::ffi::OsString;
+use crate::config::{self, Mqtt};
+use crate::disk::Disk;
+use cli::{App, Cli, Command, Config, Format, How, New, Record, Wanted};
+use lilacbank_settings::check::{check, Elsewhere, Folders};
+use lilacbank_settings::compose::{compose, Wanted as Composed};
+use lilacbank_settings::finding::{refused, show, Finding};
+use lilacbank_settings::served::{Class, Known, Limits, Served, Tenant};
+use lilacbank_settings::set::{beside, AppFile, Set};
+use lilacbank_settings::{explain, render, schema};
+use std::collections::BTreeMap;
+use std::fmt;
+use std::io::IsTerminal;
 use std::path::{Path, PathBuf};
-
-/// How the tool is called.
-pub const USAGE: &str = "\
-usage:
-  lilacbank                                  serve, as ROUTER_* and LILACBANK_MQTT say
-  lilacbank config write OPTIONS             write an application's configuration
-  lilacbank config check FILE [--mqtt FILE]  check one, and the MQTT front's file
-  lilacbank config import-haproxy FILE OPTIONS
-                                             make one of HAProxy's; what has no counterpart is reported
-
-options of write and import-haproxy:
-  --name NAME          the dispatcher's name
-  --listen ADDR:PORT   where clients connect
-  --discovery ADDR:PORT  the registry
-  --state DIR          the folder that lasts
-  --class NAME,EFFECT,PROMISE,DEADLINE[,WINDOW][,ordered]
-                       a class of messages; EFFECT is idempotent, deduplicated or at_most_once, the times are
-                       milliseconds; may be given several times
-  --zones A,B          the zones; the first one is the dispatcher's own
-  --kinds A,B          the kinds of destination
-  --tenants A,B        the tenants
-  --slots N            calls out at once
-  --max-open N         messages held at once
-  --output FILE        where to; without it, standard output
-  --mqtt ADDR:PORT     also write FILE.mqtt.toml, by which MQTT clients are served there (needs --output)
-";
+use std::process::ExitCode;
 
 /// Why the tool did not do it.
 #[derive(Debug)]
 pub enum ToolError {
-    /// The arguments make no sense.
-    Usage(String),
     /// A file cannot be read or written.
     File(PathBuf, std::io::Error),
-    /// A configuration has a fault.
-    Config(ConfigError),
+    /// Faults were found, and have been reported.
+    Faults,
+    /// What was read says something else than what was written: a fault of the tool.
+    Config(config::ConfigError),
 }
 
-impl std::fmt::Display for ToolError {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+impl fmt::Display for ToolError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            ToolError::Usage(what) => write!(f, "{what}\n\n{USAGE}"),
             ToolError::File(path, e) => write!(f, "{}: {e}", path.display()),
+            ToolError::Faults => f.write_str("faults were found; nothing was written"),
             ToolError::Config(e) => e.fmt(f),
         }
     }
@@ -58,86 +44,43 @@
 
 impl std::error::Error for ToolError {}
 
-impl From<lexopt::Error> for ToolError {
-    fn from(e: lexopt::Error) -> Self {
-        ToolError::Usage(e.to_string())
-    }
-}
-
-impl From<ConfigError> for ToolError {
-    fn from(e: ConfigError) -> Self {
+impl From<config::ConfigError> for ToolError {
+    fn from(e: config::ConfigError) -> Self {
         ToolError::Config(e)
     }
 }
 
-/// What the arguments ask for.
-#[derive(Debug, Default)]
-struct Asked {
-    files: Vec<PathBuf>,
-    name: Option<String>,
-    listen: Option<String>,
-    discovery: Option<String>,
-    state: Option<String>,
-    classes: Vec<application::Class>,
-    zones: Vec<String>,
-    kinds: Vec<String>,
-    tenants: Vec<String>,
-    slots: Option<u32>,
-    max_open: Option<u32>,
-    output: Option<PathBuf>,
-    mqtt: Option<String>,
-}
-
-fn ask(parser: &mut lexopt::Parser) -> Result<Asked, ToolError> {
-    let mut a = Asked::default();
-    let list = |v: OsString| -> Result<Vec<String>, ToolError> {
-        Ok(v.string()?.split(',').filter(|p| !p.is_empty()).map(String::from).collect())
-    };
-    while let Some(arg) = parser.next()? {
-        match arg {
-            Value(file) => a.files.push(file.into()),
-            Long("name") => a.name = Some(parser.value()?.string()?),
-            Long("listen") => a.listen = Some(parser.value()?.string()?),
-            Long("discovery") => a.discovery = Some(parser.value()?.string()?),
-            Long("state") => a.state = Some(parser.value()?.string()?),
-            Long("class") => {
-                let text = parser.value()?.string()?;
-                a.classes.push(class(&text).map_err(|e| ToolError::Usage(format!("--class '{text}': {e}")))?);
+type Done = Result<(), ToolError>;
+
+/// Runs a command other than `serve`.
+pub fn run(command: Command) -> ExitCode {
+    let done = match command {
+        Command::App(app) => run_app(app),
+        Command::Config(config) => run_config(*config),
+        Command::Schema { record, cue } => {
+            let schema = match record {
+                Record::Agreement => schema::agreement(),
+                Record::Application => schema::application(),
+            };
+            match cue {
+                true => print!("{}", schema::cue(&schema)),
+                false => println!("{}", serde_json::to_string_pretty(&schema).unwrap_or_default()),
             }
-            Long("zones") => a.zones = list(parser.value()?)?,
-            Long("kinds") => a.kinds = list(parser.value()?)?,
-            Long("tenants") => a.tenants = list(parser.value()?)?,
-            Long("slots") => a.slots = Some(parser.value()?.parse()?),
-            Long("max-open") => a.max_open = Some(parser.value()?.parse()?),
-            Long("output") | Short('o') => a.output = Some(parser.value()?.into()),
-            Long("mqtt") => a.mqtt = Some(parser.value()?.string()?),
-            other => return Err(other.unexpected().into()),
+            Ok(())
         }
-    }
-    Ok(a)
-}
-
-impl Asked {
-    /// What the arguments say wins over what the application has so far.
-    fn settle(&mut self, app: &mut Application) {
-        let text = |from: &mut Option<String>, to: &mut String| from.take().into_iter().for_each(|t| *to = t);
-        text(&mut self.name, &mut app.name);
-        text(&mut self.listen, &mut app.listen);
-        text(&mut self.discovery, &mut app.discovery);
-        text(&mut self.state, &mut app.state);
-        let list = |from: &mut Vec<String>, to: &mut Vec<String>| {
-            if !from.is_empty() {
-                *to = std::mem::take(from);
-            }
-        };
-        list(&mut self.zones, &mut app.zones);
-        list(&mut self.kinds, &mut app.kinds);
-        list(&mut self.tenants, &mut app.tenants);
-        if !self.classes.is_empty() {
-            app.classes = std::mem::take(&mut self.classes);
+        Command::Completions { shell } => {
+            let mut command = <Cli as clap::CommandFactory>::command();
+            clap_complete::generate(shell, &mut command, "lilacbank", &mut std::io::stdout());
+            Ok(())
+        }
+        Command::Serve(_) => Ok(()),
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("lilacbank: {e}");
+            ExitCode::from(if matches!(e, ToolError::Faults) { 1 } else { 2 })
         }
-        app.slots = self.slots.unwrap_or(app.slots);
-        app.max_open = self.max_open.unwrap_or(app.max_open);
     }
 }
 
@@ -145,68 +88,273 @@
     std::fs::read_to_string(path).map_err(|e| ToolError::File(path.into(), e))
 }
 
-fn write(path: &Path, text: &str) -> Result<(), ToolError> {
-    std::fs::write(path, text).map_err(|e| ToolError::File(path.into(), e))
+/// Writes a file in one step: what was there stays until all of the new one is.
+fn write(path: &Path, text: &str) -> Done {
+    let new = PathBuf::from(format!("{}.new-{}", path.display(), std::process::id()));
+    let done = std::fs::write(&new, text).and_then(|()| std::fs::rename(&new, path));
+    done.map_err(|e| {
+        let _ = std::fs::remove_file(&new);
+        ToolError::File(path.into(), e)
+    })
+}
+
+fn put(output: Option<&Path>, text: &str) -> Done {
+    match output {
+        Some(path) => write(path, text),
+        None => {
+            print!("{text}");
+            Ok(())
+        }
+    }
 }
 
-/// Writes an application's configuration, once it passes the check.
-fn put(app: &Application, asked: &Asked) -> Result<(), ToolError> {
-    let text = app.text();
-    config::check(&text)?;
-    let mqtt = asked.mqtt.as_ref().map(|to| format!("[acceptor]\nenabled = true\nlisten = \"{to}\"\n"));
-    mqtt.iter().try_for_each(|t| Mqtt::from_toml(t).map(drop))?;
-    let Some(path) = &asked.output else {
-        if mqtt.is_some() {
-            return Err(ToolError::Usage("--mqtt needs --output".into()));
+fn report(found: &[Finding], texts: &BTreeMap<String, String>, how: How) -> Done {
+    match how.format {
+        Format::Text => eprint!("{}", show(found, texts, std::io::stderr().is_terminal())),
+        Format::Json => {
+            found.iter().for_each(|f| println!("{}", serde_json::to_string(f).unwrap_or_default()))
         }
-        print!("{text}");
-        return Ok(());
+    }
+    if refused(found) {
+        Err(ToolError::Faults)
+    } else {
+        Ok(())
+    }
+}
+
+fn folders(how: How) -> &'static dyn Folders {
+    if how.elsewhere {
+        &Elsewhere
+    } else {
+        &Disk
+    }
+}
+
+/// Reads and checks files together, and reports what is wrong.
+fn load(files: &[String], how: How) -> Result<Set, ToolError> {
+    // A file that was named here and cannot be read is not a fault of the files.
+    for file in files {
+        read(Path::new(file))?;
+    }
+    let mut found = Vec::new();
+    let set = Set::load(files, &|f| std::fs::read_to_string(f), &mut found);
+    found.extend(check(&set, folders(how)));
+    report(&found, &set.texts(), how)?;
+    Ok(set)
+}
+
+fn the_app(set: &Set) -> Result<&AppFile, ToolError> {
+    set.apps.first().ok_or_else(|| {
+        eprintln!("the file is an agreement; name an application's file");
+        ToolError::Faults
+    })
+}
+
+fn run_app(app: App) -> Done {
+    match app {
+        App::New(new) => run_new(*new),
+        App::Check { files, how } => {
+            let set = load(&files, how)?;
+            if how.format == Format::Text {
+                println!("good: {} applications, {} agreements", set.apps.len(), set.agreements.len());
+            }
+            Ok(())
+        }
+        App::Render { file, output, how } => {
+            let set = load(&[file], how)?;
+            let text = render::render(&set, the_app(&set)?).text();
+            check_served("the rendered file", &text, How { elsewhere: true, ..how })?;
+            put(output.as_deref(), &text)
+        }
+        App::Explain { file, how } => {
+            let set = load(&[file], how)?;
+            let lines = explain::explain(&set, the_app(&set)?);
+            match how.format {
+                Format::Json => {
+                    lines.iter().for_each(|l| println!("{}", serde_json::to_string(l).unwrap_or_default()));
+                }
+                Format::Text => {
+                    let wide = |f: fn(&explain::Line) -> &str| {
+                        lines.iter().map(|l| f(l).chars().count()).max().unwrap_or(0).min(48)
+                    };
+                    let (key, value) = (wide(|l| &l.key), wide(|l| &l.value));
+                    lines.iter().for_each(|l| println!("{:key$}  {:value$}  {}", l.key, l.value, l.from));
+                }
+            }
+            Ok(())
+        }
+    }
+}
+
+fn run_new(new: New) -> Done {
+    let how = How { elsewhere: true, ..How::default() };
+    let set = load(&new.agreements, how)?;
+    let output = new.output.as_ref().map_or("application.toml".into(), |o| o.display().to_string());
+    let mut agreements = Vec::new();
+    for file in &new.agreements {
+        let Some(agreement) = set.agreements.get(file) else {
+            eprintln!("{file}: this is an application; name agreements");
+            return Err(ToolError::Faults);
+        };
+        agreements.push((from_folder_of(&output, file), agreement));
+    }
+    let text = compose(
+        &Composed {
+            state: new.state.unwrap_or_else(|| format!("/var/lib/lilacbank/{}", new.name)),
+            name: new.name,
+            resp: new.resp,
+            mqtt: new.mqtt,
+            share: new.share,
+            building: new.building,
+            discovery: new.discovery,
+            notices: new.notices,
+            tenants: new.tenants,
+        },
+        &agreements,
+    );
+    // What is written has passed the check, where it will stand.
+    let mut found = Vec::new();
+    let open = |f: &str| if f == output { Ok(text.clone()) } else { std::fs::read_to_string(f) };
+    let set = Set::load(std::slice::from_ref(&output), &open, &mut found);
+    found.extend(check(&set, &Elsewhere));
+    report(&found, &set.texts(), how)?;
+    put(new.output.as_deref(), &text)
+}
+
+/// How a file is named from the folder of another one.
+fn from_folder_of(output: &str, file: &str) -> String {
+    let whole = |p: &str| std::path::absolute(p).unwrap_or_else(|_| p.into());
+    let (to, from) = (whole(&beside("", file)), whole(&beside("", output)));
+    let folder: Vec<_> = from.parent().unwrap_or(Path::new("/")).components().collect();
+    let parts: Vec<_> = to.components().collect();
+    let same = folder.iter().zip(&parts).take_while(|(a, b)| a == b).count();
+    let up = folder[same..].iter().map(|_| std::ffi::OsStr::new(".."));
+    let path: PathBuf = up.chain(parts[same..].iter().map(|p| p.as_os_str())).collect();
+    path.display().to_string()
+}
+
+/// Checks the JSON that a dispatcher reads: first as strictly as can be, then as a start reads it.
+fn check_served(name: &str, text: &str, how: How) -> Result<Served, ToolError> {
+    let mut found = Vec::new();
+    let (_, served) = Served::read(name, text, folders(how), &mut found);
+    report(&found, &BTreeMap::from([(name.to_string(), text.to_string())]), how)?;
+    config::Config::from_json(text, &|_| None)?;
+    Ok(served)
+}
+
+/// Reads `NAME,EFFECT,PROMISE,DEADLINE[,WINDOW][,ordered]`.
+pub fn class(text: &str) -> Result<Class, String> {
+    let mut parts: Vec<&str> = text.split(',').collect();
+    let ordered = parts.last() == Some(&"ordered");
+    if ordered {
+        parts.pop();
+    }
+    let (name, effect, times) = match parts[..] {
+        [name, effect, ref times @ ..] if (2..=3).contains(&times.len()) => (name, effect, times),
+        _ => return Err("NAME,EFFECT,PROMISE,DEADLINE[,WINDOW][,ordered] was expected".into()),
     };
-    write(path, &text)?;
-    let beside = PathBuf::from(format!("{}.mqtt.toml", path.display()));
-    mqtt.iter().try_for_each(|t| write(&beside, t))
-}
-
-/// Runs `lilacbank config ...`; the arguments start after `config`.
-pub fn run(arguments: impl IntoIterator<Item = OsString>) -> Result<(), ToolError> {
-    let mut arguments = arguments.into_iter();
-    let command = arguments.next().unwrap_or_default();
-    let mut asked = ask(&mut lexopt::Parser::from_args(arguments))?;
-    let one = |asked: &Asked| match &asked.files[..] {
-        [file] => Ok(file.clone()),
-        _ => Err(ToolError::Usage("one file was expected".into())),
+    let times: Vec<f64> = times
+        .iter()
+        .map(|t| t.parse().map_err(|_| format!("'{t}' is not a number of milliseconds")))
+        .collect::<Result<_, _>>()?;
+    let window = times.get(2).copied().unwrap_or(times[1]);
+    Ok(Class {
+        name: name.into(),
+        effect: effect.into(),
+        promise: Some(times[0]),
+        deadline: times[1],
+        window,
+        in_order: ordered,
+        ..Class::default()
+    })
+}
+
+/// What is written where nothing else is said.
+pub(crate) fn usual() -> Served {
+    let mut s = Served {
+        name: "lilacbank".into(),
+        listen: Some("127.0.0.1:6379".into()),
+        discovery: Some("127.0.0.1:8500".into()),
+        state: Some("state".into()),
+        limits: Limits::default(),
+        known: Known { all: true, ..Known::default() },
+        ..Served::default()
     };
-    match command.to_str() {
-        Some("write") if asked.files.is_empty() => {
-            let mut app = Application::default();
-            asked.settle(&mut app);
-            put(&app, &asked)
+    s.settings.classes = vec![Class {
+        name: "message".into(),
+        promise: Some(3_000.0),
+        deadline: 20_000.0,
+        window: 20_000.0,
+        ..Class::default()
+    }];
+    (s.settings.zones, s.settings.kinds) = (vec!["default".into()], vec!["default".into()]);
+    s
+}
+
+impl Wanted {
+    /// What the arguments say wins over what is there so far.
+    fn settle(&self, s: &mut Served) {
+        let set = &mut s.settings;
+        self.name.iter().for_each(|n| s.name.clone_from(n));
+        s.listen = self.listen.clone().or(s.listen.take());
+        s.discovery = self.discovery.clone().or(s.discovery.take());
+        s.state = self.state.clone().or(s.state.take());
+        let list = |from: &[String], to: &mut Vec<String>| {
+            if !from.is_empty() {
+                *to = from.to_vec();
+            }
+        };
+        list(&self.zones, &mut set.zones);
+        list(&self.kinds, &mut set.kinds);
+        if !self.tenants.is_empty() {
+            let tenant = |name: &String| Tenant { name: name.clone(), quota_per_s: 1e6 };
+            set.tenants = self.tenants.iter().map(tenant).collect();
         }
-        Some("check") => {
-            let file = one(&asked)?;
-            let c = config::check(&read(&file)?)?;
-            println!(
-                "{}: good: {} classes, {} workers",
-                file.display(),
-                c.names.classes.len(),
-                c.known.workers.len()
-            );
-            if let Some(file) = asked.mqtt.take().map(PathBuf::from) {
+        if !self.classes.is_empty() {
+            set.classes.clone_from(&self.classes);
+        }
+        set.family_info.slots = self.slots.unwrap_or(set.family_info.slots);
+        set.ceilings.max_open = self.max_open.unwrap_or(set.ceilings.max_open);
+        set.family_info.kind_apart = vec![true; set.kinds.len()];
+        set.zone = set.zones.first().cloned().unwrap_or_default();
+        s.known.targets.iter_mut().for_each(|t| t.az.clone_from(&set.zone));
+    }
+
+    /// Writes what passes the check.
+    fn put(&self, mut served: Served) -> Done {
+        self.settle(&mut served);
+        let text = served.text();
+        check_served("the configuration", &text, How { elsewhere: true, ..How::default() })?;
+        let mqtt = self.mqtt.map(|to| format!("[acceptor]\nenabled = true\nlisten = \"{to}\"\n"));
+        mqtt.iter().try_for_each(|t| Mqtt::from_toml(t).map(drop))?;
+        put(self.output.as_deref(), &text)?;
+        let beside = self.output.iter().map(|o| PathBuf::from(format!("{}.mqtt.toml", o.display())));
+        beside.zip(mqtt).try_for_each(|(path, text)| write(&path, &text))
+    }
+}
+
+fn run_config(command: Config) -> Done {
+    match command {
+        Config::Write(wanted) => wanted.put(usual()),
+        Config::Check { file, mqtt, how } => {
+            let served = check_served(&file.display().to_string(), &read(&file)?, how)?;
+            let (classes, workers) = (served.settings.classes.len(), served.known.targets.len());
+            if how.format == Format::Text {
+                println!("{}: good: {classes} classes, {workers} workers", file.display());
+            }
+            if let Some(file) = mqtt {
                 let on = Mqtt::from_toml(&read(&file)?)?.listen;
                 let on = on.map_or("off".to_string(), |a| format!("on, at {a}"));
                 println!("{}: good: the MQTT front is {on}", file.display());
             }
             Ok(())
         }
-        Some("import-haproxy") => {
-            let file = one(&asked)?;
-            let (mut app, skipped) = haproxy::import(&read(&file)?);
-            asked.settle(&mut app);
+        Config::ImportHaproxy { file, wanted } => {
+            let (served, skipped) = haproxy::import(&read(&file)?);
             for s in skipped {
                 eprintln!("{}:{}: {}", file.display(), s.line, s.why);
             }
-            put(&app, &asked)
+            wanted.put(served)
         }
-        _ => Err(ToolError::Usage(format!("'{}' is not understood", command.to_string_lossy()))),
     }
 }
--- a/tests/tool.rs
+++ b/tests/tool.rs
@@ -1,22 +1,31 @@
-//! The configuration tool, started as a sidecar's operator would.
+//! The tool, started as a sidecar's operator would.
 
-use std::path::PathBuf;
-use std::process::{Command, Output};
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output, Stdio};
 
 fn dir(name: &str) -> PathBuf {
     let dir = std::env::temp_dir().join(format!("lilacbank-tool-{name}-{}", std::process::id()));
+    let _ = std::fs::remove_dir_all(&dir);
     std::fs::create_dir_all(&dir).unwrap();
     dir
 }
 
+fn lilacbank(arguments: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_lilacbank")).args(arguments).output().unwrap()
+}
+
 fn tool(arguments: &[&str]) -> Output {
-    Command::new(env!("CARGO_BIN_EXE_lilacbank")).arg("config").args(arguments).output().unwrap()
+    lilacbank(&[&["config"], arguments].concat())
 }
 
 fn said(bytes: &[u8]) -> String {
     String::from_utf8_lossy(bytes).into_owned()
 }
 
+fn example(name: &str) -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("deploy/examples").join(name)
+}
+
 #[test]
 fn what_write_puts_out_passes_check() {
     let dir = dir("write");
@@ -40,21 +49,31 @@
     let dir = dir("fault");
     let file = dir.join("x.json");
     let path = file.to_str().unwrap();
-    let write = |more: &[&str]| {
+    let cases: [(&[&str], i32, &str); 6] = [
+        (&["--listen", "nowhere"], 1, "'nowhere' is not an address"),
+        (&["--class", "a,often,1,2"], 1, "settings.classes[0].effect"),
+        (&["--class", "a,idempotent,1,0"], 1, "settings.classes[0].deadline"),
+        (&["--slots", "0"], 1, "settings.family_info.slots"),
+        (&["--mqtt", "here"], 2, "'here' is not an address"),
+        (&["--class", "a"], 2, "NAME,EFFECT,PROMISE,DEADLINE"),
+    ];
+    for (more, status, wanted) in cases {
         let out = tool(&[&["write", "--output", path], more].concat());
-        assert!(!out.status.success() && !file.exists(), "{more:?}");
-        said(&out.stderr)
-    };
-    assert!(write(&["--listen", "nowhere"]).contains("listen: 'nowhere'"));
-    assert!(write(&["--class", "a,often,1,2"]).contains("settings.classes[0].effect: unknown effect 'often'"));
-    assert!(write(&["--class", "a,idempotent,1,0"]).contains("settings.classes[0].deadline"));
-    assert!(write(&["--slots", "0"]).contains("settings.family_info.slots"));
-    assert!(write(&["--mqtt", "here"]).contains("acceptor.listen"));
-    assert!(write(&["--class", "a"]).contains("--class 'a'"));
+        let text = said(&out.stderr);
+        assert!(
+            out.status.code() == Some(status) && !file.exists() && text.contains(wanted),
+            "{more:?}\n{text}"
+        );
+    }
     std::fs::write(&file, r#"{"state":"s","settings":{"classes":[{"deadline":"soon"}]}}"#).unwrap();
     let out = tool(&["check", path]);
-    assert_eq!(out.status.code(), Some(2));
-    assert!(said(&out.stderr).contains("settings.classes[0].deadline: a number was expected"));
+    assert_eq!(out.status.code(), Some(1));
+    assert!(
+        said(&out.stderr).contains("'settings.classes[0].deadline' cannot be read"),
+        "{}",
+        said(&out.stderr)
+    );
+    assert_eq!(tool(&["check", "/no/such/file"]).status.code(), Some(2));
     std::fs::remove_dir_all(dir).unwrap();
 }
 
@@ -68,7 +87,234 @@
     let report = said(&out.stderr);
     assert!(out.status.success() && report.contains("haproxy.cfg:3: 'balance roundrobin'"), "{report}");
     assert_eq!(report.lines().count(), 1, "{report}");
-    let out = tool(&["check", to.to_str().unwrap()]);
+    let out = tool(&["check", "--elsewhere", to.to_str().unwrap()]);
     assert!(said(&out.stdout).contains("1 workers"), "{}", said(&out.stderr));
     std::fs::remove_dir_all(dir).unwrap();
 }
+
+/// The faults that a new user made, and of which one was caught: in the JSON, too, each has its code and its line.
+#[test]
+fn the_faults_of_a_new_user_are_caught_in_the_json() {
+    let dir = dir("json");
+    let good = dir.join("good.json");
+    let path = good.to_str().unwrap();
+    let out =
+        lilacbank(&["app", "render", "--elsewhere", example("claims.toml").to_str().unwrap(), "-o", path]);
+    assert!(out.status.success(), "{}", said(&out.stderr));
+    assert!(tool(&["check", "--elsewhere", path]).status.success());
+    let text = std::fs::read_to_string(&good).unwrap();
+    let cases = [
+        ("\"deadline\": 8000.0", "\"dedaline\": 8000.0", "LB0004"),
+        ("\"drain_grace\": 2000.0", "\"drain_grace\": 9000", "LB0302"),
+        (
+            "\"effect\": \"at_most_once\",\n        \"group\"",
+            "\"effect\": \"idempotent\",\n        \"group\"",
+            "LB0301",
+        ),
+        ("\"uid\": \"sotrans-b1\"", "\"uid\": \"sotrans-a1\"", "LB0101"),
+        ("\"endpoint\": \"127.0.0.1:9102\"", "\"endpoint\": \"127.0.0.1:9101\"", "LB0102"),
+        ("\"az\": \"building-b\"", "\"az\": \"building-c\"", "LB0201"),
+        ("\"model\": \"low-volume\"", "\"model\": \"no-volume\"", "LB0202"),
+        ("\"window\": 20000.0,\n        \"in_order\"", "\"window\": 200,\n        \"in_order\"", "LB0303"),
+        ("\"name\": \"textile\"", "\"name\": \"sotrans\"", "LB0101"),
+        ("\"notices\": \"log\"", "\"discovery\": \"127.0.0.1:6401\"", "LB0103"),
+        ("\"connect_timeout\": 1000.0", "\"connect_timeout\": 1e9", "LB0007"),
+        ("\"slots\": 24", "\"slots\": 2400", "LB0406"),
+        ("\"slots\": 24", "\"slots\": 0", "LB0007"),
+        ("\"name\": \"reimbursement\"", "\"name\": \"claim-status\"", "LB0101"),
+        ("\"notices\": \"log\",", "", "LB0701"),
+        ("\"calls\": 13", "\"calls\": 0", "LB0403"),
+        ("\"remembered\": 3600000.0", "\"remembered\": 5", "LB0308"),
+        ("\"listen\": \"127.0.0.1:6401\"", "\"listen\": \"here\"", "LB0005"),
+        ("\"endpoint\": \"127.0.0.1:9102\"", "\"endpoint\": \"127.0.0.1:6401\"", "LB0107"),
+        ("\"state\": \"/var/lib/lilacbank/claims\"", "\"state\": \"/etc/passwd/claims\"", "LB0602"),
+    ];
+    for (n, (from, to, code)) in cases.into_iter().enumerate() {
+        assert!(text.contains(from), "{from} is not in:\n{text}");
+        let file = dir.join(format!("bad-{n}.json"));
+        std::fs::write(&file, text.replacen(from, to, 1)).unwrap();
+        let out = tool(&["check", "--format", "json", file.to_str().unwrap()]);
+        let told = said(&out.stdout);
+        let line = text[..text.find(from).unwrap()].matches('\n').count() + 1;
+        let hit = told.lines().any(|l| l.contains(&format!("\"code\":\"{code}\"")));
+        assert!(out.status.code() == Some(1) && hit, "{to}: {code} at line {line}\n{told}");
+        // What is not there has its place above.
+        if !to.is_empty() && code != "LB0308" && code != "LB0301" && !to.contains("discovery") && n != 13 {
+            assert!(told.contains(&format!("\"line\":{line},")), "{to}: line {line}\n{told}");
+        }
+    }
+    std::fs::remove_dir_all(dir).unwrap();
+}
+
+/// What `app new` writes passes `app check` as it stands, from wherever it is written to; nothing is half-written.
+#[test]
+fn a_new_application_is_good_as_it_stands() {
+    let dir = dir("new");
+    let (file, json) = (dir.join("deep/er/new.toml"), dir.join("new.json"));
+    std::fs::create_dir_all(file.parent().unwrap()).unwrap();
+    let (path, json) = (file.to_str().unwrap(), json.to_str().unwrap());
+    let agreements = ["sotrans-dakar", "textile-kaolack"].map(|n| example(&format!("agreements/{n}.toml")));
+    let [a, b] = agreements.each_ref().map(|p| p.to_str().unwrap());
+    let state = dir.join("state");
+    let new = [
+        "app",
+        "new",
+        "--name",
+        "new",
+        "--state",
+        state.to_str().unwrap(),
+        "--tenant",
+        "acme",
+        "-o",
+        path,
+        a,
+        b,
+    ];
+    for share in ["5%", "25%", "100%"] {
+        let out = lilacbank(&[&new[..], &["--share", share]].concat());
+        assert!(out.status.success() && out.stderr.is_empty(), "{share}: {}", said(&out.stderr));
+        let out = lilacbank(&["app", "check", path]);
+        assert!(out.status.success() && !said(&out.stderr).contains("error"), "{}", said(&out.stderr));
+    }
+    let text = std::fs::read_to_string(&file).unwrap();
+    assert!(lilacbank(&["app", "render", path, "-o", json]).status.success());
+    let told = said(&lilacbank(&["app", "explain", path]).stdout);
+    for line in
+        ["promised.sotrans-dakar.calls", "24 in any 2s", "work.attempts", "default", "sotrans-dakar.toml:6"]
+    {
+        assert!(told.contains(line), "{line} is not in:\n{told}");
+    }
+    // A share of nothing: refused, and the old file stays.
+    let out = lilacbank(&[&new[..], &["--share", "1%"]].concat());
+    assert!(out.status.code() == Some(1) && said(&out.stderr).contains("LB0403"), "{}", said(&out.stderr));
+    assert_eq!(std::fs::read_to_string(&file).unwrap(), text);
+    std::fs::write(&file, text.replace("slots = ", "slots = \"")).unwrap();
+    let before = std::fs::read_to_string(json).unwrap();
+    assert_eq!(lilacbank(&["app", "render", path, "-o", json]).status.code(), Some(1));
+    assert_eq!(std::fs::read_to_string(json).unwrap(), before);
+    assert_eq!(std::fs::read_dir(&dir).unwrap().count(), 2, "no half-written file is left");
+    std::fs::remove_dir_all(dir).unwrap();
+}
+
+#[test]
+fn help_schemas_and_completions_are_there() {
+    for (arguments, wanted) in [
+        (&["--help"][..], "Exit status: 0 good"),
+        (&["app", "check", "--help"], "--elsewhere"),
+        (&["schema", "application"], "\"additionalProperties\": false"),
+        (&["schema", "agreement", "--cue"], "#Agreement: {"),
+        (&["completions", "bash"], "lilacbank"),
+    ] {
+        let out = lilacbank(arguments);
+        assert!(
+            out.status.success() && said(&out.stdout).contains(wanted),
+            "{arguments:?}: {}",
+            said(&out.stdout)
+        );
+    }
+    assert_eq!(lilacbank(&["serv"]).status.code(), Some(2));
+}
+
+/// Does a dispatcher start on the file and listen?
+fn starts(json: &Path) -> Result<(), String> {
+    use std::io::{BufRead, BufReader};
+    let mut child = Command::new(env!("CARGO_BIN_EXE_lilacbank"))
+        .args(["serve", "--log-format", "text", "--config", json.to_str().unwrap()])
+        .env("RUST_LOG", "info")
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let lines = BufReader::new(child.stderr.take().unwrap()).lines().map_while(Result::ok);
+    let mut seen = String::new();
+    let listens = lines.into_iter().any(|l| {
+        seen += &format!("{l}\n");
+        l.contains(" listens on ")
+    });
+    child.kill().unwrap();
+    child.wait().unwrap();
+    if listens {
+        Ok(())
+    } else {
+        Err(seen)
+    }
+}
+
+/// Every way in which one line of a valid pair is changed: it is caught, or a dispatcher starts on what it yields.
+#[test]
+fn a_single_mutation_is_caught_or_serves() {
+    let dir = dir("mutate");
+    let agreement = std::fs::read_to_string(example("agreements/sotrans-dakar.toml")).unwrap();
+    let app = std::fs::read_to_string(example("payroll.toml")).unwrap();
+    let app = app.replace("127.0.0.1:6402", "127.0.0.1:0").replace("agreements/", "");
+    let mutate = |line: &str, kind: usize| -> Option<String> {
+        let (key, value) = line.split_once(" = ")?;
+        let digits: String = value.chars().filter(|c| c.is_ascii_digit()).collect();
+        let number =
+            |to: &str| (!digits.is_empty()).then(|| format!("{key} = {}", value.replacen(&digits, to, 1)));
+        match kind {
+            0 => Some(String::new()),
+            1 => Some(format!("{line}\n{line}")),
+            2 => Some(format!("{key}x = {value}")),
+            3 => Some(format!("{key} = \"\"")),
+            4 => Some(format!("{key} = -1")),
+            5 => Some(format!("{key} = [{value}]")),
+            6 => number("0"),
+            7 => number("999999"),
+            8 => number("1"),
+            9 => Some(format!("{key} = {}", value.replace('s', ""))),
+            10 => Some(format!("{key} = {}", value.replace('a', "A"))),
+            _ => Some(format!("{key} = {}", value.trim_matches('"'))),
+        }
+    };
+    let mut cases = Vec::new();
+    for (which, text) in [&app, &agreement].into_iter().enumerate() {
+        let lines: Vec<&str> = text.lines().collect();
+        for (n, line) in lines.iter().enumerate() {
+            for kind in 0..12 {
+                let Some(new) = mutate(line, kind).filter(|new| new != line) else { continue };
+                let mut all = lines.clone();
+                all[n] = &new;
+                cases.push((which, n + 1, kind, all.join("\n") + "\n"));
+            }
+        }
+    }
+    let (app, agreement, dir) = (&app, &agreement, &dir);
+    let cases = std::sync::Mutex::new(cases.into_iter().enumerate());
+    let caught = std::sync::atomic::AtomicUsize::new(0);
+    let served = std::sync::atomic::AtomicUsize::new(0);
+    std::thread::scope(|scope| {
+        for _ in 0..4 {
+            scope.spawn(|| loop {
+                let next = cases.lock().unwrap().next();
+                let Some((at, (which, line, kind, text))) = next else { return };
+                let dir = dir.join(at.to_string());
+                std::fs::create_dir_all(&dir).unwrap();
+                let state = dir.join("state");
+                let texts = if which == 0 { [&text, agreement] } else { [app, &text] };
+                let app = texts[0].replace("/var/lib/lilacbank/payroll", state.to_str().unwrap());
+                std::fs::write(dir.join("payroll.toml"), app).unwrap();
+                std::fs::write(dir.join("sotrans-dakar.toml"), texts[1]).unwrap();
+                let (file, json) = (dir.join("payroll.toml"), dir.join("out.json"));
+                let out = lilacbank(&["app", "render", file.to_str().unwrap(), "-o", json.to_str().unwrap()]);
+                let told = said(&out.stderr);
+                match out.status.code() {
+                    Some(1) => {
+                        assert!(told.contains("error[LB") && !json.exists(), "{which}:{line} kind {kind}\n{told}");
+                        caught.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+                    }
+                    Some(0) => {
+                        if let Err(why) = starts(&json) {
+                            panic!("{which}:{line} kind {kind} passes the check and does not serve:\n{why}\n{text}");
+                        }
+                        served.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+                    }
+                    other => panic!("{which}:{line} kind {kind}: {other:?}\n{told}\n{text}"),
+                }
+            });
+        }
+    });
+    let (caught, served) = (caught.into_inner(), served.into_inner());
+    println!("{caught} mutations caught, {served} served");
+    assert!(caught > 150 && served > 20, "{caught} caught, {served} served");
+    std::fs::remove_dir_all(dir).unwrap();
+}
