Divide a dispatcher among cells: a module each, parts of all that runs out, lending

One member's faulty release slowed everyone's status updates, since all messages share slots, room and the module's rank.

What is idle is lent; held messages are handed back when their owner comes, slots are lent beyond a reserve. Waits, probes and the list are told to all. With one cell nothing is divided. [cells.NAME] in an application's file, LB0801 and LB0802 for its faults.

--- a/crates/cells/src/bulkhead.rs
+++ b/crates/cells/src/bulkhead.rs
@@ -119,6 +119,21 @@
         }
     }
 
+    /// Pieces that a cell may have in all as things stand: what it has, what is free of its part, and what is lent.
+    pub fn most(&self, cell: CellNo) -> u64 {
+        let Some(part) = self.parts.get(cell) else { return 0 };
+        let free = self.free();
+        let own = part.idle().min(free);
+        part.used + own + (free - own).saturating_sub(self.kept_for_others(cell))
+    }
+
+    /// Counts pieces that a cell has anyhow: those of an earlier process.
+    pub fn force(&mut self, cell: CellNo, pieces: u64) {
+        if let Some(part) = self.parts.get_mut(cell) {
+            part.used += pieces;
+        }
+    }
+
     /// What a cell would be answered now.
     pub fn ask(&self, cell: CellNo) -> Grant {
         let Some(part) = self.parts.get(cell) else { return Grant::Full };
@@ -260,9 +275,11 @@
                     pool.give(cell);
                     continue;
                 }
+                let most = pool.most(cell);
                 let (owed, before) = (pool.used(cell) < pool.guaranteed(cell), pool.used(cell));
                 let grant = pool.take(cell);
                 prop_assert!(!owed || lending != Lending::Revocable || grant.given(), "an owner was refused its part");
+                prop_assert!(most > before || !matches!(grant, Grant::Own | Grant::Lent), "more than was told");
                 prop_assert_eq!(pool.used(cell), before + u64::from(grant.given()));
                 let sum: u64 = (0..weights.len()).map(|c| pool.used(c)).sum();
                 prop_assert!(sum <= capacity);
--- a/crates/settings/src/agreement.rs
+++ b/crates/settings/src/agreement.rs
@@ -1,6 +1,6 @@
 //! The agreement of a member firm: what its endpoints take, from everybody together.
 
-use crate::units::{Limit, Name, Span, Target};
+use crate::units::{Limit, Name, Share, Span, Target};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -94,6 +94,10 @@
     pub drain: Span,
     /// The longest wait that it tells.
     pub wait_most: Span,
+    /// After an outage it has all of its capacity again within this (0s to 10min).
+    pub cold: Span,
+    /// Part of its capacity that it has when it comes back.
+    pub cold_from: Share,
     /// Its endpoints may be probed; a probe counts as a call.
     pub probes: bool,
     /// The buildings that its endpoints stand in.
@@ -115,6 +119,8 @@
             connections: None,
             drain: Span(2_000.0),
             wait_most: Span(2_000.0),
+            cold: Span(13_000.0),
+            cold_from: Share(220_000),
             probes: true,
             buildings: Vec::new(),
             endpoints: Vec::new(),
--- a/crates/settings/src/application.rs
+++ b/crates/settings/src/application.rs
@@ -68,6 +68,22 @@
     pub share: Option<Limit>,
 }
 
+/// A cell: tenants that share a part of everything that can run out, and feel nothing of the others.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default, rename_all = "kebab-case")]
+pub struct Cell {
+    /// Its part of slots, held messages, journal, time and promised calls beside those of the others (over 0, up to 1000).
+    pub weight: f64,
+    /// Tenants that live in it; those whom no cell names are placed by their names.
+    pub tenants: Vec<Name>,
+}
+
+impl Default for Cell {
+    fn default() -> Cell {
+        Cell { weight: 1.0, tenants: Vec::new() }
+    }
+}
+
 /// A class of messages.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields, default, rename_all = "kebab-case")]
@@ -200,6 +216,8 @@
     pub log: Log,
     /// The tenants, by name.
     pub tenants: BTreeMap<Name, Tenant>,
+    /// The cells that its tenants live in; without any it is undivided.
+    pub cells: BTreeMap<Name, Cell>,
     /// The classes of messages, by name.
     pub classes: BTreeMap<Name, Class>,
     /// The members that it uses.
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -6,7 +6,7 @@
 use crate::finding::{Finding, Place, Severity};
 use crate::set::{AppFile, Set, Used};
 use crate::source::Source;
-use crate::units::{Name, Size, Span, WHOLE};
+use crate::units::{Name, Share, Size, Span, WHOLE};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 
@@ -162,6 +162,8 @@
         let mend = "new work to a draining endpoint must stop within 2s; write drain = \"2s\" or less";
         found.push(s.fault("LB0302", "drain", wrong, mend));
     }
+    between(s, "cold", a.cold, Span(0.0), Span(600_000.0), found);
+    between(s, "cold-from", a.cold_from, Share(10_000), Share(WHOLE), found);
     between(s, "travel", a.travel, Span(0.0), Span(10_000.0), found);
     between(s, "wait-most", a.wait_most, Span(0.0), Span(3_600_000.0), found);
     if let Some(limit) = a.limit {
@@ -343,9 +345,43 @@
         );
         found.push(s.fault("LB0502", "work.keep-alive", wrong, "write keep-alive = \"2s\" or longer"));
     }
+    cells(s, a, found);
     fronts(s, a, found);
 }
 
+/// Cells inside the dispatcher: each tenant lives in one, and every part must be worth something.
+fn cells(s: &Source, a: &Application, found: &mut Vec<Finding>) {
+    let path = |cell: &Name| format!("cells.{cell}");
+    let tenants = a.cells.iter().flat_map(|(name, c)| {
+        c.tenants.iter().enumerate().map(move |(i, t)| (format!("{}.tenants[{i}]", path(name)), t))
+    });
+    twice(s, "LB0801", "tenant", tenants.clone(), found);
+    for (path, t) in tenants.filter(|(_, t)| !a.tenants.contains_key(*t) && !s.is_spoilt("tenants")) {
+        let wrong = format!("the tenant '{t}' is not one of the application's");
+        found.push(s.fault(
+            "LB0204",
+            &path,
+            wrong,
+            format!("add a table [tenants.{t}], or correct the name"),
+        ));
+    }
+    let sum: f64 = a.cells.values().map(|c| c.weight).sum();
+    for (name, c) in &a.cells {
+        between(s, &format!("{}.weight", path(name)), c.weight, 0.001, 1_000.0, found);
+        let slots = f64::from(a.work.slots) * c.weight / sum;
+        if a.cells.len() > 1 && c.weight > 0.0 && slots < 1.0 {
+            let wrong = format!("the part of '{name}' is less than one of {} slots", a.work.slots);
+            let f = s.fault(
+                "LB0802",
+                &format!("{}.weight", path(name)),
+                wrong,
+                "give it a larger weight, or take more slots",
+            );
+            found.push(with(f, s.place("work.slots"), "the slots"));
+        }
+    }
+}
+
 fn fronts(s: &Source, a: &Application, found: &mut Vec<Finding>) {
     let notices = a.notices.as_ref().filter(|n| *n != "log").map(|n| n.parse::<SocketAddr>());
     if let Some(Err(_)) = notices {
--- a/crates/settings/src/render.rs
+++ b/crates/settings/src/render.rs
@@ -112,6 +112,11 @@
         name: name.0.clone(),
         quota_per_s: t.share.map_or(1e6, |l| l.per_second()),
     };
+    let cell = |(name, c): (&Name, &crate::application::Cell)| Cell {
+        name: name.0.clone(),
+        weight: c.weight,
+        tenants: c.tenants.iter().map(|t| t.0.clone()).collect(),
+    };
     let log = Log {
         format: if a.log.format == LogFormat::Json { "json" } else { "text" }.into(),
         level: match a.log.level {
@@ -150,6 +155,13 @@
             },
             guarantees: Guarantees {
                 drain_grace: least(|u| u.agreement.drain).min(2_000.0),
+                cold: most(|u| u.agreement.cold),
+                // The most careful of all members: the module knows one figure.
+                cold_from: groups
+                    .iter()
+                    .map(|g| g[0].agreement.cold_from.0)
+                    .min()
+                    .map_or(0.22, |c| f64::from(c) / f64::from(WHOLE)),
                 ..Guarantees::default()
             },
             family_info: Family {
@@ -167,6 +179,7 @@
         sidecar: Some(Sidecar {
             members: groups.iter().map(|g| member(g)).collect(),
             once,
+            cells: a.cells.iter().map(cell).collect(),
             mqtt: a.listen.mqtt.map(|m| Mqtt { listen: m.to_string(), sessions: a.listen.mqtt_sessions }),
             log: Some(log),
         }),
--- a/crates/settings/src/served.rs
+++ b/crates/settings/src/served.rs
@@ -352,6 +352,18 @@
     pub remembered: f64,
 }
 
+/// A cell.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Cell {
+    /// Its name.
+    pub name: String,
+    /// Its part beside those of the others.
+    pub weight: f64,
+    /// The tenants that live in it.
+    pub tenants: Vec<String>,
+}
+
 /// The MQTT front.
 #[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -380,6 +392,9 @@
     pub members: Vec<Member>,
     /// Classes that are never repeated.
     pub once: Vec<Once>,
+    /// The cells that share it; none: it is undivided.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub cells: Vec<Cell>,
     /// The MQTT front.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub mqtt: Option<Mqtt>,
@@ -745,6 +760,25 @@
                 Some(_) => {}
             }
         }
+        let cells = || c.cells.iter().enumerate();
+        let tenants = cells().flat_map(|(i, c)| {
+            let path = move |n| format!("sidecar.cells[{i}].tenants[{n}]");
+            c.tenants.iter().enumerate().map(move |(n, t)| (path(n), t))
+        });
+        twice(s, "LB0801", "tenant", tenants.clone(), found);
+        for (path, t) in tenants.filter(|(_, t)| !self.settings.tenants.iter().any(|k| k.name == **t)) {
+            found.push(s.fault("LB0204", &path, format!("there is no tenant '{t}'"), "correct its name"));
+        }
+        twice(
+            s,
+            "LB0101",
+            "cell",
+            cells().map(|(i, c)| (format!("sidecar.cells[{i}].name"), &c.name)),
+            found,
+        );
+        for (i, cell) in cells() {
+            between(s, &format!("sidecar.cells[{i}].weight"), cell.weight, 0.001, 1_000.0, found);
+        }
         if let Some(l) = &c.log {
             if !["text", "json"].contains(&l.format.as_str()) {
                 found.push(s.fault(
--- a/src/brain/adopt.rs
+++ b/src/brain/adopt.rs
@@ -15,3 +15,10 @@
         self.s = Settings { seed: self.s.seed, ..s };
     }
 }
+
+impl Brain {
+    /// From now on so many calls may be out and so many messages held.
+    pub fn allow(&mut self, slots: usize, held: usize) {
+        (self.s.slots, self.s.max_held) = (slots, held);
+    }
+}
--- a/src/config.rs
+++ b/src/config.rs
@@ -4,6 +4,7 @@
 //! settings to the adapter. Every complaint names the key at fault. Keys that are not known are skipped.
 
 use crate::api::*;
+use crate::dispatch::CellSpec;
 use lilacbank_limits::{Promise, Scope};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -405,6 +406,8 @@
     pub promises: Vec<Promise>,
     /// Classes that are never repeated, each with the span for which a message is remembered after its end.
     pub once: Vec<(String, Ms)>,
+    /// The cells that share it; none: it is undivided.
+    pub cells: Vec<CellSpec>,
     /// The MQTT front.
     pub mqtt: Mqtt,
     /// The log is JSON.
@@ -432,6 +435,14 @@
     let once = |o: &Node| -> Checked<(String, Ms)> {
         Ok((o.get("class").text()?.to_string(), o.get("remembered").amount(0.0)?))
     };
+    let cell = |c: &Node| -> Checked<CellSpec> {
+        let tenants = c.get("tenants").texts()?;
+        Ok(CellSpec {
+            name: c.get("name").text()?.to_string(),
+            weight: c.get("weight").amount(1.0)?,
+            tenants,
+        })
+    };
     let (mqtt, log) = (v.get("mqtt"), v.get("log"));
     let listen = match mqtt.get("listen").text()? {
         "" => None,
@@ -443,6 +454,7 @@
     Ok(Sidecar {
         promises: v.get("members").items()?.iter().map(member).collect::<Checked<_>>()?,
         once: v.get("once").items()?.iter().map(once).collect::<Checked<_>>()?,
+        cells: v.get("cells").items()?.iter().map(cell).collect::<Checked<_>>()?,
         mqtt: Mqtt { listen, sessions: mqtt.get("sessions").amount(MQTT_SESSIONS as f64)? as usize },
         log_json: log.get("format").text()? == "json",
         log_level: log.get("level").text()?.to_string(),
@@ -478,6 +490,7 @@
     /// Keys in which another configuration differs and that are read only at the start.
     pub fn needs_restart(&self, other: &Config) -> Vec<&'static str> {
         let settings = Settings { seed: self.settings.seed, ..other.settings.clone() };
+        let cells = |c: &Config| c.sidecar.as_ref().map(|s| s.cells.clone());
         let mqtt = |c: &Config| c.sidecar.as_ref().map(|s| s.mqtt.clone());
         let log = |c: &Config| c.sidecar.as_ref().map(|s| (s.log_json, s.log_level.clone()));
         let differs = [
@@ -489,6 +502,7 @@
             ("settings", self.sidecar.is_none() && (self.settings != settings || self.names != other.names)),
             ("sidecar.mqtt", mqtt(self) != mqtt(other)),
             ("sidecar.log", log(self) != log(other)),
+            ("sidecar.cells", cells(self) != cells(other)),
             ("sidecar", self.sidecar.is_some() != other.sidecar.is_some()),
         ];
         differs.into_iter().filter(|d| d.1).map(|d| d.0).collect()
--- a/src/dispatch/admit.rs
+++ b/src/dispatch/admit.rs
@@ -8,6 +8,8 @@
 
 /// What a call needs in the journal beside its first record.
 const MARGIN: u64 = 192;
+/// Advice to a client when there is no room and nothing better is known.
+pub(super) const NO_ROOM_ADVICE: Ms = 500.0;
 /// How long an identity is remembered after its call's time is up.
 const MEMORY: Ms = 15_000.0;
 /// What a remembered identity needs beside its own text.
@@ -19,34 +21,47 @@
 }
 
 impl Core {
-    /// Writes the call down and gives it to the module; false if there is no room for it.
-    pub(super) fn admit(&mut self, class: usize, taken: Taken, again: bool, ticket: Ticket) -> bool {
+    /// Writes the call down and gives it to its cell's module; where there is no room for it, the wait to tell.
+    pub(super) fn admit(
+        &mut self,
+        now: Ms,
+        class: usize,
+        taken: Taken,
+        again: bool,
+        ticket: Ticket,
+    ) -> Result<(), Ms> {
         let record = Record::Taken(taken);
         let size = record.size() + MARGIN;
-        let Record::Taken(t) = &record else { return false };
+        let Record::Taken(t) = &record else { return Err(NO_ROOM_ADVICE) };
         let name = self.once.name(&t.class, &t.idempotency, &t.identity.1);
         let needed = self.live_bytes + size + self.once.bytes() + name.as_ref().map_or(0, |n| Once::size(n));
-        if self.calls.len() >= self.settings.max_held || !self.journal.has_room(needed) {
-            return false;
+        if self.calls.len() >= self.settings.max_held && self.cells.undivided()
+            || !self.journal.has_room(needed)
+        {
+            return Err(NO_ROOM_ADVICE);
         }
+        let cell = self.cells.of(&t.tenant);
+        self.make_place(now, cell, size)?;
         self.compact_if_full();
         if let Err(e) = self.journal.append(&record) {
             log::error!(cause:% = e; "the journal takes nothing more: {e}");
-            return false;
+            self.leave_place(cell, size);
+            return Err(NO_ROOM_ADVICE);
         }
-        let Record::Taken(taken) = record else { return false };
+        let Record::Taken(taken) = record else { return Err(NO_ROOM_ADVICE) };
         let no = taken.no;
         self.next_no = no + 1;
         self.live_bytes += size;
         name.into_iter().for_each(|n| self.once.held(n, no));
         self.ceilings.queue(taken.dest);
         self.counters.taken += 1;
-        self.events.push(Event::Arrived(self.message(class, &taken, again)));
+        let arrived = Event::Arrived(self.message(class, &taken, again));
+        self.cells.post(cell, arrived);
         let known = Known { no, verdict: Verdict::Taken, ending: None, until: taken.valid_until + MEMORY };
         self.remember(taken.identity.clone(), known);
-        self.calls.insert(no, Call { taken, attempts: 0, ran: None, out: None, ending: None, size });
+        self.calls.insert(no, Call { taken, attempts: 0, ran: None, out: None, ending: None, cell, size });
         self.asking.push((no, ticket));
-        true
+        Ok(())
     }
 
     fn message(&self, class: usize, t: &Taken, again: bool) -> Message {
@@ -102,7 +117,8 @@
                 Record::Taken(taken) => {
                     self.next_no = self.next_no.max(taken.no + 1);
                     let size = Record::Taken(taken.clone()).size() + MARGIN;
-                    let call = Call { taken, attempts: 0, ran: None, out: None, ending: None, size };
+                    let cell = self.cells.of(&taken.tenant);
+                    let call = Call { taken, attempts: 0, ran: None, out: None, ending: None, cell, size };
                     left.insert(call.taken.no, (call, false));
                 }
                 Record::State { no, attempts, ran, out } => {
@@ -143,13 +159,17 @@
             }
             let class = class.unwrap_or(0);
             let zone = |name: &str| place(&self.names.zones, name).unwrap_or(self.names.zones.len());
-            self.events.push(Event::Resumed(Resumed {
+            if call.ending.is_none() {
+                self.cells.resumed(call.cell, call.size);
+            }
+            let resumed = Event::Resumed(Resumed {
                 message: self.message(class, &call.taken, true),
                 attempts: call.attempts,
                 ran: call.ran.as_ref().map(|s| (s.at, zone(&s.zone))),
                 cut_off,
                 ended: call.ending.is_some(),
-            }));
+            });
+            self.cells.post(call.cell, resumed);
             let until = call.taken.valid_until + MEMORY;
             self.recall(now, call.taken.identity.clone(), no, call.ending, until.max(now + MEMORY));
             self.live_bytes += call.size;
--- a/src/dispatch/book.rs
+++ b/src/dispatch/book.rs
@@ -49,6 +49,7 @@
         let (outcome, wait) = told(ending);
         log::debug!(id = identity.1.as_str(), class = c.taken.class.as_str(), member = dest, outcome = outcome, wait_ms = wait; "a call ended");
         self.ceilings.unqueue(dest);
+        self.cells.over(now, c.cell, c.size);
         let platform = identity.0.is_empty();
         self.note(&Record::Ended { no, ending });
         let asking = self.asking.iter().any(|a| a.0 == no);
@@ -107,6 +108,7 @@
         self.live_bytes -= c.size;
         if c.ending.is_none() {
             self.ceilings.unqueue(c.taken.dest);
+            self.cells.over(now, c.cell, c.size);
         }
         let name = self.once.name(&c.taken.class, &c.taken.idempotency, &c.taken.identity.1);
         if let Some(name) = name {
@@ -116,7 +118,7 @@
                 self.note(&Record::Once { name, ending, until });
             }
         }
-        self.events.push(Event::Heard(no));
+        self.cells.post(c.cell, Event::Heard(no));
         let until = now + MEMORY;
         if let Some(k) = self.known.get_mut(&c.taken.identity) {
             let (old, ending) = (k.until as u64, k.ending.or(Some(Ending::GivenUp)));
--- /dev/null
+++ b/src/dispatch/cells.rs
@@ -0,0 +1,364 @@
+//! Cells in a dispatcher: each has a decision module of its own, and a part of everything that can run out.
+//!
+//! Messages belong to the cell of their tenant. Held messages, slots, journal room, turn time and the promised calls to a
+//! member are divided by weight; what a cell does not use is lent, and taken back when it wants it. Within a cell the
+//! module decides as ever. What a member says of itself (waits, the list, probes) all of them hear. With one cell none of
+//! this is in the way: there is one module, and nothing is divided.
+
+use super::Core;
+use crate::api::*;
+use crate::brain::Brain;
+use crate::journal::Ending;
+use lilacbank_cells::bulkhead::{CellNo, Grant, Lending, Pool, Turns};
+use lilacbank_cells::placement::{home, Place};
+use lilacbank_limits::{Ceilings, Promise};
+use std::collections::{HashMap, VecDeque};
+
+/// A cell as the configuration names it.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct CellSpec {
+    /// Its name.
+    pub name: String,
+    /// Its part beside those of the others.
+    pub weight: f64,
+    /// Tenants that live there; all others are placed by their names.
+    pub tenants: Vec<String>,
+}
+
+/// Of slots so many hundredths of each part are never lent: a call that is out cannot be taken back.
+const SLOTS_KEPT: u32 = 50;
+/// Journal room is divided in pieces of so many bytes.
+const PIECE: u64 = 1_024;
+/// Work of one turn, in messages looked at; what is left waits for the next, so that wires are served in between.
+const TURN_WORK: f64 = 20_000.0;
+/// Ends of a cell over which its pace is reckoned.
+const PACE_ENDS: usize = 32;
+/// A wait that is told lies between these: shorter is no wait, longer is no better known.
+const WAIT_LEAST: Ms = 50.0;
+const WAIT_MOST: Ms = 10_000.0;
+
+/// One cell.
+pub(super) struct Cell {
+    pub(super) name: String,
+    pub(super) brain: Brain,
+    pub(super) events: Vec<Event>,
+    /// Its own part of what is promised.
+    own: Ceilings,
+    /// Calls that it holds, and that are out.
+    held: usize,
+    out: usize,
+    /// When its last calls ended.
+    ends: VecDeque<Ms>,
+    told: (usize, usize),
+}
+
+/// All cells of a dispatcher.
+pub(super) struct Cells {
+    pub(super) all: Vec<Cell>,
+    places: Vec<Place>,
+    pinned: HashMap<String, CellNo>,
+    held: Pool,
+    slots: Pool,
+    room: Pool,
+    turns: Turns,
+}
+
+/// The part of a promise that is a cell's own; together they are at most the whole.
+fn part_of(promises: &[Promise], part: f64) -> Vec<Promise> {
+    let own = |p: &Promise| Promise {
+        calls: p.calls.map(|c| (f64::from(c) * part) as u32),
+        connections: None,
+        ..p.clone()
+    };
+    promises.iter().map(own).collect()
+}
+
+impl Cells {
+    pub(super) fn new(
+        settings: &Settings,
+        specs: &[CellSpec],
+        promises: &[Promise],
+        journal_room: u64,
+    ) -> Cells {
+        let one = [CellSpec { name: String::new(), weight: 1.0, tenants: Vec::new() }];
+        let specs = if specs.is_empty() { &one[..] } else { specs };
+        let weights: Vec<f64> = specs.iter().map(|s| s.weight).collect();
+        let sum: f64 = weights.iter().sum();
+        let cell = |s: &CellSpec| Cell {
+            name: s.name.clone(),
+            brain: Brain::new(settings.clone()),
+            events: Vec::new(),
+            own: Ceilings::new(part_of(promises, s.weight / sum.max(f64::MIN_POSITIVE))),
+            held: 0,
+            out: 0,
+            ends: VecDeque::new(),
+            told: (0, 0),
+        };
+        let pinned =
+            specs.iter().enumerate().flat_map(|(n, s)| s.tenants.iter().map(move |t| (t.clone(), n)));
+        Cells {
+            places: specs.iter().map(|s| Place { name: s.name.clone(), weight: s.weight }).collect(),
+            pinned: pinned.collect(),
+            held: Pool::new(settings.max_held as u64, &weights, Lending::Revocable),
+            slots: Pool::new(settings.slots as u64, &weights, Lending::Held { reserve: SLOTS_KEPT }),
+            room: Pool::new(journal_room / PIECE, &weights, Lending::Revocable),
+            turns: Turns::new(&weights),
+            all: specs.iter().map(cell).collect(),
+        }
+    }
+
+    /// Is there but one, so that nothing is divided?
+    pub(super) fn undivided(&self) -> bool {
+        self.all.len() == 1
+    }
+
+    /// Where a tenant lives.
+    pub(super) fn of(&self, tenant: &str) -> CellNo {
+        if self.undivided() {
+            return 0;
+        }
+        self.pinned.get(tenant).copied().or_else(|| home(tenant, &self.places)).unwrap_or(0)
+    }
+
+    /// Takes changed promises over; the cells stay.
+    pub(super) fn change(&mut self, now: Ms, promises: &[Promise]) {
+        let sum: f64 = self.places.iter().map(|p| p.weight).sum();
+        for (cell, place) in self.all.iter_mut().zip(&self.places) {
+            cell.own.change(now, part_of(promises, place.weight / sum.max(f64::MIN_POSITIVE)));
+        }
+    }
+
+    /// Something happened in a cell.
+    pub(super) fn post(&mut self, cell: CellNo, event: Event) {
+        if let Some(c) = self.all.get_mut(cell) {
+            c.events.push(event);
+        }
+    }
+
+    /// Something happened that concerns all.
+    pub(super) fn post_all(&mut self, event: &Event) {
+        self.all.iter_mut().for_each(|c| c.events.push(event.clone()));
+    }
+
+    pub(super) fn any_events(&self) -> bool {
+        self.all.iter().any(|c| !c.events.is_empty())
+    }
+
+    /// The cells that have something to decide, those first that have used least of their time; as many as fit a turn.
+    pub(super) fn turn(&mut self) -> Vec<CellNo> {
+        let wanting: Vec<CellNo> = (0..self.all.len()).filter(|n| !self.all[*n].events.is_empty()).collect();
+        if self.undivided() {
+            return wanting;
+        }
+        let mut work = 0.0;
+        let mut due = Vec::new();
+        for cell in self.turns.order(wanting) {
+            let cost = (1 + self.all[cell].events.len() + self.all[cell].held) as f64;
+            if work > 0.0 && work + cost > TURN_WORK {
+                break;
+            }
+            work += cost;
+            self.turns.used(cell, cost);
+            due.push(cell);
+        }
+        due
+    }
+
+    /// Tells a cell's module what it may use.
+    pub(super) fn allow(&mut self, cell: CellNo) {
+        if self.undivided() {
+            return;
+        }
+        let slots = (self.slots.most(cell) as usize).max(1);
+        let held = (self.held.most(cell) as usize).max(slots);
+        let c = &mut self.all[cell];
+        if c.told != (slots, held) {
+            c.told = (slots, held);
+            c.brain.allow(slots, held);
+        }
+    }
+
+    /// A call goes out.
+    pub(super) fn sent(&mut self, cell: CellNo) -> bool {
+        if self.undivided() {
+            return true;
+        }
+        let given = matches!(self.slots.ask(cell), Grant::Own | Grant::Lent);
+        if given {
+            self.slots.take(cell);
+            self.all[cell].out += 1;
+        }
+        given
+    }
+
+    /// It goes out although there is no place: its outcome gives one back.
+    pub(super) fn forced(&mut self, cell: CellNo) {
+        self.slots.force(cell, 1);
+        self.all[cell].out += 1;
+    }
+
+    /// It is back.
+    pub(super) fn back(&mut self, cell: CellNo) {
+        if !self.undivided() {
+            self.slots.give(cell);
+            self.all[cell].out = self.all[cell].out.saturating_sub(1);
+        }
+    }
+
+    /// A call of an earlier process is held again.
+    pub(super) fn resumed(&mut self, cell: CellNo, size: u64) {
+        if !self.undivided() {
+            self.held.force(cell, 1);
+            self.room.force(cell, size.div_ceil(PIECE));
+            self.all[cell].held += 1;
+        }
+    }
+
+    /// The end of a call is decided: its place is free, although its client may have to be told yet.
+    pub(super) fn over(&mut self, now: Ms, cell: CellNo, size: u64) {
+        if self.undivided() {
+            return;
+        }
+        self.held.give(cell);
+        (0..size.div_ceil(PIECE)).for_each(|_| self.room.give(cell));
+        let c = &mut self.all[cell];
+        c.held = c.held.saturating_sub(1);
+        c.ends.push_back(now);
+        if c.ends.len() > PACE_ENDS {
+            c.ends.pop_front();
+        }
+    }
+
+    /// How long until a full cell has a place again, from the pace at which its calls end.
+    fn wait(&self, now: Ms, cell: CellNo) -> Ms {
+        let c = &self.all[cell];
+        let Some(first) = c.ends.front() else { return WAIT_MOST.min(1_000.0) };
+        let each = (now - first).max(1.0) / c.ends.len() as f64;
+        // Those who were refused before come first; a tenth of what is held is a guess at how many they are.
+        (each * (1.0 + c.held as f64 / 10.0)).clamp(WAIT_LEAST, WAIT_MOST)
+    }
+
+    /// Counts a call to a member against a cell's own part, or what the others leave of the whole.
+    pub(super) fn charge(
+        &mut self,
+        now: Ms,
+        cell: CellNo,
+        total: &mut Ceilings,
+        dest: DestId,
+        uid: &str,
+    ) -> Result<(), Ms> {
+        if self.undivided() {
+            return Ok(());
+        }
+        let (calls, again) = self.calls_left(now, cell, total, dest, uid);
+        if calls == 0 {
+            return Err((again - now).max(1.0));
+        }
+        // Beyond its own part it goes on what the others leave, and is not counted against the part.
+        let _ = self.all[cell].own.take(now, dest, uid);
+        Ok(())
+    }
+
+    pub(super) fn charge_ended(&mut self, now: Ms, cell: CellNo, dest: DestId, uid: &str, written: bool) {
+        if let Some(c) = self.all.get_mut(cell) {
+            if written {
+                c.own.written(now, dest, uid);
+            }
+            c.own.ended(dest, uid, written);
+        }
+    }
+
+    /// Calls to an endpoint that a cell may start, and when to look again.
+    pub(super) fn calls_left(
+        &mut self,
+        now: Ms,
+        cell: CellNo,
+        total: &mut Ceilings,
+        dest: DestId,
+        uid: &str,
+    ) -> (u32, Ms) {
+        let Some(whole) = total.room(now, dest, uid) else { return (u32::MAX, now) };
+        if self.undivided() || whole.calls == 0 || whole.calls == u32::MAX {
+            return (whole.calls, whole.again);
+        }
+        let mut own = (0, now);
+        let mut kept = 0;
+        for (n, c) in self.all.iter_mut().enumerate() {
+            let Some(room) = c.own.room(now, dest, uid) else { continue };
+            if n == cell {
+                own = (room.calls, room.again);
+            } else if c.held > 0 {
+                // Only who has something to send keeps its part; who is idle lends all of it for this span.
+                kept += room.calls;
+            }
+        }
+        let lent = whole.calls.saturating_sub(kept);
+        (own.0.min(whole.calls).max(lent), own.1.max(whole.again))
+    }
+}
+
+impl Core {
+    /// Finds a place for a call in its cell, where another one has to give back what it borrowed if need be; else the wait
+    /// that can be told.
+    pub(super) fn make_place(&mut self, now: Ms, cell: CellNo, size: u64) -> Result<(), Ms> {
+        if self.cells.undivided() {
+            return Ok(());
+        }
+        loop {
+            match self.cells.held.ask(cell) {
+                Grant::Own | Grant::Lent => break,
+                Grant::After(other) if self.give_back(now, other) => {}
+                Grant::After(_) | Grant::Full => return Err(self.cells.wait(now, cell)),
+            }
+        }
+        let pieces = size.div_ceil(PIECE);
+        for taken in 0..pieces {
+            let given = loop {
+                match self.cells.room.ask(cell) {
+                    Grant::Own | Grant::Lent => break true,
+                    Grant::After(other) if self.give_back(now, other) => {}
+                    Grant::After(_) | Grant::Full => break false,
+                }
+            };
+            if !given {
+                (0..taken).for_each(|_| self.cells.room.give(cell));
+                return Err(self.cells.wait(now, cell));
+            }
+            self.cells.room.take(cell);
+        }
+        self.cells.held.take(cell);
+        self.cells.all[cell].held += 1;
+        Ok(())
+    }
+
+    /// A place that was found is not needed.
+    pub(super) fn leave_place(&mut self, cell: CellNo, size: u64) {
+        if !self.cells.undivided() {
+            self.cells.held.give(cell);
+            (0..size.div_ceil(PIECE)).for_each(|_| self.cells.room.give(cell));
+            self.cells.all[cell].held = self.cells.all[cell].held.saturating_sub(1);
+        }
+    }
+
+    /// A cell hands back one of the calls for which it borrowed room: the last one that was taken and never went out.
+    fn give_back(&mut self, now: Ms, cell: CellNo) -> bool {
+        let idle =
+            |c: &super::Call| c.cell == cell && c.out.is_none() && c.ran.is_none() && c.ending.is_none();
+        let last = self.calls.iter().rev().find(|(_, c)| idle(c)).map(|(no, _)| *no);
+        let Some(no) = last else { return false };
+        let wait = self.cells.wait(now, cell).min(self.settings.max_advice);
+        self.counters.evicted += 1;
+        self.cells.post(cell, Event::ClientGone(no));
+        self.finish(now, no, Ending::HandedBack(wait));
+        true
+    }
+
+    /// What each cell holds and has out, for the log; empty with one.
+    pub fn cells_text(&self) -> String {
+        if self.cells.undivided() {
+            return String::new();
+        }
+        let one = |c: &Cell| format!("{} {} held {} out", c.name, c.held, c.out);
+        self.cells.all.iter().map(one).collect::<Vec<_>>().join(", ")
+    }
+}
--- a/src/dispatch/counters.rs
+++ b/src/dispatch/counters.rs
@@ -41,6 +41,8 @@
     pub unsent: u64,
     /// Delegations and probes that a ceiling kept back.
     pub over: u64,
+    /// Calls handed back so that another cell got its part.
+    pub evicted: u64,
     /// Final answers that clients have confirmed.
     pub confirmed: u64,
 }
@@ -69,8 +71,8 @@
         )?;
         write!(
             f,
-            "answered: {} delivered, {} given up, {} handed back, {} confirmed",
-            self.delivered, self.given_up, self.handed_back, self.confirmed
+            "answered: {} delivered, {} given up, {} handed back ({} for another cell), {} confirmed",
+            self.delivered, self.given_up, self.handed_back, self.evicted, self.confirmed
         )
     }
 }
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -7,6 +7,7 @@
 
 mod admit;
 mod book;
+mod cells;
 mod counters;
 mod once;
 mod pace;
@@ -16,12 +17,13 @@
 mod take_in;
 
 use crate::api::*;
-use crate::brain::Brain;
 use crate::config::{Names, Worker};
 use crate::journal::{CallNo, Ending, Identity, Journal, Sent};
 use lilacbank_limits::{Ceilings, Promise};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
+pub use cells::CellSpec;
+use cells::Cells;
 pub use counters::Counters;
 use once::Once;
 pub use take_in::Submission;
@@ -172,6 +174,8 @@
     ran: Option<Sent>,
     out: Option<Out>,
     ending: Option<Ending>,
+    /// The cell that it belongs to.
+    cell: usize,
     /// Bytes that it needs in a compacted journal.
     size: u64,
 }
@@ -204,6 +208,8 @@
     pub promises: Vec<Promise>,
     /// Classes that are never repeated, each with the span for which a message is remembered after its end.
     pub once: Vec<(String, Ms)>,
+    /// The cells that it serves; none: one, undivided.
+    pub cells: Vec<CellSpec>,
 }
 
 /// What a reload takes over.
@@ -222,7 +228,7 @@
 
 /// The dispatcher without its wires.
 pub struct Core {
-    brain: Brain,
+    cells: Cells,
     settings: Settings,
     names: Names,
     journal: Journal,
@@ -238,22 +244,21 @@
     known_bytes: u64,
     /// Clients that wait for the verdict of this turn.
     asking: Vec<(CallNo, Ticket)>,
-    events: Vec<Event>,
     orders: Vec<Order>,
     ceilings: Ceilings,
     once: Once,
     /// Routes by destination.
     routes_of: BTreeMap<DestId, Vec<RouteId>>,
     /// Room as the module knows it.
-    room_told: HashMap<RouteId, (u32, Ms, u32)>,
+    room_told: HashMap<(RouteId, usize), (u32, Ms, u32)>,
     /// Probes that are counted.
-    probes: HashMap<RouteId, pace::Charge>,
+    probes: HashMap<RouteId, Option<pace::Charge>>,
     /// Names that the settings have no more, while calls that bear them are held.
     retired: Names,
     /// The last moment that it was told.
     now: Ms,
-    /// When the module wants to be woken.
-    alarms: Vec<(Ms, u64)>,
+    /// When the module of a cell wants to be woken.
+    alarms: Vec<(Ms, usize, u64)>,
     closing: Option<Ms>,
     /// What was done so far.
     pub counters: Counters,
@@ -263,7 +268,7 @@
     /// A core that holds nothing yet.
     pub fn new(parts: Parts) -> Core {
         Core {
-            brain: Brain::new(parts.settings.clone()),
+            cells: Cells::new(&parts.settings, &parts.cells, &parts.promises, parts.journal.room()),
             settings: parts.settings,
             names: parts.names,
             journal: parts.journal,
@@ -277,7 +282,6 @@
             live_bytes: 0,
             known_bytes: 0,
             asking: Vec::new(),
-            events: Vec::new(),
             orders: Vec::new(),
             ceilings: Ceilings::new(parts.promises),
             once: Once::new(parts.once),
@@ -314,7 +318,7 @@
 
     /// When [`Core::turn`] has something to do of itself.
     pub fn next_due(&self) -> Option<Ms> {
-        if !self.events.is_empty() || !self.orders.is_empty() || !self.asking.is_empty() {
+        if self.cells.any_events() || !self.orders.is_empty() || !self.asking.is_empty() {
             return Some(0.0);
         }
         let room = self.ceilings.next_due().filter(|_| !self.ceilings.is_empty());
@@ -325,8 +329,9 @@
     /// Takes changed settings over, under names that [`crate::config::Names::carry`] has made to fit. What is held, what has
     /// gone out, waits and drains stay.
     pub fn reload(&mut self, now: Ms, parts: Reloaded) {
-        self.brain.adopt(parts.settings.clone());
+        self.cells.all.iter_mut().for_each(|c| c.brain.adopt(parts.settings.clone()));
         (self.settings, self.names, self.retired) = (parts.settings, parts.names, parts.retired);
+        self.cells.change(now, &parts.promises);
         self.ceilings.change(now, parts.promises);
         self.once.change(parts.once);
     }
@@ -334,6 +339,6 @@
     /// This process ends at that time: what cannot finish until then is left to the next one.
     pub fn close(&mut self, at: Ms) {
         self.closing = Some(at);
-        self.events.push(Event::Closing(at));
+        self.cells.post_all(&Event::Closing(at));
     }
 }
--- a/src/dispatch/pace.rs
+++ b/src/dispatch/pace.rs
@@ -25,17 +25,18 @@
             let mut again = f64::MAX;
             for route in self.routes_of.get(&dest).into_iter().flatten() {
                 let Some(w) = self.workers.get(route) else { continue };
-                let (calls, at, links) = match self.ceilings.room(now, dest, &w.worker.uid) {
-                    Some(r) => (r.calls, r.again, r.links),
-                    None => (u32::MAX, now, u32::MAX),
-                };
-                if calls == 0 {
-                    again = again.min(at);
-                }
-                let told = (calls, if calls == 0 { at } else { 0.0 }, links);
-                if self.room_told.get(route) != Some(&told) {
-                    self.room_told.insert(*route, told);
-                    self.events.push(Event::Room { route: *route, calls, again: at, links });
+                let links = self.ceilings.room(now, dest, &w.worker.uid).map_or(u32::MAX, |r| r.links);
+                for cell in 0..self.cells.all.len() {
+                    let uid = &w.worker.uid;
+                    let (calls, at) = self.cells.calls_left(now, cell, &mut self.ceilings, dest, uid);
+                    if calls == 0 {
+                        again = again.min(at);
+                    }
+                    let told = (calls, if calls == 0 { at } else { 0.0 }, links);
+                    if self.room_told.get(&(*route, cell)) != Some(&told) {
+                        self.room_told.insert((*route, cell), told);
+                        self.cells.post(cell, Event::Room { route: *route, calls, again: at, links });
+                    }
                 }
             }
             if again < f64::MAX {
@@ -45,22 +46,27 @@
     }
 
     /// Counts a call or probe to a worker, and writes that down; the time to wait if it does not fit.
-    pub(super) fn charge(&mut self, now: Ms, route: RouteId) -> Result<Option<Charge>, Ms> {
+    pub(super) fn charge(&mut self, now: Ms, cell: usize, route: RouteId) -> Result<Option<Charge>, Ms> {
         let Some((dest, uid)) = self.worker(route).map(|w| (w.dest, w.uid.clone())) else { return Ok(None) };
         if self.ceilings.promise(dest).is_none() {
             return Ok(None);
         }
         // Before the count changes: what is written anew and the record behind it must not tell of one call twice.
         self.compact_if_full();
-        self.ceilings.take(now, dest, &uid).map_err(|over| over.wait)?;
+        self.cells.charge(now, cell, &mut self.ceilings, dest, &uid)?;
+        if let Err(over) = self.ceilings.take(now, dest, &uid) {
+            self.cells.charge_ended(now, cell, dest, &uid, false);
+            return Err(over.wait);
+        }
         let charge = Charge { dest, uid, written: false };
         if !self.step(now, &charge, Step::Started) {
             // What cannot be written down is not sent: a restart would not know of it.
             self.ceilings.ended(charge.dest, &charge.uid, false);
+            self.cells.charge_ended(now, cell, charge.dest, &charge.uid, false);
             return Err(NOT_WRITTEN_REST);
         }
         // The module counts down by itself; other routes of the limit hear of it.
-        if let Some(told) = self.room_told.get_mut(&route) {
+        if let Some(told) = self.room_told.get_mut(&(route, cell)) {
             told.0 = if told.0 == u32::MAX { told.0 } else { told.0.saturating_sub(1) };
         }
         Ok(Some(charge))
@@ -85,8 +91,9 @@
     }
 
     /// It has ended.
-    pub(super) fn charge_ended(&mut self, now: Ms, charge: Charge) {
+    pub(super) fn charge_ended(&mut self, now: Ms, cell: usize, charge: Charge) {
         self.compact_if_full();
+        self.cells.charge_ended(now, cell, charge.dest, &charge.uid, charge.written);
         self.ceilings.ended(charge.dest, &charge.uid, charge.written);
         if !charge.written {
             self.step(now, &charge, Step::GivenBack);
@@ -99,22 +106,18 @@
         self.outcome(now, no, attempt, End { wait, ..End::of(Outcome::NotSent) });
     }
 
-    /// Orders a probe, if it fits: a probe counts as a call.
+    /// Orders a probe, if it fits: a probe counts as a call. One that is out serves all cells.
     pub(super) fn probe(&mut self, now: Ms, route: RouteId) {
         if self.probes.contains_key(&route) {
             return;
         }
-        match self.charge(now, route) {
-            Ok(charge) => {
-                if let Some(c) = charge {
-                    self.probes.insert(route, c);
-                }
-            }
+        match self.charge(now, PROBES_OF, route) {
+            Ok(charge) => drop(self.probes.insert(route, charge)),
             Err(_) => {
                 self.counters.over += 1;
                 let report = Report::default();
                 let ended = Event::Probed { route, outcome: Outcome::NotSent, took: 0.0, report };
-                return self.events.push(ended);
+                return self.cells.post_all(&ended);
             }
         }
         self.counters.probes += 1;
@@ -125,18 +128,28 @@
 
     /// The last byte of a probe has been written.
     pub fn probe_written(&mut self, now: Ms, route: RouteId) {
-        if let Some(mut charge) = self.probes.remove(&route) {
-            self.charge_written(now, &mut charge);
-            self.probes.insert(route, charge);
-        }
+        let Some(mut charge) = self.probes.get_mut(&route).and_then(Option::take) else { return };
+        self.charge_written(now, &mut charge);
+        self.probes.insert(route, Some(charge));
     }
 
     /// A probe ended.
     pub fn probed(&mut self, now: Ms, route: RouteId, outcome: Outcome, took: Ms, report: Report) {
-        if let Some(charge) = self.probes.remove(&route) {
-            self.charge_ended(now, charge);
+        if let Some(charge) = self.probes.remove(&route).flatten() {
+            self.charge_ended(now, PROBES_OF, charge);
+        }
+        self.cells.post_all(&Event::Probed { route, outcome, took, report });
+    }
+
+    /// A delegation ended: its cell hears of it, and all others of the wait that was told.
+    pub(super) fn ended_in(&mut self, cell: usize, ended: Ended) {
+        if ended.wait > 0.0 {
+            for other in (0..self.cells.all.len()).filter(|n| *n != cell) {
+                let wait = Ended { id: NOBODY, report: Report::default(), ..ended };
+                self.cells.post(other, Event::Ended(wait));
+            }
         }
-        self.events.push(Event::Probed { route, outcome, took, report });
+        self.cells.post(cell, Event::Ended(ended));
     }
 
     /// How long a message with so much time left would have to stay away to be in time; none if it is already.
@@ -150,5 +163,9 @@
     }
 }
 
+/// Probes are counted in the first cell's part, and told to all.
+const PROBES_OF: usize = 0;
+/// The number of no message: what is told under it concerns its route alone.
+const NOBODY: MsgId = 0;
 /// After a call that could not be written down.
 const NOT_WRITTEN_REST: Ms = 100.0;
--- a/src/dispatch/relay.rs
+++ b/src/dispatch/relay.rs
@@ -9,9 +9,10 @@
     pub fn outcome(&mut self, now: Ms, no: CallNo, attempt: u32, end: End) {
         let End { outcome, wait, report, over, heard } = end;
         let Some(c) = self.calls.get_mut(&no) else { return };
+        let cell = c.cell;
         let Some(mut out) = c.out.take_if(|o| o.attempt == attempt) else { return };
         if let Some(charge) = out.charge.take() {
-            self.charge_ended(now, charge);
+            self.charge_ended(now, cell, charge);
         }
         self.counters.note(outcome);
         if log::log_enabled!(log::Level::Debug) {
@@ -32,7 +33,8 @@
             report,
             heard,
         };
-        self.events.push(Event::Ended(ended));
+        self.cells.back(cell);
+        self.ended_in(cell, ended);
         if !outcome.never_ran() {
             let sent = Sent { at: out.sent, zone: self.zone(out.route) };
             self.calls.entry(no).and_modify(|c| {
--- a/src/dispatch/route.rs
+++ b/src/dispatch/route.rs
@@ -21,13 +21,17 @@
         self.ring(now);
         for _ in 0..STEPS_MOST {
             self.tell_room(now);
-            if self.events.is_empty() {
+            if !self.cells.any_events() {
                 break;
             }
-            let events = std::mem::take(&mut self.events);
-            let mut actions = Vec::new();
-            self.brain.step(now, &events, &mut actions);
-            actions.into_iter().for_each(|a| self.carry_out(now, a));
+            for cell in self.cells.turn() {
+                self.cells.allow(cell);
+                let c = &mut self.cells.all[cell];
+                let events = std::mem::take(&mut c.events);
+                let mut actions = Vec::new();
+                c.brain.step(now, &events, &mut actions);
+                actions.into_iter().for_each(|a| self.carry_out(now, cell, a));
+            }
             self.give_verdicts();
         }
         self.fade(now);
@@ -36,16 +40,16 @@
     }
 
     fn ring(&mut self, now: Ms) {
-        let events = &mut self.events;
-        self.alarms.retain(|(at, token)| {
+        let cells = &mut self.cells;
+        self.alarms.retain(|(at, cell, token)| {
             if *at <= now {
-                events.push(Event::Timer(*token));
+                cells.post(*cell, Event::Timer(*token));
             }
             *at > now
         });
     }
 
-    fn carry_out(&mut self, now: Ms, action: Action) {
+    fn carry_out(&mut self, now: Ms, cell: usize, action: Action) {
         match action {
             Action::Send { id, route, cap } => self.send(now, id, route, cap),
             Action::Cancel { id, attempt } => self.cancel(now, id, attempt),
@@ -57,7 +61,7 @@
                 self.orders.push(Order::CloseIdle { route, address });
             }
             Action::Watch => self.orders.push(Order::Watch),
-            Action::Timer { at, token } => self.alarms.push((at, token)),
+            Action::Timer { at, token } => self.alarms.push((at, cell, token)),
         }
     }
 
@@ -115,7 +119,7 @@
             let gone = (worker.listing == Listing::Gone).then_some(now);
             self.workers.insert(route, Listed { worker, gone });
         }
-        self.events.push(Event::List { rows, whole: list.whole, cached });
+        self.cells.post_all(&Event::List { rows, whole: list.whole, cached });
         self.prune(now);
         self.index();
     }
@@ -127,7 +131,7 @@
             self.routes_of.entry(w.worker.dest).or_default().push(*route);
         }
         let workers = &self.workers;
-        self.room_told.retain(|route, _| workers.contains_key(route));
+        self.room_told.retain(|(route, _), _| workers.contains_key(route));
         self.ceilings.touch();
     }
 
@@ -159,8 +163,9 @@
         let dir = std::env::temp_dir().join(format!("lilacbank-route-{name}-{}", std::process::id()));
         let (journal, _) = Journal::open(&dir, 1 << 20).unwrap();
         std::fs::remove_dir_all(dir).unwrap();
-        let (promises, once) = (Vec::new(), Vec::new());
-        Core::new(Parts { settings: Settings::default(), names: Default::default(), journal, promises, once })
+        let (settings, names) = (Settings::default(), Default::default());
+        let (promises, once, cells) = (Vec::new(), Vec::new(), Vec::new());
+        Core::new(Parts { settings, names, journal, promises, once, cells })
     }
 
     fn news(core: &mut Core, now: Ms, workers: Vec<Worker>) {
--- a/src/dispatch/send.rs
+++ b/src/dispatch/send.rs
@@ -9,6 +9,7 @@
     pub(super) fn send(&mut self, now: Ms, no: CallNo, route: RouteId, cap: Option<Ms>) {
         let address = self.address(route);
         let Some(c) = self.calls.get_mut(&no).filter(|c| c.ending.is_none()) else { return };
+        let cell = c.cell;
         let attempt = c.attempts;
         let left = c.taken.valid_until - now;
         let patience = cap.map_or(left, |cap| cap.min(left)).max(0.0);
@@ -25,7 +26,12 @@
             body: c.taken.body.clone(),
             patience,
         };
-        match self.charge(now, route) {
+        // Its place is given back with its outcome, whatever that is.
+        if !self.cells.sent(cell) {
+            self.cells.forced(cell);
+            return self.over(now, no, attempt, 0.0);
+        }
+        match self.charge(now, cell, route) {
             Ok(None) => {}
             Err(wait) => return self.over(now, no, attempt, wait),
             Ok(charge) => {
--- a/src/dispatch/take_in.rs
+++ b/src/dispatch/take_in.rs
@@ -1,5 +1,6 @@
 //! Take in: checks what a front hands over, and answers at once what needs no decision.
 
+use super::admit::NO_ROOM_ADVICE;
 use super::once::Judgement;
 use super::{Core, Order, Ticket, Verdict};
 use crate::api::{Effect, Ms};
@@ -10,8 +11,6 @@
 pub const BODY_MOST: usize = 64 * 1024;
 /// The longest id, idempotency key or client name.
 const NAME_MOST: usize = 256;
-/// Advice to a client when there is no room and nothing better is known.
-const NO_ROOM_ADVICE: Ms = 500.0;
 
 /// A call as a front reads it off its wire.
 #[derive(Debug, Clone, Default, PartialEq)]
@@ -92,9 +91,9 @@
                     reply: s.reply,
                     body: s.body,
                 };
-                match self.admit(class, taken, s.again, ticket) {
-                    true => return,
-                    false => Verdict::Busy(NO_ROOM_ADVICE.min(self.settings.max_advice)),
+                match self.admit(now, class, taken, s.again, ticket) {
+                    Ok(()) => return,
+                    Err(wait) => Verdict::Busy(wait.min(self.settings.max_advice)),
                 }
             }
         };
--- a/src/journal.rs
+++ b/src/journal.rs
@@ -382,6 +382,11 @@
         (live as f64) < self.limit as f64 * LIVE_SHARE
     }
 
+    /// Bytes that live records may fill.
+    pub fn room(&self) -> u64 {
+        (self.limit as f64 * LIVE_SHARE) as u64
+    }
+
     /// Would identities of so many bytes still fit?
     pub fn has_memory(&self, known: u64) -> bool {
         (known as f64) < self.limit as f64 * KNOWN_SHARE
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -139,9 +139,9 @@
         let known = WorkerList { whole: true, ..std::mem::take(&mut config.known) };
         let rev = known.rev;
         let (settings, names) = (config.settings.clone(), config.names.clone());
-        let (promises, once) =
-            config.sidecar.as_ref().map_or_else(Default::default, |s| (s.promises.clone(), s.once.clone()));
-        let parts = Parts { settings, names, journal, promises, once };
+        let side = config.sidecar.clone().unwrap_or_default();
+        let (promises, once, cells) = (side.promises, side.once, side.cells);
+        let parts = Parts { settings, names, journal, promises, once, cells };
         let mut core = Core::new(parts);
         core.list(now, known, true);
         core.restore(now, records);
@@ -273,6 +273,10 @@
         while reader.read(&mut bytes).is_ok_and(|n| n > 0) {}
         if *signal == SIGUSR1 {
             log::info!("holds {} calls, {} out; {}", self.core.holds(), self.core.out(), self.core.counters);
+            let cells = self.core.cells_text();
+            if !cells.is_empty() {
+                log::info!("cells: {cells}");
+            }
         } else if *signal == SIGHUP {
             self.reload(now);
         } else if self.leaving.is_none() {
