--- a/crates/cells/src/lib.rs
+++ b/crates/cells/src/lib.rs
@@ -2,10 +2,12 @@
 //! do not feel.
 //!
 //! [`placement`] says where a tenant lives, [`bulkhead`] divides what a dispatcher has among the cells that it serves, and
-//! [`moving`] takes a tenant from one dispatcher to another with one owner at any time. None of it does I/O or reads a
+//! [`moving`] takes a tenant from one dispatcher to another with one owner at any time; [`wire`] is how they write to each
+//! other about it. None of it does I/O or reads a
 //! clock.
 #![forbid(unsafe_code)]
 
 pub mod bulkhead;
 pub mod moving;
 pub mod placement;
+pub mod wire;
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -12,6 +12,7 @@
 
 pub mod agreement;
 pub mod application;
+pub mod cellmap;
 pub mod check;
 pub mod compose;
 pub mod explain;
--- a/crates/settings/src/schema.rs
+++ b/crates/settings/src/schema.rs
@@ -2,6 +2,7 @@
 
 use crate::agreement::Agreement;
 use crate::application::Application;
+use crate::cellmap::CellMap;
 use schemars::Schema;
 use serde_json::Value;
 use std::fmt::Write as _;
@@ -16,6 +17,11 @@
     schemars::schema_for!(Application)
 }
 
+/// The record of a cell map, as JSON Schema.
+pub fn cells() -> Schema {
+    schemars::schema_for!(CellMap)
+}
+
 /// The same as CUE definitions: each record is closed, each key that may be left out is marked with `?`.
 pub fn cue(schema: &Schema) -> String {
     let root = schema.as_value();
--- a/src/tool/cli.rs
+++ b/src/tool/cli.rs
@@ -62,6 +62,9 @@
     /// Write, check, explain and render an application's file.
     #[command(subcommand)]
     App(App),
+    /// Check a cell map, and tell who lives where.
+    #[command(subcommand)]
+    Cell(Cell),
     /// Print the record of a file.
     Schema {
         /// Which record.
@@ -87,6 +90,8 @@
     Agreement,
     /// An application's.
     Application,
+    /// A cell map.
+    Cells,
 }
 
 /// Forms of a report.
@@ -137,6 +142,40 @@
     },
 }
 
+/// Work on a cell map.
+#[derive(Debug, Subcommand)]
+pub enum Cell {
+    /// Check a map, and that it may follow the one in force.
+    Check {
+        /// The map.
+        file: String,
+        /// The map that is in force.
+        #[arg(long, value_name = "FILE")]
+        in_force: Option<String>,
+        /// The form of the report.
+        #[arg(long, value_enum, default_value_t)]
+        format: Format,
+    },
+    /// Tell in which cell each tenant lives, and at which of its dispatchers.
+    Place {
+        /// The map.
+        file: String,
+        /// Tenants; or a file with one in each line, as @FILE.
+        #[arg(required = true)]
+        tenants: Vec<String>,
+    },
+    /// Tell which tenants a new map moves.
+    Plan {
+        /// The map in force.
+        old: String,
+        /// The new one.
+        new: String,
+        /// Tenants; or a file with one in each line, as @FILE.
+        #[arg(required = true)]
+        tenants: Vec<String>,
+    },
+}
+
 /// How files are checked and reported on.
 #[derive(Debug, Clone, Copy, Default, Args)]
 pub struct How {
--- a/src/tool/mod.rs
+++ b/src/tool/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! What is wrong with files is found by the package `lilacbank-settings`; here files are opened and reports printed.
 
+mod cell;
 pub mod cli;
 
 pub mod haproxy;
@@ -56,11 +57,13 @@
 pub fn run(command: Command) -> ExitCode {
     let done = match command {
         Command::App(app) => run_app(app),
+        Command::Cell(command) => cell::run(command),
         Command::Config(config) => run_config(*config),
         Command::Schema { record, cue } => {
             let schema = match record {
                 Record::Agreement => schema::agreement(),
                 Record::Application => schema::application(),
+                Record::Cells => schema::cells(),
             };
             match cue {
                 true => print!("{}", schema::cue(&schema)),
--- a/tests/tool.rs
+++ b/tests/tool.rs
@@ -129,6 +129,15 @@
         ("\"endpoint\": \"127.0.0.1:9102\"", "\"endpoint\": \"127.0.0.1:6401\"", "LB0107"),
         ("\"state\": \"/var/lib/lilacbank/claims\"", "\"state\": \"/etc/passwd/claims\"", "LB0602"),
     ];
+    let nowhere = dir.join("nowhere.json");
+    let class = r#"{"name":"a","deadline":5000,"promise":1000}"#;
+    std::fs::write(
+        &nowhere,
+        format!(r#"{{"listen":"127.0.0.1:0","state":"/tmp","settings":{{"classes":[{class}]}}}}"#),
+    )
+    .unwrap();
+    let out = tool(&["check", "--format", "json", "--elsewhere", nowhere.to_str().unwrap()]);
+    assert!(said(&out.stdout).contains("LB0702"), "{}", said(&out.stdout));
     for (n, (from, to, code)) in cases.into_iter().enumerate() {
         assert!(text.contains(from), "{from} is not in:\n{text}");
         let file = dir.join(format!("bad-{n}.json"));
@@ -203,6 +212,7 @@
         (&["app", "check", "--help"], "--elsewhere"),
         (&["schema", "application"], "\"additionalProperties\": false"),
         (&["schema", "agreement", "--cue"], "#Agreement: {"),
+        (&["schema", "cells", "--cue"], "#CellMap: {"),
         (&["completions", "bash"], "lilacbank"),
     ] {
         let out = lilacbank(arguments);
@@ -215,6 +225,39 @@
     assert_eq!(lilacbank(&["serv"]).status.code(), Some(2));
 }
 
+/// A map with one cell more moves those who come to live in it, and nobody else.
+#[test]
+fn a_cell_map_tells_who_lives_where_and_who_moves() {
+    let dir = dir("cells");
+    let old = example("maps/plateau.toml");
+    let old = old.to_str().unwrap();
+    assert!(lilacbank(&["cell", "check", old]).status.success());
+    let text = std::fs::read_to_string(old).unwrap();
+    let agreements = example("agreements").display().to_string();
+    let text = text.replace("../agreements/", &format!("{agreements}/"));
+    let more = "[dispatchers.n5]\npeer = \"127.0.0.1:7305\"\n[cells.third]\ndispatchers = [\"n5\"]\n[[cells.third.members]]\n";
+    let more = format!("{text}{more}agreement = \"{agreements}/textile-kaolack.toml\"\n");
+    let (new, names) = (dir.join("new.toml"), dir.join("names"));
+    let write = |version: &str| std::fs::write(&new, more.replace("version = 1", version)).unwrap();
+    write("version = 1");
+    let new = new.to_str().unwrap();
+    let out = lilacbank(&["cell", "check", new, "--in-force", old]);
+    assert!(out.status.code() == Some(1) && said(&out.stderr).contains("LB0809"), "{}", said(&out.stderr));
+    write("version = 2");
+    let out = lilacbank(&["cell", "check", new, "--in-force", old]);
+    assert!(out.status.success(), "{}", said(&out.stderr));
+    std::fs::write(&names, (0..200).map(|n| format!("tenant-{n}\n")).collect::<String>()).unwrap();
+    let at = format!("@{}", names.display());
+    let placed = said(&lilacbank(&["cell", "place", old, "sotrans-dakar", &at]).stdout);
+    assert!(
+        placed.starts_with("sotrans-dakar large n") && placed.lines().skip(1).all(|l| l.contains(" rest n"))
+    );
+    let plan = said(&lilacbank(&["cell", "plan", old, new, &at]).stdout);
+    let moved = plan.lines().filter(|l| l.contains(" -> third")).count();
+    assert!((70..130).contains(&moved) && plan.contains(&format!("{moved} of 200 move")), "{plan}");
+    std::fs::remove_dir_all(dir).unwrap();
+}
+
 /// Does a dispatcher start on the file and listen?
 fn starts(json: &Path) -> Result<(), String> {
     use std::io::{BufRead, BufReader};
