Divide a dispatcher's room anew when a reload changes slots or held messages

After a reload the modules of a divided dispatcher had adopted the whole of the slots and were not told their parts again; calls beyond a part then came back unsent and cost attempts. Seen by reading. The pools are divided by the new figures and each module is told its part before its next step; a dispatcher with one cell is not concerned. Sidecar and cell tests pass.

--- a/src/dispatch/cells.rs
+++ b/src/dispatch/cells.rs
@@ -125,9 +125,14 @@
         self.pinned.get(tenant).copied().or_else(|| home(tenant, &self.places)).unwrap_or(0)
     }
 
-    /// Takes changed promises over; the cells stay.
-    pub(super) fn change(&mut self, now: Ms, promises: &[Promise]) {
-        let sum: f64 = self.places.iter().map(|p| p.weight).sum();
+    /// Takes changed room and promises over; the cells stay.
+    pub(super) fn change(&mut self, now: Ms, settings: &Settings, promises: &[Promise]) {
+        let weights: Vec<f64> = self.places.iter().map(|p| p.weight).collect();
+        let sum: f64 = weights.iter().sum();
+        self.held.divide(settings.max_held as u64, &weights);
+        self.slots.divide(settings.slots as u64, &weights);
+        // The modules have adopted the whole: each is told its part anew before its next step.
+        self.all.iter_mut().for_each(|c| c.told = (0, 0));
         for (cell, place) in self.all.iter_mut().zip(&self.places) {
             cell.own.change(now, part_of(promises, place.weight / sum.max(f64::MIN_POSITIVE)));
         }
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -331,7 +331,7 @@
     pub fn reload(&mut self, now: Ms, parts: Reloaded) {
         self.cells.all.iter_mut().for_each(|c| c.brain.adopt(parts.settings.clone()));
         (self.settings, self.names, self.retired) = (parts.settings, parts.names, parts.retired);
-        self.cells.change(now, &parts.promises);
+        self.cells.change(now, &self.settings, &parts.promises);
         self.ceilings.change(now, parts.promises);
         self.once.change(parts.once);
     }
