Release a cell's part of a promise only for calls that took a place of it

A call that goes on what other cells leave takes no place of its own cell's part, but its end gave one back: a cell could have more than its part of the promised calls, within the whole, which was kept. Seen by reading. The charge now knows which it was. Sidecar and platform tests pass.

--- a/src/dispatch/cells.rs
+++ b/src/dispatch/cells.rs
@@ -252,7 +252,7 @@
         (each * (1.0 + c.held as f64 / 10.0)).clamp(WAIT_LEAST, WAIT_MOST)
     }
 
-    /// Counts a call to a member against a cell's own part, or what the others leave of the whole.
+    /// Counts a call to a member against a cell's own part, or what the others leave of the whole; whether it was the part.
     pub(super) fn charge(
         &mut self,
         now: Ms,
@@ -260,17 +260,16 @@
         total: &mut Ceilings,
         dest: DestId,
         uid: &str,
-    ) -> Result<(), Ms> {
+    ) -> Result<bool, Ms> {
         if self.undivided() {
-            return Ok(());
+            return Ok(false);
         }
         let (calls, again) = self.calls_left(now, cell, total, dest, uid);
         if calls == 0 {
             return Err((again - now).max(1.0));
         }
         // Beyond its own part it goes on what the others leave, and is not counted against the part.
-        let _ = self.all[cell].own.take(now, dest, uid);
-        Ok(())
+        Ok(self.all[cell].own.take(now, dest, uid).is_ok())
     }
 
     pub(super) fn charge_ended(&mut self, now: Ms, cell: CellNo, dest: DestId, uid: &str, written: bool) {
--- a/src/dispatch/pace.rs
+++ b/src/dispatch/pace.rs
@@ -12,6 +12,8 @@
 pub(super) struct Charge {
     dest: DestId,
     uid: String,
+    /// It takes a place of its cell's own part, too.
+    own: bool,
     pub(super) written: bool,
 }
 
@@ -53,16 +55,20 @@
         }
         // Before the count changes: what is written anew and the record behind it must not tell of one call twice.
         self.compact_if_full();
-        self.cells.charge(now, cell, &mut self.ceilings, dest, &uid)?;
+        let own = self.cells.charge(now, cell, &mut self.ceilings, dest, &uid)?;
         if let Err(over) = self.ceilings.take(now, dest, &uid) {
-            self.cells.charge_ended(now, cell, dest, &uid, false);
+            if own {
+                self.cells.charge_ended(now, cell, dest, &uid, false);
+            }
             return Err(over.wait);
         }
-        let charge = Charge { dest, uid, written: false };
+        let charge = Charge { dest, uid, own, written: false };
         if !self.step(now, &charge, Step::Started) {
             // What cannot be written down is not sent: a restart would not know of it.
             self.ceilings.ended(charge.dest, &charge.uid, false);
-            self.cells.charge_ended(now, cell, charge.dest, &charge.uid, false);
+            if own {
+                self.cells.charge_ended(now, cell, charge.dest, &charge.uid, false);
+            }
             return Err(NOT_WRITTEN_REST);
         }
         // The module counts down by itself; other routes of the limit hear of it.
@@ -93,7 +99,9 @@
     /// It has ended.
     pub(super) fn charge_ended(&mut self, now: Ms, cell: usize, charge: Charge) {
         self.compact_if_full();
-        self.cells.charge_ended(now, cell, charge.dest, &charge.uid, charge.written);
+        if charge.own {
+            self.cells.charge_ended(now, cell, charge.dest, &charge.uid, charge.written);
+        }
         self.ceilings.ended(charge.dest, &charge.uid, charge.written);
         if !charge.written {
             self.step(now, &charge, Step::GivenBack);
