Audit moves under SIGKILL; do not take again what was refused before a restart

The audit of ten moves under kills showed messages that were answered +OK and never ended: an identity that was refused at the door, or given up, was remembered over a restart as taken, so that its repeat under the same id was owed an end that nobody would tell. Such a repeat now gets its refusal again. crates/load has ordered clients that follow their tenant, and an audit of what came of them.

--- a/crates/load/src/keyed.rs
+++ b/crates/load/src/keyed.rs
@@ -56,7 +56,8 @@
         if stop.load(Ordering::Relaxed) {
             break;
         }
-        let id = format!("{:x}-{number:x}-0", chain.key);
+        let name = |hand: u32| format!("{:x}-{number:x}-{hand}", chain.key);
+        let (mut hand, mut id) = (0, name(0));
         let (begun, mut failures, mut taken) = (Instant::now(), 0, false);
         loop {
             let left = chain.deadline.saturating_sub(begun.elapsed()).as_millis();
@@ -65,7 +66,7 @@
             }
             let again = if begun.elapsed() > AGAIN { ",again=1" } else { "" };
             let (class, tenant, dest) = (&chain.class, &chain.tenant, chain.dest);
-            let options = format!("c={class},t={tenant},d={left},dest={dest},k={id}{again}");
+            let options = format!("c={class},t={tenant},d={left},dest={dest},k={}{again}", name(0));
             let key = format!("{:016x}", chain.key);
             let words: [&[u8]; 5] = [b"SUBMIT", key.as_bytes(), id.as_bytes(), options.as_bytes(), b"claim"];
             let answer = submit(&mut kept, to, &words, PATIENCE).unwrap_or_default();
@@ -85,6 +86,9 @@
                 thread::sleep(AGAIN);
                 continue;
             };
+            // Refused: the next time it is handed in under a new id. Unanswered, it keeps the one it has.
+            hand += 1;
+            id = name(hand);
             let mut words = busy.split_whitespace();
             let wait = words.next().and_then(|w| w.parse().ok()).map_or(AGAIN, Duration::from_millis);
             thread::sleep(wait);
@@ -127,41 +131,47 @@
     }
 }
 
+/// A message's name under whichever id it was handed in: what was refused once comes again under a new one.
+fn base(id: &str) -> &str {
+    id.rsplit_once('-').map_or(id, |(base, _)| base)
+}
+
 /// Joins what clients handed in with what members did and what was told; `once` tells keys whose class is never repeated.
 pub fn audit(sent: &[Sent], effects: &[Effect], told: &[String], once: impl Fn(u64) -> bool) -> Audit {
     let mut audit = Audit::default();
     let mut of: HashMap<&str, usize> = HashMap::new();
-    effects.iter().for_each(|e| *of.entry(&e.id).or_default() += 1);
-    let mut notices: HashMap<&str, usize> = HashMap::new();
+    effects.iter().for_each(|e| *of.entry(base(&e.id)).or_default() += 1);
+    let (mut notices, mut heard) = (HashMap::<&str, usize>::new(), BTreeSet::new());
     for line in told {
         let id = line.split("\"message\":\"").nth(1).and_then(|r| r.split('"').next());
-        id.into_iter().for_each(|id| *notices.entry(id).or_default() += 1);
+        id.into_iter().for_each(|id| {
+            *notices.entry(id).or_default() += 1;
+            heard.insert(base(id));
+        });
     }
+    audit.told_twice = notices.iter().filter(|n| *n.1 > 1).map(|n| n.0.to_string()).collect();
     let mut keys: BTreeMap<u64, BTreeSet<&str>> = BTreeMap::new();
     let mut numbers: HashMap<&str, usize> = HashMap::new();
     for s in sent {
-        keys.entry(s.key).or_default().insert(&s.id);
-        numbers.insert(&s.id, s.number);
-        let (ran, heard) =
-            (of.get(s.id.as_str()).copied().unwrap_or(0), notices.get(s.id.as_str()).copied().unwrap_or(0));
+        let name = base(&s.id);
+        keys.entry(s.key).or_default().insert(name);
+        numbers.insert(name, s.number);
+        let ran = of.get(name).copied().unwrap_or(0);
         audit.taken += usize::from(s.taken);
         audit.delivered += usize::from(s.taken && ran > 0);
-        audit.told += usize::from(heard > 0);
-        if s.taken && ran == 0 && heard == 0 {
+        audit.told += usize::from(heard.contains(name));
+        if s.taken && ran == 0 && !heard.contains(name) {
             audit.lost.push(s.id.clone());
         }
         if ran > 1 && once(s.key) {
             audit.doubled.push(s.id.clone());
         }
-        if heard > 1 {
-            audit.told_twice.push(s.id.clone());
-        }
     }
     for ids in keys.values() {
-        let mut calls: Vec<&Effect> = effects.iter().filter(|e| ids.contains(e.id.as_str())).collect();
+        let mut calls: Vec<&Effect> = effects.iter().filter(|e| ids.contains(base(&e.id))).collect();
         calls.sort_by_key(|e| e.began);
         for pair in calls.windows(2) {
-            if numbers[pair[1].id.as_str()] < numbers[pair[0].id.as_str()] {
+            if numbers[base(&pair[1].id)] < numbers[base(&pair[0].id)] {
                 audit.out_of_order.push(pair[1].id.clone());
             }
             if pair[1].began < pair[0].at {
--- a/src/dispatch/admit.rs
+++ b/src/dispatch/admit.rs
@@ -230,7 +230,14 @@
         tenant: String,
     ) {
         if until > now {
-            self.remember(identity, Known { no, verdict: Verdict::Taken, ending, until, tenant });
+            // Whether a client of the platform was refused with that or told later is not written down. Guards against a
+            // repeat of what was refused being answered as taken: nobody would ever be told of its end.
+            let verdict = match ending {
+                Some(Ending::HandedBack(wait)) if identity.0.is_empty() => Verdict::Busy(wait),
+                Some(Ending::GivenUp) if identity.0.is_empty() => Verdict::Failed("given up".into()),
+                _ => Verdict::Taken,
+            };
+            self.remember(identity, Known { no, verdict, ending, until, tenant });
         }
     }
 
--- a/src/dispatch/route.rs
+++ b/src/dispatch/route.rs
@@ -153,7 +153,8 @@
 mod tests {
     use super::*;
     use crate::dispatch::Parts;
-    use crate::journal::Journal;
+    use crate::dispatch::{Submission, Verdict};
+    use crate::journal::{Ending, Journal, Record};
 
     fn worker(uid: &str, dest: DestId, listing: Listing) -> Worker {
         let address = "127.0.0.1:1".into();
@@ -201,4 +202,23 @@
         assert_eq!(core.worker(number).map(|w| w.listing), Some(Listing::Gone));
         assert!(core.is_listed(2) && !core.is_listed(3));
     }
+
+    /// Guards against a repeat, after a restart, of what was refused or given up: as taken, its end would never be told.
+    #[test]
+    fn what_was_refused_before_a_restart_is_not_taken_after_it() {
+        let cases = [
+            (Ending::HandedBack(40.0), Verdict::Busy(40.0)),
+            (Ending::GivenUp, Verdict::Failed("given up".into())),
+            (Ending::Delivered, Verdict::Taken),
+        ];
+        for (ending, wanted) in cases {
+            let mut core = core("refused");
+            let identity = (String::new(), "a".to_string());
+            let (until, tenant) = (9_000.0, String::new());
+            core.restore(0.0, vec![Record::Known { identity: identity.clone(), ending, until, tenant }]);
+            core.submit(1.0, 7, Submission { identity, ..Submission::default() });
+            let answer = Order::Answer { ticket: 7, verdict: wanted };
+            assert!(core.turn(1.0).contains(&answer), "{ending:?}");
+        }
+    }
 }
