--- a/src/dispatch/admit.rs
+++ b/src/dispatch/admit.rs
@@ -179,13 +179,14 @@
             left.retain(|no, (c, _)| *no < from || c.taken.tenant != *tenant);
         }
         self.ceilings.restore(now, spent);
+        let mut given_up = Vec::new();
         for (no, (mut call, cut_off)) in left {
             let class = place(&self.names.classes, &call.taken.class);
             if class.is_none() && call.ending.is_none() {
                 let (id, class) = (call.taken.identity.1.as_str(), call.taken.class.as_str());
                 log::error!(id = id, class = class, outcome = "given_up"; "the class '{class}' of a call in the journal is gone");
                 call.ending = Some(Ending::GivenUp);
-                self.note(&Record::Ended { no, ending: Ending::GivenUp });
+                given_up.push(no);
             }
             let class = class.unwrap_or(0);
             if call.ending.is_none() {
@@ -218,6 +219,10 @@
             self.tell(no);
         }
         self.open_seats(now, seats);
+        // Only now: a journal that is written anew holds what is known here, and before this that was not all.
+        for no in given_up {
+            self.note(&Record::Ended { no, ending: Ending::GivenUp });
+        }
     }
 
     pub(super) fn recall(
--- a/src/dispatch/seats.rs
+++ b/src/dispatch/seats.rs
@@ -830,23 +830,9 @@
         for k in &contents.parked {
             self.seats.parked.insert(k.key, (k.until as Ms, tenant.to_string()));
         }
-        for past in &contents.past {
-            let (until, ending) = (past.until as Ms, ending_in(past));
-            match past.name {
-                true => {
-                    let (name, ending) = (past.id.clone(), ending.unwrap_or(Ending::GivenUp));
-                    let tenant = tenant.to_string();
-                    self.once.remember(name.clone(), ending, until, tenant.clone());
-                    self.note(&Record::Once { name, ending, until, tenant });
-                }
-                false => {
-                    let identity = (past.client.clone(), past.id.clone());
-                    self.recall(now, identity.clone(), 0, ending, until, tenant.to_string());
-                    if let Some(ending) = ending {
-                        self.note(&Record::Known { identity, ending, until, tenant: tenant.into() });
-                    }
-                }
-            }
+        // From here on a journal that is written anew must tell of what was written here.
+        if let Some(place) = self.seats.of.get_mut(tenant) {
+            place.seat = seat.clone();
         }
         for call in calls {
             let no = call.taken.no;
@@ -865,6 +851,24 @@
                 self.thaw(now, no);
             }
         }
+        for past in &contents.past {
+            let (until, ending) = (past.until as Ms, ending_in(past));
+            match past.name {
+                true => {
+                    let (name, ending) = (past.id.clone(), ending.unwrap_or(Ending::GivenUp));
+                    let tenant = tenant.to_string();
+                    self.once.remember(name.clone(), ending, until, tenant.clone());
+                    self.note(&Record::Once { name, ending, until, tenant });
+                }
+                false => {
+                    let identity = (past.client.clone(), past.id.clone());
+                    self.recall(now, identity.clone(), 0, ending, until, tenant.to_string());
+                    if let Some(ending) = ending {
+                        self.note(&Record::Known { identity, ending, until, tenant: tenant.into() });
+                    }
+                }
+            }
+        }
         true
     }
 
--- a/tests/moves.rs
+++ b/tests/moves.rs
@@ -301,3 +301,145 @@
         assert!(a.is_clean(), "{a:?}");
     }
 }
+
+fn silent_for(id: &'static str) -> Worker {
+    const OK: Reply = Reply::Answer("200 OK");
+    Worker::start(move |r, _| if r.header("x-txn") == id { Reply::Silence } else { OK })
+}
+
+/// The hard case of a silent member: a reimbursement is out, without an answer until its time is up. Its tenant moves all the
+/// same; other keys are served at once, and what follows under its key waits until it must have ended.
+#[test]
+fn a_silent_member_holds_up_one_key_and_no_move() {
+    let worker = silent_for("out");
+    let mesh = Mesh::start(2, &["acme"], &[worker.address]);
+    let mut c = mesh.client(0);
+    assert_eq!(submit(&mut c, 7, "out", &options("reimbursement", "acme", 6_000)), "+OK");
+    until("it is out", || worker.of("out") == 1);
+    let begun = Instant::now();
+    assert_eq!(submit(&mut c, 7, "next", &options("reimbursement", "acme", 19_000).replace("k=k", "k=n")), "+OK");
+    good(&mesh.moved("acme", 1));
+    assert!(begun.elapsed() < Duration::from_secs(4), "the move waited for the member: {:?}", begun.elapsed());
+    // The old one tells where to go, and the new one serves other keys at once.
+    let told = submit(&mut c, 8, "other", &options("reimbursement", "acme", 9_000).replace("k=k", "k=o"));
+    assert_eq!(told, format!("-BUSY 1 MOVED n1 {}", mesh.ports[1].0));
+    let mut there = mesh.client(1);
+    let other = options("reimbursement", "acme", 9_000).replace("k=k", "k=o");
+    assert_eq!(submit(&mut there, 8, "other-2", &other), "+OK");
+    until("the other key is served", || worker.of("other-2") == 1);
+    assert_eq!(worker.of("next"), 0, "what follows the one that is out goes before it has ended");
+    // Handed in again at the new place, under another id, it is known: it may be running.
+    let again = submit(&mut there, 7, "out-2", &options("reimbursement", "acme", 9_000));
+    assert!(again.starts_with("-ERR"), "{again}");
+    until("the next one goes", || worker.of("next") == 1);
+    assert!(begun.elapsed() >= Duration::from_millis(5_500), "it went after {:?}", begun.elapsed());
+    until("its client hears", || mesh.notices.lines().iter().any(|l| l.contains("\"out\"")));
+    assert_eq!((worker.of("out"), worker.of("out-2")), (1, 0));
+    let lines = mesh.notices.lines();
+    assert!(lines.len() == 1 && lines[0].contains("given_up"), "{lines:?}");
+}
+
+/// The hard case of a target that never comes back: the source takes the tenant back by itself, in time for its messages.
+#[test]
+fn a_target_that_is_gone_gets_nothing() {
+    let worker = Worker::start(|_, _| Reply::Answer("200 OK"));
+    let mut mesh = Mesh::start(2, &["acme"], &[worker.address]);
+    mesh.kill(1);
+    let begun = Instant::now();
+    let tool = {
+        let map = mesh.path("map.toml");
+        thread::spawn(move || {
+            let args = ["cell", "move", "--map", &map, "acme", "--to", "n1", "--wait", "14"];
+            Command::new(env!("CARGO_BIN_EXE_lilacbank")).args(args).output().unwrap()
+        })
+    };
+    until("the move is under way", || mesh.seat(0, "acme").is_some_and(|s| s.0 != "settled"));
+    let mut c = mesh.client(0);
+    let busy = submit(&mut c, 7, "a", &options("approval", "acme", 9_000));
+    assert!(busy.starts_with("-BUSY 100"), "{busy}");
+    let out = tool.join().unwrap();
+    assert_eq!(out.status.code(), Some(1), "{}", text(&out));
+    assert!(text(&out).contains("taken back"), "{}", text(&out));
+    assert!(begun.elapsed() < Duration::from_secs(12), "{:?}", begun.elapsed());
+    mesh.phase(0, "acme", "settled");
+    assert_eq!(submit(&mut c, 7, "b", &options("approval", "acme", 9_000)), "+OK");
+    until("it is delivered here", || worker.of("b") == 1);
+    // Its epoch is used up: the target learns nothing of it when it comes back, and the next move goes through.
+    mesh.serve(1);
+    good(&mesh.moved("acme", 1));
+    assert_eq!(mesh.seat(1, "acme").map(|s| s.2), Some(3));
+}
+
+/// The hard cases of a target that restarts in the middle, of a move that is taken back, of one that is refused, and of a
+/// move back and forth.
+#[test]
+fn moves_that_are_interrupted_taken_back_or_wrong() {
+    let worker = silent_for("out");
+    let mut mesh = Mesh::start(2, &["acme"], &[worker.address]);
+    for (args, why) in [
+        (["acme", "--to", "n0"], "there already"),
+        (["acme", "--to", "n7"], "no dispatcher 'n7'"),
+        (["nobody", "--to", "n1"], "no dispatcher serves 'nobody'"),
+    ] {
+        let out = mesh.cell("move", args[0], &args[1..]);
+        assert!(out.status.code() == Some(1) && text(&out).contains(why), "{}", text(&out));
+    }
+    let out = mesh.cell("abort", "acme", &[]);
+    assert!(out.status.code() == Some(1), "nothing is under way: {}", text(&out));
+    // What is out keeps it draining for a moment, in which it is taken back.
+    let mut c = mesh.client(0);
+    assert_eq!(submit(&mut c, 7, "out", &options("approval", "acme", 3_000)), "+OK");
+    until("it is out", || worker.of("out") >= 1);
+    mesh.kill(1);
+    let map = mesh.path("map.toml");
+    let tool = thread::spawn(move || {
+        let args = ["cell", "move", "--map", &map, "acme", "--to", "n1", "--wait", "14"];
+        Command::new(env!("CARGO_BIN_EXE_lilacbank")).args(args).output().unwrap()
+    });
+    until("the move is under way", || mesh.seat(0, "acme").is_some_and(|s| s.0 != "settled"));
+    good(&mesh.cell("abort", "acme", &[]));
+    assert_eq!(tool.join().unwrap().status.code(), Some(1));
+    mesh.phase(0, "acme", "settled");
+    // The target restarts in the middle.
+    let map = mesh.path("map.toml");
+    let tool = thread::spawn(move || {
+        let args = ["cell", "move", "--map", &map, "acme", "--to", "n1", "--wait", "14"];
+        Command::new(env!("CARGO_BIN_EXE_lilacbank")).args(args).output().unwrap()
+    });
+    until("it is offered", || mesh.seat(0, "acme").is_some_and(|s| s.0 == "offered"));
+    mesh.serve(1);
+    good(&tool.join().unwrap());
+    good(&mesh.moved("acme", 0));
+    good(&mesh.moved("acme", 1));
+    mesh.phase(1, "acme", "settled");
+    mesh.phase(0, "acme", "away");
+    assert_eq!(submit(&mut mesh.client(1), 9, "last", &options("approval", "acme", 9_000)), "+OK");
+    until("it is delivered", || worker.of("last") == 1);
+}
+
+/// The hard case of a cell whose only dispatcher dies: its tenants wait for it, and those of others feel nothing. What it had
+/// taken on ends once it is back; a tenant that it had moved away is served all along.
+#[test]
+fn a_cell_without_its_dispatcher_leaves_others_alone() {
+    let worker = Worker::start(|_, _| Reply::Answer("200 OK"));
+    let mut mesh = Mesh::start(2, &["acme", "bolt"], &[worker.address]);
+    good(&mesh.moved("bolt", 1));
+    mesh.kill(0);
+    let out = mesh.cell("status", "acme", &[]);
+    assert_eq!(out.status.code(), Some(2), "{}", text(&out));
+    assert!(text(&out).contains("n0 at 127.0.0.1"), "the one that does not answer is named: {}", text(&out));
+    let mut c = mesh.client(1);
+    let told = submit(&mut c, 7, "a", &options("approval", "acme", 9_000));
+    assert_eq!(told, format!("-BUSY 1 MOVED n0 {}", mesh.ports[0].0));
+    for n in 0..20 {
+        assert_eq!(submit(&mut c, 8, &format!("b{n}"), &options("approval", "bolt", 9_000)), "+OK");
+    }
+    until("the other cell is served", || worker.of("b19") == 1);
+    let out = mesh.cell("move", "acme", &["--to", "n1"]);
+    assert!(out.status.code() == Some(2), "its journal is where it was: {}", text(&out));
+    mesh.serve(0);
+    mesh.phase(0, "acme", "settled");
+    mesh.phase(1, "bolt", "settled");
+    assert_eq!(submit(&mut mesh.client(0), 7, "a2", &options("approval", "acme", 9_000)), "+OK");
+    until("it is served again", || worker.of("a2") == 1);
+}
