--- a/crates/cells/tests/model.rs
+++ b/crates/cells/tests/model.rs
@@ -54,6 +54,7 @@
         Word::Unknown { epoch } => ("unknown", epoch, vec![]),
         Word::Stale { epoch } => ("stale", epoch, vec![]),
         Word::Query { epoch } => ("query", epoch, vec![]),
+        Word::Claim { epoch } => ("claim", epoch, vec![]),
     };
     Told(name.into(), *epoch, held)
 }
@@ -68,6 +69,7 @@
         "cancel" => Word::Cancel { epoch },
         "unknown" => Word::Unknown { epoch },
         "stale" => Word::Stale { epoch },
+        "claim" => Word::Claim { epoch },
         _ => Word::Query { epoch },
     }
 }
@@ -120,13 +122,24 @@
         for o in orders {
             match o {
                 Order::Tell(to, word) => drop(w.net.insert((n, to as usize, told(&word)))),
-                Order::Serve(held) => w.nodes[n].held = held,
+                Order::Serve(held) => {
+                    w.nodes[n].held = held;
+                    Moving::claim(w, n);
+                }
                 Order::Forget => w.nodes[n].held.clear(),
-                Order::Drain | Order::Resume => {}
+                Order::Drain | Order::Resume | Order::Finish => {}
             }
         }
     }
 
+    /// A dispatcher that begins to serve, or starts again, says so.
+    fn claim(w: &mut World, n: usize) {
+        if w.nodes[n].seat.owns() {
+            let epoch = w.nodes[n].seat.epoch;
+            w.net.insert((n, 1 - n, told(&Word::Claim { epoch })));
+        }
+    }
+
     fn end(w: &mut World, n: usize, m: u8) {
         w.nodes[n].held.retain(|x| *x != m);
         w.nodes[n].out.remove(&m);
@@ -230,6 +243,7 @@
                 for m in w.nodes[n].out.clone() {
                     Moving::end(&mut w, n, m);
                 }
+                Moving::claim(&mut w, n);
             }
         }
         (w != *last).then_some(w)
