Keep keys waiting over a restart of the dispatcher that took their tenant over

The simulation now also checks whose turn it is under each key, as the rule has it, and clients repeat what they have handed in. It found that the keys which wait for a message left behind at the source were known to the target's process only: after its restart the next message of the key began while the one before was still out.

--- a/crates/cells/src/wire.rs
+++ b/crates/cells/src/wire.rs
@@ -411,6 +411,9 @@
     /// It is settled once the messages that were received are written down under numbers from this one on.
     #[prost(uint64, optional, tag = "7")]
     pub adopts_from: Option<u64>,
+    /// Keys that wait here for a message that ends where the tenant came from.
+    #[prost(message, repeated, tag = "8")]
+    pub parked: Vec<Parked>,
 }
 
 /// Writes a seat down; `name` tells the other side's.
@@ -425,15 +428,8 @@
         Phase::Received { from, contents } => (5, Some(*from), Some(contents.clone()), Vec::new()),
     };
     let other = other.map(name).unwrap_or_default();
-    SeatRecord {
-        tenant: tenant.into(),
-        epoch: seat.epoch,
-        phase,
-        other,
-        contents,
-        offered,
-        adopts_from: None,
-    }
+    let tenant = tenant.into();
+    SeatRecord { tenant, epoch: seat.epoch, phase, other, contents, offered, ..SeatRecord::default() }
 }
 
 impl SeatRecord {
--- a/src/dispatch/admit.rs
+++ b/src/dispatch/admit.rs
@@ -179,6 +179,7 @@
             left.retain(|no, (c, _)| *no < from || c.taken.tenant != *tenant);
         }
         self.ceilings.restore(now, spent);
+        self.seats.park(seats.parked(now));
         let mut given_up = Vec::new();
         for (no, (mut call, cut_off)) in left {
             let class = place(&self.names.classes, &call.taken.class);
@@ -201,6 +202,8 @@
             });
             if seats.is_offered(&call.taken.tenant, no) && call.ending.is_none() {
                 call.frozen = Some(Frozen::Moving);
+            } else if self.is_parked(call.taken.key) && call.ending.is_none() && !cut_off {
+                call.frozen = Some(Frozen::Parked);
             } else {
                 self.cells.post(call.cell, resumed);
             }
--- a/src/dispatch/seats.rs
+++ b/src/dispatch/seats.rs
@@ -143,6 +143,17 @@
         self.bytes
     }
 
+    /// A seat as it is written down, with the keys that wait.
+    fn record(&self, tenant: &str, seat: &Seat<Contents>) -> SeatRecord {
+        let own = self.parked.iter().filter(|(_, p)| p.1 == tenant);
+        let parked = own.map(|(key, p)| Parked { key: *key, until: ms(p.0).saturating_add(1) }).collect();
+        SeatRecord { parked, ..wire::record(tenant, seat, |n| self.name(n)) }
+    }
+
+    pub(super) fn park(&mut self, keys: HashMap<u64, (Ms, String)>) {
+        self.parked.extend(keys);
+    }
+
     fn reckon(&mut self) {
         let received = |p: &Place| match &p.seat.phase {
             Phase::Received { contents, .. } => contents.encoded_len() as u64,
@@ -239,6 +250,13 @@
         self.adopting.iter().map(|(t, no)| (t, *no))
     }
 
+    /// Keys that wait, until when, and whose they are.
+    pub(super) fn parked(&self, now: Ms) -> HashMap<u64, (Ms, String)> {
+        let all = self.last.iter().flat_map(|(t, r)| r.parked.iter().map(move |p| (t, p)));
+        let waits = all.filter(|(_, p)| p.until as Ms > now);
+        waits.map(|(t, p)| (p.key, (p.until as Ms, t.clone()))).collect()
+    }
+
     /// Does the message stand under an offer that is not settled?
     pub(super) fn is_offered(&self, tenant: &str, no: CallNo) -> bool {
         self.last.get(tenant).is_some_and(|r| matches!(r.phase, 3 | 4) && r.offered.contains(&no))
@@ -330,8 +348,7 @@
 
     fn write_seat(&mut self, tenant: &str, seat: &Seat<Contents>) -> bool {
         self.compact_if_full();
-        let record = wire::record(tenant, seat, |n| self.seats.name(n));
-        self.append_seat(&record)
+        self.append_seat(&self.seats.record(tenant, seat))
     }
 
     fn append_seat(&mut self, record: &SeatRecord) -> bool {
@@ -345,9 +362,8 @@
     /// The seats for a journal that is written anew.
     pub(super) fn seat_records(&self) -> Vec<Record> {
         let known = self.seats.of.iter().filter(|(t, _)| !self.seats.asking.contains_key(*t));
-        let record = |(tenant, p): (&String, &Place)| {
-            Record::Seat(wire::record(tenant, &p.seat, |n| self.seats.name(n)).encode_to_vec())
-        };
+        let record =
+            |(tenant, p): (&String, &Place)| Record::Seat(self.seats.record(tenant, &p.seat).encode_to_vec());
         known.map(record).collect()
     }
 
@@ -778,7 +794,8 @@
     /// Writes down what was received, as messages of this journal. Until the last record stands, none of it counts.
     fn adopt(&mut self, now: Ms, tenant: &str, seat: &Seat<Contents>, contents: &Contents) -> bool {
         self.compact_if_full();
-        let settled = wire::record(tenant, seat, |n| self.seats.name(n));
+        let parked = contents.parked.clone();
+        let settled = SeatRecord { parked, ..wire::record(tenant, seat, |n| self.seats.name(n)) };
         let first = self.next_no;
         let begun = SeatRecord { adopts_from: Some(first), ..settled.clone() };
         if !self.append_seat(&begun) {
--- a/tests/mesh.rs
+++ b/tests/mesh.rs
@@ -19,6 +19,7 @@
 const ONCE: &str = "reimbursement";
 const DEADLINE: Ms = 8_000.0;
 const DISK: u64 = 400_000;
+const QUIET: Ms = 100.0;
 
 fn settings() -> Settings {
     let class = |effect, in_order| lilacbank::api::Class {
@@ -55,7 +56,7 @@
         overload_for: 2_000.0,
         cold_from: 0.2,
         cold: 1_000.0,
-        key_quiet: 100.0,
+        key_quiet: QUIET,
         ends_confirmed: true,
         ..Settings::default()
     }
@@ -113,6 +114,9 @@
     due: Ms,
     begun: Ms,
     asked: Option<(Ticket, Ms)>,
+    /// What was handed in last, and what was taken on last.
+    out: Option<(String, Submission)>,
+    last: Option<(String, Submission)>,
 }
 
 impl Client {
@@ -121,8 +125,19 @@
     }
 }
 
+/// Whose turn it is under a key, as the rule has it: one attempt at a time, and a rest after one that may still run.
+#[derive(Default)]
+struct Turn {
+    /// Dispatcher, number, attempt and name of the one that is out.
+    open: Option<(usize, CallNo, u32, String)>,
+    last: String,
+    quiet: Ms,
+}
+
 struct Sim {
     now: Ms,
+    turns: BTreeMap<u64, Turn>,
+    broken: Vec<String>,
     random: StdRng,
     weather: Weather,
     nodes: Vec<Node>,
@@ -170,9 +185,13 @@
             due: 1e12 + 1_200.0 + n as Ms,
             begun: 0.0,
             asked: None,
+            out: None,
+            last: None,
         });
         let mut sim = Sim {
             now: 1e12,
+            turns: BTreeMap::new(),
+            broken: Vec::new(),
             random: StdRng::seed_from_u64(seed),
             weather,
             nodes: (0..nodes).map(|n| Node { dir: dir(n), core: None, up_at: 0.0, conns: 0 }).collect(),
@@ -265,8 +284,9 @@
         let orders = core.turn(now);
         let (path, after, same) = self.journal(n);
         let busy = after > before || !orders.is_empty();
-        // Steps that write are rare beside those that do not: crashes are drawn among the former.
-        let crash = busy && self.chance(self.weather.crashes);
+        // Steps that write are rare beside those that do not, and those that write much are rarer and more telling.
+        let telling = if after > before + 400 { 25.0 } else { 1.0 };
+        let crash = busy && self.chance(self.weather.crashes * telling);
         if !crash {
             return orders.into_iter().for_each(|o| self.carry_out(n, o));
         }
@@ -281,6 +301,10 @@
             let some = self.random.random_range(0..=orders.len());
             orders.into_iter().take(some).for_each(|o| self.carry_out(n, o));
         }
+        // What was out is out no more; it may run still.
+        for turn in self.turns.values_mut().filter(|t| t.open.as_ref().is_some_and(|o| o.0 == n)) {
+            (turn.open, turn.quiet) = (None, now + QUIET);
+        }
     }
 
     fn later(&mut self, after: Ms, what: Later) {
@@ -292,6 +316,7 @@
         match order {
             Order::Answer { ticket, verdict } => self.answered(ticket, verdict),
             Order::Delegate(d) => {
+                self.begins(n, d.no, d.attempt, &d.id);
                 let service = self.random.random_range(5.0..60.0);
                 let draw = self.random.random_range(0.0..1.0);
                 let (no, attempt) = (d.no, d.attempt);
@@ -326,6 +351,7 @@
                     Later::Outcome { node, no: x, attempt: a, .. } => (*node, *x, *a) != (n, no, attempt),
                     _ => true,
                 });
+                self.ends(n, no, attempt, begun);
                 // The member goes on with what it has begun; what it never had to the end has not begun.
                 if !begun {
                     let at = self.runs.iter().rposition(|r| (r.node, r.no, r.attempt) == (n, no, attempt));
@@ -358,6 +384,43 @@
         }
     }
 
+    fn begins(&mut self, n: usize, no: CallNo, attempt: u32, id: &str) {
+        let (now, name) = (self.now, base(id));
+        let key: u64 = name.split('-').next().unwrap().parse().unwrap();
+        if self.clients.iter().any(|c| c.key == key && c.class == 0) {
+            return;
+        }
+        let turn = self.turns.entry(key).or_default();
+        if let Some(open) = &turn.open {
+            self.broken.push(format!("{id} begins at {} while {open:?} is out", self::name(n)));
+        }
+        if turn.quiet > now && turn.last != name {
+            self.broken.push(format!("{id} begins {} ms too early after {}", turn.quiet - now, turn.last));
+        }
+        (turn.open, turn.last) = (Some((n, no, attempt, name.clone())), name);
+    }
+
+    fn ends(&mut self, n: usize, no: CallNo, attempt: u32, runs: bool) {
+        let now = self.now;
+        let own = |t: &&mut Turn| t.open.as_ref().is_some_and(|o| (o.0, o.1, o.2) == (n, no, attempt));
+        if let Some(turn) = self.turns.values_mut().find(own) {
+            (turn.open, turn.quiet) = (None, if runs { now + QUIET } else { turn.quiet });
+        }
+    }
+
+    /// A message that was taken on comes again, late: nobody has heard the answer.
+    fn echo(&mut self, c: usize) {
+        let Some((id, options)) = self.clients[c].last.clone() else { return };
+        let at = self.random.random_range(0..self.nodes.len());
+        let (now, ticket) = (self.now, self.next_ticket);
+        self.next_ticket += 1;
+        // What is never repeated is known by its idempotency key, under whatever id it comes.
+        let fresh = self.clients[c].class == 2 && self.chance(0.5);
+        let id = if fresh { format!("{id}9") } else { id };
+        let submission = Submission { identity: (String::new(), id), again: true, ..options };
+        self.act(at, |core| core.submit(now, ticket, submission));
+    }
+
     fn answered(&mut self, ticket: Ticket, verdict: Verdict) {
         let Some(c) = self.tickets.remove(&ticket) else { return };
         if self.clients[c].asked.is_none_or(|a| a.0 != ticket) {
@@ -374,6 +437,9 @@
             }
             Verdict::Taken | Verdict::Failed(_) => {
                 let name = c.base();
+                if verdict == Verdict::Taken {
+                    c.last = c.out.clone();
+                }
                 (c.number, c.hand, c.due, c.begun) = (c.number + 1, 0, now + gap, 0.0);
                 match verdict {
                     Verdict::Taken => self.taken.insert(name),
@@ -402,6 +468,7 @@
                     self.act(node, |c| c.written(now, no, attempt));
                 }
                 Later::Outcome { node, life, no, attempt, outcome } if self.nodes[node].conns == life => {
+                    self.ends(node, no, attempt, false);
                     let end = lilacbank::dispatch::End::of(outcome);
                     self.act(node, |c| c.outcome(now, no, attempt, end));
                 }
@@ -419,6 +486,10 @@
         }
         if clients {
             (0..self.clients.len()).for_each(|c| self.client(c));
+            if self.chance(2.0 * STEP / 1_000.0) {
+                let c = self.random.random_range(0..self.clients.len());
+                self.echo(c);
+            }
             if self.chance(self.weather.moves * STEP / 1_000.0) {
                 self.operator();
             }
@@ -468,6 +539,7 @@
             reply: Vec::new(),
             body: vec![7; 40],
         };
+        client.out = Some((submission.identity.1.clone(), submission.clone()));
         let at = client.at;
         self.tickets.insert(ticket, c);
         self.act(at, |core| core.submit(now, ticket, submission));
@@ -514,7 +586,7 @@
 
     /// All that is wrong.
     fn wrong(&mut self) -> Vec<String> {
-        let mut wrong = Vec::new();
+        let mut wrong = self.broken.clone();
         let places = self.places();
         for t in TENANTS {
             let settled: Vec<_> = places.iter().filter(|p| p.1 == t && p.2 == "settled").collect();
--- a/tests/moves.rs
+++ b/tests/moves.rs
@@ -317,9 +317,16 @@
     assert_eq!(submit(&mut c, 7, "out", &options("reimbursement", "acme", 6_000)), "+OK");
     until("it is out", || worker.of("out") == 1);
     let begun = Instant::now();
-    assert_eq!(submit(&mut c, 7, "next", &options("reimbursement", "acme", 19_000).replace("k=k", "k=n")), "+OK");
+    assert_eq!(
+        submit(&mut c, 7, "next", &options("reimbursement", "acme", 19_000).replace("k=k", "k=n")),
+        "+OK"
+    );
     good(&mesh.moved("acme", 1));
-    assert!(begun.elapsed() < Duration::from_secs(4), "the move waited for the member: {:?}", begun.elapsed());
+    assert!(
+        begun.elapsed() < Duration::from_secs(4),
+        "the move waited for the member: {:?}",
+        begun.elapsed()
+    );
     // The old one tells where to go, and the new one serves other keys at once.
     let told = submit(&mut c, 8, "other", &options("reimbursement", "acme", 9_000).replace("k=k", "k=o"));
     assert_eq!(told, format!("-BUSY 1 MOVED n1 {}", mesh.ports[1].0));
