Test that an MQTT client follows its tenant and is answered where it went

A session's message that moved while it was out is repeated where its rules allow that, and its answer waits at the new dispatcher for the client, who is told its name and address on the next message. The simulation's clients repeat themselves more often.

--- a/tests/mesh.rs
+++ b/tests/mesh.rs
@@ -493,7 +493,7 @@
         }
         if clients {
             (0..self.clients.len()).for_each(|c| self.client(c));
-            if self.chance(2.0 * STEP / 1_000.0) {
+            if self.chance(12.0 * STEP / 1_000.0) {
                 let c = self.random.random_range(0..self.clients.len());
                 self.echo(c);
             }
--- a/tests/moves.rs
+++ b/tests/moves.rs
@@ -1,12 +1,15 @@
 //! Tenants that move between dispatchers of the real program: in traffic, under kills, and in the hard cases.
 
 mod stand;
+#[path = "stand/mqtt.rs"]
+mod stand_mqtt;
 
 use lilacbank_load::keyed::{audit, run, Audit, Chain, Sent};
 use lilacbank_load::member::{Endpoint, Manner, Notices};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use stand::{until, Client, Dispatcher, Reply, Worker};
+use stand::{until, Client, Dispatcher, Reply, Worker, PATIENCE};
+use stand_mqtt::MqttClient;
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Command, Output};
@@ -22,7 +25,8 @@
 /// Dispatchers that share a map, and the members that they deliver to.
 struct Mesh {
     dir: PathBuf,
-    ports: Vec<(SocketAddr, SocketAddr)>,
+    /// Of each dispatcher: for RESP2, for the others, and for MQTT.
+    ports: Vec<[SocketAddr; 3]>,
     up: Vec<Option<Dispatcher>>,
     notices: Notices,
 }
@@ -48,11 +52,11 @@
         let dir = std::env::temp_dir().join(format!("lilacbank-moves-{}-{n}", std::process::id()));
         let _ = std::fs::remove_dir_all(&dir);
         std::fs::create_dir_all(&dir).unwrap();
-        let ports: Vec<_> = free(2 * dispatchers).chunks(2).map(|p| (p[0], p[1])).collect();
+        let ports: Vec<_> = free(3 * dispatchers).chunks(3).map(|p| [p[0], p[1], p[2]]).collect();
         let notices = Notices::start().unwrap();
         let mut map = "map = \"m\"\nversion = 1\n".to_string();
-        for (d, (resp, peer)) in ports.iter().enumerate() {
-            map += &format!("[dispatchers.n{d}]\npeer = \"{peer}\"\nresp = \"{resp}\"\n");
+        for (d, [resp, peer, mqtt]) in ports.iter().enumerate() {
+            map += &format!("[dispatchers.n{d}]\npeer = \"{peer}\"\nresp = \"{resp}\"\nmqtt = \"{mqtt}\"\n");
         }
         let names = |all: &[&str]| all.iter().map(|t| format!("\"{t}\"")).collect::<Vec<_>>().join(", ");
         for d in 0..dispatchers {
@@ -76,12 +80,13 @@
         let mut mesh = Mesh { dir, ports, up: (0..dispatchers).map(|_| None).collect(), notices };
         for d in 0..dispatchers {
             let mut text = format!(
-                "application = \"d{d}\"\nstate = \"{}\"\nbuilding = \"a\"\nnotices = \"{}\"\n[listen]\nresp = \"{}\"\n\
+                "application = \"d{d}\"\nstate = \"{}\"\nbuilding = \"a\"\nnotices = \"{}\"\n[listen]\nresp = \"{}\"\nmqtt = \"{}\"\nmqtt-sessions = 16\n\
                  [mesh]\nmap = \"map.toml\"\ndispatcher = \"n{d}\"\n{CLASSES}[work]\nslots = 16\nheld = 160\n\
                  [process]\ndescriptors = 512\nmemory = \"64MiB\"\n",
                 mesh.dir.join(format!("s{d}")).display(),
                 mesh.notices.address,
-                mesh.ports[d].0
+                mesh.ports[d][0],
+                mesh.ports[d][2]
             );
             tenants.iter().for_each(|t| text += &format!("[tenants.{t}]\n"));
             (0..members.len()).for_each(|m| text += &format!("[[uses]]\nagreement = \"m{m}.toml\"\n"));
@@ -189,7 +194,7 @@
     let member = Endpoint::start(manner).unwrap();
     let tenants = ["acme", "bolt"];
     let mut mesh = Mesh::start(2, &tenants, &[member.address]);
-    let resp: Vec<SocketAddr> = mesh.ports.iter().map(|p| p.0).collect();
+    let resp: Vec<SocketAddr> = mesh.ports.iter().map(|p| p[0]).collect();
     let stop = Arc::new(AtomicBool::new(false));
     let clients: Vec<_> = (0..8u64)
         .map(|n| {
@@ -329,7 +334,7 @@
     );
     // The old one tells where to go, and the new one serves other keys at once.
     let told = submit(&mut c, 8, "other", &options("reimbursement", "acme", 9_000).replace("k=k", "k=o"));
-    assert_eq!(told, format!("-BUSY 1 MOVED n1 {}", mesh.ports[1].0));
+    assert_eq!(told, format!("-BUSY 1 MOVED n1 {}", mesh.ports[1][0]));
     let mut there = mesh.client(1);
     let other = options("reimbursement", "acme", 9_000).replace("k=k", "k=o");
     assert_eq!(submit(&mut there, 8, "other-2", &other), "+OK");
@@ -437,7 +442,7 @@
     assert!(text(&out).contains("n0 at 127.0.0.1"), "the one that does not answer is named: {}", text(&out));
     let mut c = mesh.client(1);
     let told = submit(&mut c, 7, "a", &options("approval", "acme", 9_000));
-    assert_eq!(told, format!("-BUSY 1 MOVED n0 {}", mesh.ports[0].0));
+    assert_eq!(told, format!("-BUSY 1 MOVED n0 {}", mesh.ports[0][0]));
     for n in 0..20 {
         assert_eq!(submit(&mut c, 8, &format!("b{n}"), &options("approval", "bolt", 9_000)), "+OK");
     }
@@ -450,3 +455,31 @@
     assert_eq!(submit(&mut mesh.client(0), 7, "a2", &options("approval", "acme", 9_000)), "+OK");
     until("it is served again", || worker.of("a2") == 1);
 }
+
+/// Guards against an MQTT client that is told nothing of where its tenant went, and against the answer to a message that moved
+/// being lost with its session.
+#[test]
+fn an_mqtt_client_follows_its_tenant_and_gets_its_answers_there() {
+    const OK: Reply = Reply::Answer("200 OK");
+    let worker =
+        Worker::start(|r, nth| if r.header("x-txn") == "m2" && nth < 2 { Reply::Silence } else { OK });
+    let mesh = Mesh::start(2, &["acme"], &[worker.address]);
+    let mut c = MqttClient::connect(mesh.ports[0][2], "bank-1");
+    let user = |k: &str| format!("class=approval,dest=0,tenant=acme,idempotency-key={k},key=07");
+    c.submit("m1", &user("a"), 9);
+    assert_eq!(c.outcome("m1"), "delivered");
+    c.submit("m2", &user("b"), 9);
+    until("it is out", || worker.of("m2") == 1);
+    good(&mesh.moved("acme", 1));
+    c.submit("m3", &user("c"), 9);
+    assert_eq!(c.outcome("m3"), "handed_back");
+    let told = c.answers.lock().unwrap().iter().find(|a| a.correlation == b"m3").cloned().unwrap();
+    assert_eq!((told.get("moved-to"), told.get("retry-in-ms")), ("n1", "1"));
+    let there: SocketAddr = told.get("server-reference").parse().unwrap();
+    assert_eq!(there, mesh.ports[1][2]);
+    c.reconnect(there);
+    c.submit("m4", &user("c"), 9);
+    assert_eq!(c.outcome("m4"), "delivered");
+    assert_eq!(c.outcome("m2"), "delivered", "what moved is answered where it went");
+    assert_eq!((c.outcomes("m2").len(), worker.of("m2")), (1, 2));
+}
