Test a tenant that floods while it moves

A hard case of the issue: 300 messages a second of a class without order beside eight ordered clients, six moves, some under kills. The ordered ones lose, double and reorder nothing.

--- a/tests/moves.rs
+++ b/tests/moves.rs
@@ -4,6 +4,8 @@
 #[path = "stand/mqtt.rs"]
 mod stand_mqtt;
 
+use lilacbank_load::arrivals::{poisson, Intended, Stream};
+use lilacbank_load::client::{drive, Door, Habits};
 use lilacbank_load::keyed::{audit, run, Audit, Chain, Sent};
 use lilacbank_load::member::{Endpoint, Manner, Notices};
 use rand::rngs::StdRng;
@@ -177,6 +179,8 @@
     moves: usize,
     /// Of a hundred moves so many meet a kill of the source, the target or both.
     kills: u32,
+    /// Messages a second of a class without order that one of the tenants sends beside its usual ones.
+    flood: f64,
 }
 
 struct Outcome {
@@ -186,6 +190,42 @@
     back: usize,
     killed: usize,
     stood: hdrhistogram::Histogram<u64>,
+    /// Messages of the flood that were handed in, and how many of them were turned away.
+    flood: (usize, usize),
+}
+
+/// A second of arrivals after another, until it is told to stop; every message goes to the dispatchers in turn.
+fn flood(seed: u64, rate: f64, stop: &AtomicBool, resp: Vec<SocketAddr>) -> (usize, usize) {
+    let second = Duration::from_secs(1);
+    let (mut asked, mut away) = (0, 0);
+    for n in 0.. {
+        if stop.load(Ordering::Relaxed) {
+            break;
+        }
+        let stream = Stream {
+            tenant: "acme".into(),
+            class: "status".into(),
+            dest: 0,
+            rate,
+            from: Duration::ZERO,
+            until: second,
+            wanted: second,
+            deadline: 4 * second,
+        };
+        // Its ids are told apart from those of the ordered clients by the seed's second.
+        let streams = vec![stream];
+        let messages: Vec<Intended> = poisson(seed * 1_000 + n, &streams)
+            .into_iter()
+            .map(|i| Intended { number: i.number + (1_000 + n as usize) * 100_000, ..i })
+            .collect();
+        let resp = resp.clone();
+        let route = Arc::new(move |_: &Stream, number: usize| resp[number % resp.len()]);
+        let habits = Habits { connections: 48, again: 1, ..Habits::default() };
+        let handed = drive(Instant::now(), &streams, &messages, route, &habits);
+        asked += handed.len();
+        away += handed.iter().filter(|h| h.door != Door::Taken).count();
+    }
+    (asked, away)
 }
 
 fn storm(s: &Storm) -> Outcome {
@@ -210,6 +250,10 @@
             thread::spawn(move || run(&chain, &resp, &stop))
         })
         .collect();
+    let flood = (s.flood > 0.0).then(|| {
+        let (seed, rate, stop, resp) = (s.seed, s.flood, stop.clone(), resp.clone());
+        thread::spawn(move || flood(seed, rate, &stop, resp))
+    });
     thread::sleep(Duration::from_millis(300));
     let mut stood = hdrhistogram::Histogram::new_with_bounds(1, 60_000, 3).unwrap();
     let (mut moved, mut back, mut killed) = (0, 0, 0);
@@ -256,6 +300,7 @@
         at[which] = place;
     }
     stop.store(true, Ordering::Relaxed);
+    let flood = flood.map_or((0, 0), |f| f.join().unwrap());
     let sent: Vec<Sent> = clients.into_iter().flat_map(|c| c.join().unwrap()).collect();
     let once = |key: u64| (key - 1) % 4 < 2;
     let start = Instant::now();
@@ -267,13 +312,13 @@
     }
     thread::sleep(Duration::from_millis(200));
     let audit = audit(&sent, &member.effects(), &mesh.notices.lines(), once);
-    Outcome { audit, sent, moved, back, killed, stood }
+    Outcome { audit, sent, moved, back, killed, stood, flood }
 }
 
 /// Guards against a message that is lost, doubled, out of order or told twice when its tenant moves.
 #[test]
 fn a_tenant_moves_in_traffic() {
-    let o = storm(&Storm { seed: 1, moves: 6, kills: 0 });
+    let o = storm(&Storm { seed: 1, moves: 6, kills: 0, flood: 0.0 });
     assert!(o.audit.is_clean(), "{:?}", o.audit);
     assert_eq!((o.moved, o.audit.told), (6, 0), "{:?}", o.audit);
     assert!(o.audit.delivered > 50 && o.sent.iter().all(|s| s.taken), "{:?}", o.audit);
@@ -282,26 +327,34 @@
 /// Guards against the same when source and target are killed at any moment of it.
 #[test]
 fn a_tenant_moves_while_dispatchers_are_killed() {
-    let o = storm(&Storm { seed: 2, moves: 10, kills: 100 });
+    let o = storm(&Storm { seed: 2, moves: 10, kills: 100, flood: 0.0 });
     assert!(o.audit.is_clean(), "{:?}", o.audit);
     assert!(o.killed == 10 && o.audit.delivered > 50, "{:?}", o.audit);
 }
 
+/// Guards against a flood of the tenant that moves: it may neither break a rule nor hold the move up for ever.
+#[test]
+fn a_tenant_moves_while_it_floods() {
+    let o = storm(&Storm { seed: 3, moves: 6, kills: 20, flood: 300.0 });
+    assert!(o.audit.is_clean(), "{:?}", o.audit);
+    assert!(o.moved >= 3 && o.flood.0 > 300, "{} moved, {:?}", o.moved, o.flood);
+}
+
 /// The figures of `docs/design/cells.md`: cargo test --release --test moves -- --ignored --nocapture
 #[test]
 #[ignore = "a measurement of several minutes"]
 fn measure_a_hundred_moves_under_kills() {
-    for (seed, kills) in [(11, 0), (12, 60), (13, 100)] {
-        let o = storm(&Storm { seed, moves: 100, kills });
+    for (seed, kills, flood) in [(11, 0, 0.0), (12, 60, 0.0), (13, 100, 0.0), (14, 30, 400.0)] {
+        let o = storm(&Storm { seed, moves: 100, kills, flood });
         let a = &o.audit;
         let door = o.sent.iter().map(|s| s.door).max().unwrap();
         println!(
             "seed {seed}: {} moves arrived, {} taken back or not begun, {} met a kill; {} messages taken, {} delivered, {} told; lost {}, \
              doubled {}, out of order {}, overlapping {}, told twice {}; stood still: p50 {} ms, p90 {} ms, p99 {} ms, most {} ms of {}; \
-             longest at the door {} ms",
+             longest at the door {} ms; flood {} asked, {} turned away",
             o.moved, o.back, o.killed, a.taken, a.delivered, a.told, a.lost.len(), a.doubled.len(), a.out_of_order.len(),
             a.overlapping.len(), a.told_twice.len(), o.stood.value_at_quantile(0.5), o.stood.value_at_quantile(0.9),
-            o.stood.value_at_quantile(0.99), o.stood.max(), o.stood.len(), door.as_millis()
+            o.stood.value_at_quantile(0.99), o.stood.max(), o.stood.len(), door.as_millis(), o.flood.0, o.flood.1
         );
         assert!(a.is_clean(), "{a:?}");
     }
