Divide an endpoint's promised connections by cell

Connections were promised for the whole dispatcher, so one cell could hold all that an endpoint takes. A cell now has its part while it has something to send, a quarter of it else, and what is idle is lent; what was borrowed comes back as calls end. A unit test has the figures.

--- a/src/dispatch/cells.rs
+++ b/src/dispatch/cells.rs
@@ -72,6 +72,8 @@
     told: (usize, usize),
     /// The most calls that it had out at once, fading, and when that was reckoned.
     peak: (f64, Ms),
+    /// Calls that it has out to endpoints whose connections were promised, by id.
+    links: HashMap<String, u32>,
 }
 
 /// All cells of a dispatcher.
@@ -117,6 +119,7 @@
             ends: VecDeque::new(),
             told: (0, 0),
             peak: (0.0, 0.0),
+            links: HashMap::new(),
         };
         let pinned =
             specs.iter().enumerate().flat_map(|(n, s)| s.tenants.iter().map(move |t| (t.clone(), n)));
@@ -338,6 +341,36 @@
         }
     }
 
+    /// A call to an endpoint goes out, or is back.
+    pub(super) fn link(&mut self, cell: CellNo, uid: &str, goes: bool) {
+        if self.undivided() {
+            return;
+        }
+        let Some(c) = self.all.get_mut(cell) else { return };
+        let out = c.links.get(uid).copied().unwrap_or(0);
+        match if goes { out + 1 } else { out.saturating_sub(1) } {
+            0 => drop(c.links.remove(uid)),
+            n => drop(c.links.insert(uid.to_string(), n)),
+        }
+    }
+
+    /// Of the connections that an endpoint takes, those that a cell may use: what is left by the others, who keep their part
+    /// while they have something to send, and a quarter of it else. What one has borrowed comes back as its calls end.
+    pub(super) fn links_left(&self, cell: CellNo, uid: &str, whole: u32) -> u32 {
+        if self.undivided() || whole == u32::MAX {
+            return whole;
+        }
+        let sum: f64 = self.places.iter().map(|p| p.weight).sum();
+        let kept = |n: usize| {
+            let part = (f64::from(whole) * self.places[n].weight / sum.max(f64::MIN_POSITIVE)) as u32;
+            let idle = self.all[n].held == 0;
+            let part = if idle { part * SLOTS_KEPT / 100 } else { part };
+            part.max(self.all[n].links.get(uid).copied().unwrap_or(0))
+        };
+        let others: u32 = (0..self.all.len()).filter(|n| *n != cell).map(kept).sum();
+        whole.saturating_sub(others)
+    }
+
     /// Calls to an endpoint that a cell may start, and when to look again.
     pub(super) fn calls_left(
         &mut self,
@@ -432,3 +465,26 @@
         self.cells.all.iter().map(one).collect::<Vec<_>>().join(", ")
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against one cell that takes all connections of an endpoint, and against a part that nobody may use.
+    #[test]
+    fn connections_are_lent_and_come_back_as_calls_end() {
+        let spec = |name: &str| CellSpec { name: name.into(), weight: 1.0, tenants: Vec::new() };
+        let settings = Settings { slots: 32, max_held: 100, ..Settings::default() };
+        let mut cells = Cells::new(&settings, &[spec("a"), spec("b")], &[], 1 << 20);
+        assert_eq!(cells.links_left(0, "e", 8), 7, "a quarter of the idle part is never lent");
+        (0..7).for_each(|_| cells.link(0, "e", true));
+        cells.resumed(1, 100);
+        assert_eq!((cells.links_left(0, "e", 8), cells.links_left(1, "e", 8)), (4, 1), "the owner wants it");
+        (0..3).for_each(|_| cells.link(0, "e", false));
+        assert_eq!(cells.links_left(1, "e", 8), 4);
+        assert_eq!(cells.links_left(1, "other", 8), 7, "each endpoint by itself");
+        assert_eq!(cells.links_left(1, "e", u32::MAX), u32::MAX);
+        (0..9).for_each(|_| cells.link(0, "e", false));
+        assert!(cells.all[0].links.is_empty());
+    }
+}
--- a/src/dispatch/pace.rs
+++ b/src/dispatch/pace.rs
@@ -34,6 +34,7 @@
                     if calls == 0 {
                         again = again.min(at);
                     }
+                    let links = self.cells.links_left(cell, uid, links);
                     let told = (calls, if calls == 0 { at } else { 0.0 }, links);
                     if self.room_told.get(&(*route, cell)) != Some(&told) {
                         self.room_told.insert((*route, cell), told);
@@ -71,6 +72,7 @@
             }
             return Err(NOT_WRITTEN_REST);
         }
+        self.cells.link(cell, &charge.uid, true);
         // The module counts down by itself; other routes of the limit hear of it.
         if let Some(told) = self.room_told.get_mut(&(route, cell)) {
             told.0 = if told.0 == u32::MAX { told.0 } else { told.0.saturating_sub(1) };
@@ -102,6 +104,7 @@
         if charge.own {
             self.cells.charge_ended(now, cell, charge.dest, &charge.uid, charge.written);
         }
+        self.cells.link(cell, &charge.uid, false);
         self.ceilings.ended(charge.dest, &charge.uid, charge.written);
         if !charge.written {
             self.step(now, &charge, Step::GivenBack);
--- a/tests/mesh.rs
+++ b/tests/mesh.rs
@@ -843,7 +843,10 @@
 #[test]
 #[ignore = "a search of some minutes"]
 fn search_many_seeds() {
+    let many: u64 = std::env::var("SEEDS").map_or(500, |v| v.parse().unwrap());
+    let mut from: u64 = std::env::var("FROM").map_or(20_000, |v| v.parse().unwrap());
     for (n, weather) in [(2, STORM), (3, STORM), (2, Weather { silent: 0.1, crashes: 0.01, ..STORM })] {
-        seeds(10_000 * n as u64, 500, n, weather);
+        seeds(from, many, n, weather);
+        from += many;
     }
 }
