Keep one cell's exhausted part from holding up the calls of all others

A call that its own cell's part kept back was told to all other cells as the member's wait, so each of them paused, too. Now only what a member says goes round. Idle cells keep what they have needed of late of their promised calls, as they do of slots, and a cell that waits for its own part is not told the time of the whole.

--- a/src/dispatch/cells.rs
+++ b/src/dispatch/cells.rs
@@ -74,6 +74,22 @@
     peak: (f64, Ms),
     /// Calls that it has out to endpoints whose connections were promised, by id.
     links: HashMap<String, u32>,
+    /// The most of its own promised calls to an endpoint that it has used up in one span, fading, and when that was reckoned.
+    spent: HashMap<String, (f64, Ms)>,
+}
+
+impl Cell {
+    /// Its own calls to an endpoint in a span, and those that are left of them.
+    fn spent_now(&mut self, now: Ms, dest: DestId, uid: &str) -> Option<(u32, u32)> {
+        let part = self.own.promise(dest)?.calls?;
+        let left = self.own.room(now, dest, uid)?.calls;
+        Some((part, left.min(part)))
+    }
+
+    fn spent_peak(&self, now: Ms, uid: &str) -> f64 {
+        let (peak, at) = self.spent.get(uid).copied().unwrap_or((0.0, now));
+        peak * (0.5f64).powf((now - at).max(0.0) / PEAK_HALF)
+    }
 }
 
 /// All cells of a dispatcher.
@@ -120,6 +136,7 @@
             told: (0, 0),
             peak: (0.0, 0.0),
             links: HashMap::new(),
+            spent: HashMap::new(),
         };
         let pinned =
             specs.iter().enumerate().flat_map(|(n, s)| s.tenants.iter().map(move |t| (t.clone(), n)));
@@ -329,7 +346,14 @@
             return Err((again - now).max(1.0));
         }
         // Beyond its own part it goes on what the others leave, and is not counted against the part.
-        Ok(self.all[cell].own.take(now, dest, uid).is_ok())
+        let c = &mut self.all[cell];
+        let own = c.own.take(now, dest, uid).is_ok();
+        if own {
+            let used = c.spent_now(now, dest, uid).map_or(0.0, |(part, left)| f64::from(part - left));
+            let peak = c.spent_peak(now, uid).max(used);
+            c.spent.insert(uid.to_string(), (peak, now));
+        }
+        Ok(own)
     }
 
     pub(super) fn charge_ended(&mut self, now: Ms, cell: CellNo, dest: DestId, uid: &str, written: bool) {
@@ -391,12 +415,17 @@
             if n == cell {
                 own = (room.calls, room.again);
             } else if c.held > 0 {
-                // Only who has something to send keeps its part; who is idle lends all of it for this span.
                 kept += room.calls;
+            } else if let Some((part, left)) = c.spent_now(now, dest, uid) {
+                // A call that was lent is gone for the span. Who is idle keeps what it has needed of late, or a quarter.
+                let peak = c.spent_peak(now, uid);
+                let needs = ((peak + peak.sqrt()).ceil() as u32).max(part * SLOTS_KEPT / 100);
+                kept += needs.saturating_sub(part - left).min(left);
             }
         }
         let lent = whole.calls.saturating_sub(kept);
-        (own.0.min(whole.calls).max(lent), own.1.max(whole.again))
+        // There is room in the whole: what the cell waits for is its own part.
+        (own.0.min(whole.calls).max(lent), own.1)
     }
 }
 
--- a/src/dispatch/pace.rs
+++ b/src/dispatch/pace.rs
@@ -154,7 +154,8 @@
 
     /// A delegation ended: its cell hears of it, and all others of the wait that was told.
     pub(super) fn ended_in(&mut self, cell: usize, ended: Ended) {
-        if ended.wait > 0.0 {
+        // What was not sent was kept back by the cell's own part: that is no word of the member's.
+        if ended.wait > 0.0 && ended.outcome != Outcome::NotSent {
             for other in (0..self.cells.all.len()).filter(|n| *n != cell) {
                 let wait = Ended { id: NOBODY, report: Report::default(), ..ended };
                 self.cells.post(other, Event::Ended(wait));
