--- a/tests/mesh.rs
+++ b/tests/mesh.rs
@@ -99,7 +99,7 @@
 }
 
 enum Later {
-    Word { to: usize, envelope: Envelope },
+    Word { to: usize, envelope: Box<Envelope> },
     Written { node: usize, life: u64, no: CallNo, attempt: u32 },
     Outcome { node: usize, life: u64, no: CallNo, attempt: u32, outcome: Outcome },
     Confirm { node: usize, life: u64, no: CallNo },
@@ -379,7 +379,7 @@
                 for _ in 0..copies {
                     if !self.chance(self.weather.lost) {
                         let after = self.random.random_range(1.0..60.0);
-                        self.later(after, Later::Word { to, envelope: (*envelope).clone() });
+                        self.later(after, Later::Word { to, envelope: envelope.clone() });
                     }
                 }
             }
@@ -470,7 +470,7 @@
         due.sort_by(|a, b| a.0.total_cmp(&b.0));
         for (_, what) in due {
             match what {
-                Later::Word { to, envelope } => self.act(to, |c| c.hear(now, 0, envelope)),
+                Later::Word { to, envelope } => self.act(to, |c| c.hear(now, 0, *envelope)),
                 Later::Written { node, life, no, attempt } if self.nodes[node].conns == life => {
                     self.act(node, |c| c.written(now, no, attempt));
                 }
