--- a/src/dispatch/admit.rs
+++ b/src/dispatch/admit.rs
@@ -203,7 +203,8 @@
                 message: self.message(class, &call.taken, true),
                 attempts: call.attempts,
                 ran: call.ran.as_ref().map(|s| (s.at, self.zone_of(&s.zone))),
-                cut_off,
+                // Guards against a rest that was forgotten: an attempt that was late just before the end may run still.
+                cut_off: cut_off || call.taken.key.is_some(),
                 ended: call.ending.is_some(),
             });
             if seats.is_offered(&call.taken.tenant, no) && call.ending.is_none() {
