Let every key rest after a restart; one way in and out of what is held; fewer walks in a turn

The rest of a key after a restart hung on messages that happened to be held, by a mark on each: now the module is told of the restart (Event::Restarted) and all keys rest once, so Resumed.cut_off is gone. Calls came to be held, and went, in three places each: hold_again and take_out are one. A lane's name was made for each message also where nothing is divided; every turn of a dispatcher with a map looked at all tenants' seats, and a status at all calls for each tenant. After a move that was taken back, what follows an unsafe message that is out waited for its whole time, or not at all if that message had been left before the offer: it waits for that message's end now. An identity that ends elsewhere is remembered over a restart of the target.

--- a/crates/cells/src/moving.rs
+++ b/crates/cells/src/moving.rs
@@ -207,7 +207,7 @@
 
 type Step<C> = (Seat<C>, Vec<Order<C>>);
 
-impl<C: Clone + PartialEq> Seat<C> {
+impl<C: Clone> Seat<C> {
     /// The seat of a tenant that lives here from the start.
     pub fn settled() -> Seat<C> {
         Seat { epoch: 1, phase: Phase::Settled }
@@ -251,7 +251,7 @@
             Input::Move(to) => return self.start(to),
             Input::Abort => return self.abort(faults),
             Input::Reclaim => return self.reclaim(),
-            Input::Yield(to) if self.phase == Phase::Settled => {
+            Input::Yield(to) if self.serves() => {
                 (Seat { epoch: self.epoch, phase: Phase::Away { at: Some(to) } }, vec![Order::Finish])
             }
             Input::Yield(_) => self.stay(),
--- a/crates/cells/src/wire.rs
+++ b/crates/cells/src/wire.rs
@@ -52,11 +52,8 @@
     /// and in which building; a repeat goes nowhere else.
     #[prost(string, tag = "12")]
     pub ran_in: String,
-    /// Its key rests until then, in milliseconds since 1970.
-    #[prost(uint64, tag = "13")]
-    pub rests_until: u64,
     /// Its number where it was held before.
-    #[prost(uint64, tag = "14")]
+    #[prost(uint64, tag = "13")]
     pub no: u64,
 }
 
--- a/src/api.rs
+++ b/src/api.rs
@@ -301,8 +301,6 @@
     pub attempts: u32,
     /// Send time and zone of the first attempt that may have run.
     pub ran: Option<(Ms, usize)>,
-    /// An attempt was out when the process ended: it may run still.
-    pub cut_off: bool,
     /// Its end was decided, and its client has not heard yet.
     pub ended: bool,
 }
@@ -325,6 +323,8 @@
     Arrived(Message),
     /// A message of an earlier process is held again.
     Resumed(Resumed),
+    /// An earlier process of this sender has ended: what it called may run still, so every key rests first.
+    Restarted,
     /// The client of a message that the module ended has heard of it, where ends are confirmed.
     Heard(MsgId),
     /// This process ends at that time and leaves what it holds to the next one.
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -185,6 +185,7 @@
                 self.watch_gap = (self.watch_gap * 2.0).min(WATCH_GAP_MOST);
             }
             Event::Arrived(m) => self.arrived(now, m, out),
+            Event::Restarted => self.keys.rest_all(now + self.s.key_quiet),
             Event::Resumed(r) => self.resumed(now, r, out),
             Event::Heard(id) => {
                 self.owed.remove(id).into_iter().for_each(|k| self.keys.leave(k, *id));
@@ -299,9 +300,6 @@
             self.keys.enter(now, k, id);
             self.owed.insert(id, k);
         }
-        if let Some(k) = key.filter(|_| r.cut_off) {
-            self.keys.rest(k, now + self.s.key_quiet);
-        }
     }
 
     /// What a message beyond its tenant's quota is worth; each sender counts on an even part of the quota.
--- a/src/dispatch/admit.rs
+++ b/src/dispatch/admit.rs
@@ -12,7 +12,7 @@
 /// Advice to a client when there is no room and nothing better is known.
 pub(super) const NO_ROOM_ADVICE: Ms = 500.0;
 /// How long an identity is remembered after its call's time is up.
-pub(super) const MEMORY: Ms = 15_000.0;
+const MEMORY: Ms = 15_000.0;
 /// What a remembered identity needs beside its own text.
 const KNOWN_MARGIN: u64 = 64;
 
@@ -81,7 +81,7 @@
         Ok(())
     }
 
-    pub(super) fn message(&self, class: usize, t: &Taken, again: bool) -> Message {
+    fn message(&self, class: usize, t: &Taken, again: bool) -> Message {
         Message {
             id: t.no,
             class,
@@ -135,6 +135,9 @@
     /// Takes up what an earlier process left. A delegation without an outcome may have run; the module learns so.
     pub fn restore(&mut self, now: Ms, records: Vec<Record>) {
         self.now = now;
+        if !records.is_empty() {
+            self.cells.post_all(&Event::Restarted);
+        }
         let (mut spent, mut seats) = (Vec::new(), SeatsRead::default());
         let mut left: BTreeMap<CallNo, (Call, bool)> = BTreeMap::new();
         for record in records {
@@ -184,48 +187,22 @@
             left.retain(|no, (c, _)| *no < from || c.taken.tenant != *tenant);
         }
         self.ceilings.restore(now, spent);
-        self.seats.park(seats.parked(now));
+        self.seats.park_again(now, &seats);
         let mut given_up = Vec::new();
         for (no, (mut call, cut_off)) in left {
-            let class = place(&self.names.classes, &call.taken.class);
-            if class.is_none() && call.ending.is_none() {
+            if place(&self.names.classes, &call.taken.class).is_none() && call.ending.is_none() {
                 let (id, class) = (call.taken.identity.1.as_str(), call.taken.class.as_str());
                 log::error!(id = id, class = class, outcome = "given_up"; "the class '{class}' of a call in the journal is gone");
                 call.ending = Some(Ending::GivenUp);
                 given_up.push(no);
             }
-            let class = class.unwrap_or(0);
-            if call.ending.is_none() {
-                self.cells.resumed(call.cell, call.size);
-                self.cells.enter_lane(now, &call.taken);
-            }
-            let resumed = Event::Resumed(Resumed {
-                message: self.message(class, &call.taken, true),
-                attempts: call.attempts,
-                ran: call.ran.as_ref().map(|s| (s.at, self.zone_of(&s.zone))),
-                // Guards against a rest that was forgotten: an attempt that was late just before the end may run still.
-                cut_off: cut_off || call.taken.key.is_some(),
-                ended: call.ending.is_some(),
-            });
-            if seats.is_offered(&call.taken.tenant, no) && call.ending.is_none() {
-                call.frozen = Some(Frozen::Moving);
-            } else if self.is_parked(call.taken.key) && call.ending.is_none() && !cut_off {
-                call.frozen = Some(Frozen::Parked);
-            } else {
-                self.cells.post(call.cell, resumed);
-            }
-            let until = call.taken.valid_until + MEMORY;
-            let tenant = self.movable(&call.taken.tenant);
-            self.recall(now, call.taken.identity.clone(), no, call.ending, until.max(now + MEMORY), tenant);
-            self.live_bytes += call.size;
-            let t = &call.taken;
-            let name = self.once.name(&t.class, &t.idempotency, &t.identity.1);
-            name.into_iter().for_each(|n| self.once.held(n, no));
-            if call.ending.is_none() {
-                self.ceilings.queue(t.dest);
-            }
-            self.counters.resumed += 1;
-            self.calls.insert(no, call);
+            call.frozen = match call.ending {
+                None if seats.is_offered(&call.taken.tenant, no) => Some(Frozen::Moving),
+                // What was out when the process ended is not what others of its key wait for.
+                None if self.is_parked(call.taken.key) && !cut_off => Some(Frozen::Parked),
+                _ => None,
+            };
+            self.hold_again(now, call);
             self.tell(no);
         }
         self.open_seats(now, seats);
@@ -235,6 +212,42 @@
         }
     }
 
+    /// A call of an earlier process, or of another dispatcher, is held here; the module has it if nothing keeps it from it.
+    pub(super) fn hold_again(&mut self, now: Ms, call: Call) {
+        let (no, t) = (call.taken.no, &call.taken);
+        if call.ending.is_none() {
+            self.cells.resumed(now, &call);
+            self.ceilings.queue(t.dest);
+        }
+        let name = self.once.name(&t.class, &t.idempotency, &t.identity.1);
+        name.into_iter().for_each(|n| self.once.held(n, no));
+        let (until, tenant) = (t.valid_until.max(now) + MEMORY, self.movable(&t.tenant));
+        self.recall(now, t.identity.clone(), no, call.ending, until, tenant);
+        self.live_bytes += call.size;
+        self.counters.resumed += 1;
+        let waits = call.frozen.is_some();
+        self.calls.insert(no, call);
+        if !waits {
+            self.resume(no);
+        }
+    }
+
+    /// Gives a call to the module that it does not have, or not any more.
+    pub(super) fn resume(&mut self, no: CallNo) {
+        let Some(c) = self.calls.get_mut(&no) else { return };
+        c.frozen = None;
+        let c = &self.calls[&no];
+        let zone = |name: &str| place(&self.names.zones, name).unwrap_or(self.names.zones.len());
+        let class = place(&self.names.classes, &c.taken.class).unwrap_or(0);
+        let resumed = Event::Resumed(Resumed {
+            message: self.message(class, &c.taken, true),
+            attempts: c.attempts,
+            ran: c.ran.as_ref().map(|s| (s.at, zone(&s.zone))),
+            ended: c.ending.is_some(),
+        });
+        self.cells.post(c.cell, resumed);
+    }
+
     pub(super) fn recall(
         &mut self,
         now: Ms,
--- a/src/dispatch/book.rs
+++ b/src/dispatch/book.rs
@@ -1,6 +1,6 @@
 //! Book: a call ends once; its client is told until it has heard, and only then is the call over.
 
-use super::{Core, Counters, Order, Told, Verdict, ANSWER_KEPT};
+use super::{Call, Core, Counters, Frozen, Order, Told, Verdict, ANSWER_KEPT};
 use crate::api::*;
 use crate::journal::{CallNo, Ending, Record};
 
@@ -49,8 +49,11 @@
         let (outcome, wait) = told(ending);
         log::debug!(id = identity.1.as_str(), class = c.taken.class.as_str(), member = dest, outcome = outcome, wait_ms = wait; "a call ended");
         self.ceilings.unqueue(dest);
-        self.cells.over(now, c.cell, c.size);
-        self.cells.leave_lane(now, &c.taken, ending == Ending::Delivered);
+        self.cells.over(now, c, ending == Ending::Delivered);
+        let behind = c.frozen == Some(Frozen::Behind);
+        if behind {
+            self.free_key(now, no);
+        }
         let platform = identity.0.is_empty();
         self.note(&Record::Ended { no, ending });
         let asking = self.asking.iter().any(|a| a.0 == no);
@@ -87,7 +90,7 @@
 
     /// Guards against answers piling up for sessions that never come back; the platform is told until it hears.
     pub(super) fn lapse(&mut self, now: Ms) {
-        let lapsed = |c: &super::Call| {
+        let lapsed = |c: &Call| {
             let session = !c.taken.identity.0.is_empty();
             session && c.ending.is_some() && c.taken.valid_until + ANSWER_KEPT <= now
         };
@@ -103,15 +106,20 @@
         }
     }
 
-    /// Nothing more is owed for the call; a later one of its key may go.
-    pub(super) fn close_over(&mut self, now: Ms, no: CallNo) {
-        let Some(c) = self.calls.remove(&no) else { return };
+    /// A call is held no more.
+    pub(super) fn take_out(&mut self, now: Ms, no: CallNo) -> Option<Call> {
+        let c = self.calls.remove(&no)?;
         self.live_bytes -= c.size;
         if c.ending.is_none() {
             self.ceilings.unqueue(c.taken.dest);
-            self.cells.over(now, c.cell, c.size);
-            self.cells.leave_lane(now, &c.taken, false);
+            self.cells.over(now, &c, false);
         }
+        Some(c)
+    }
+
+    /// Nothing more is owed for the call; a later one of its key may go.
+    pub(super) fn close_over(&mut self, now: Ms, no: CallNo) {
+        let Some(c) = self.take_out(now, no) else { return };
         let name = self.once.name(&c.taken.class, &c.taken.idempotency, &c.taken.identity.1);
         if let Some(name) = name {
             // Without an end of its own it may have run.
--- a/src/dispatch/cells.rs
+++ b/src/dispatch/cells.rs
@@ -5,7 +5,7 @@
 //! module decides as ever. What a member says of itself (waits, the list, probes) all of them hear. With one cell none of
 //! this is in the way: there is one module, and nothing is divided.
 
-use super::Core;
+use super::{Call, Core};
 use crate::api::*;
 use crate::brain::Brain;
 use crate::journal::{Ending, Taken};
@@ -78,6 +78,11 @@
     spent: HashMap<String, (f64, Ms)>,
 }
 
+/// What is left of a peak that was reckoned a while ago.
+fn faded((peak, at): (f64, Ms), now: Ms) -> f64 {
+    peak * (0.5f64).powf((now - at).max(0.0) / PEAK_HALF)
+}
+
 impl Cell {
     /// Its own calls to an endpoint in a span, and those that are left of them.
     fn spent_now(&mut self, now: Ms, dest: DestId, uid: &str) -> Option<(u32, u32)> {
@@ -87,8 +92,7 @@
     }
 
     fn spent_peak(&self, now: Ms, uid: &str) -> f64 {
-        let (peak, at) = self.spent.get(uid).copied().unwrap_or((0.0, now));
-        peak * (0.5f64).powf((now - at).max(0.0) / PEAK_HALF)
+        self.spent.get(uid).map_or(0.0, |peak| faded(*peak, now))
     }
 }
 
@@ -238,8 +242,7 @@
             self.slots.take(cell);
             let c = &mut self.all[cell];
             c.out += 1;
-            let faded = c.peak.0 * (0.5f64).powf((now - c.peak.1).max(0.0) / PEAK_HALF);
-            c.peak = (faded.max(c.out as f64), now);
+            c.peak = (faded(c.peak, now).max(c.out as f64), now);
             self.slots.keep(cell, c.peak.0.ceil() as u64);
         }
         given
@@ -259,30 +262,36 @@
         }
     }
 
-    /// A call of an earlier process is held again.
-    pub(super) fn resumed(&mut self, cell: CellNo, size: u64) {
+    /// A call of an earlier process, or of another dispatcher, is held here.
+    pub(super) fn resumed(&mut self, now: Ms, call: &Call) {
         if !self.undivided() {
-            self.held.force(cell, 1);
-            self.room.force(cell, size.div_ceil(PIECE));
-            self.all[cell].held += 1;
+            self.held.force(call.cell, 1);
+            self.room.force(call.cell, call.size.div_ceil(PIECE));
+            self.all[call.cell].held += 1;
+            self.enter_lane(now, &call.taken);
         }
     }
 
     /// The end of a call is decided: its place is free, although its client may have to be told yet.
-    pub(super) fn over(&mut self, now: Ms, cell: CellNo, size: u64) {
+    pub(super) fn over(&mut self, now: Ms, call: &Call, delivered: bool) {
         if self.undivided() {
             return;
         }
-        self.held.give(cell);
-        (0..size.div_ceil(PIECE)).for_each(|_| self.room.give(cell));
-        let c = &mut self.all[cell];
-        c.held = c.held.saturating_sub(1);
+        self.leave_lane(now, &call.taken, delivered);
+        self.give_place(call.cell, call.size);
+        let c = &mut self.all[call.cell];
         c.ends.push_back(now);
         if c.ends.len() > PACE_ENDS {
             c.ends.pop_front();
         }
     }
 
+    fn give_place(&mut self, cell: CellNo, size: u64) {
+        self.held.give(cell);
+        (0..size.div_ceil(PIECE)).for_each(|_| self.room.give(cell));
+        self.all[cell].held = self.all[cell].held.saturating_sub(1);
+    }
+
     /// A message is held from now on.
     pub(super) fn enter_lane(&mut self, now: Ms, t: &Taken) {
         if self.undivided() {
@@ -293,10 +302,7 @@
     }
 
     /// It is held no more; was it delivered?
-    pub(super) fn leave_lane(&mut self, now: Ms, t: &Taken, delivered: bool) {
-        if self.undivided() {
-            return;
-        }
+    fn leave_lane(&mut self, now: Ms, t: &Taken, delivered: bool) {
         let name = lane_name(t);
         let Some(lane) = self.lanes.get_mut(&name) else { return };
         lane.held = lane.held.saturating_sub(1);
@@ -314,6 +320,9 @@
     /// How long a message had better stay away that could not be delivered in time, at the pace at which those before it are.
     /// Only what is like it counts, its tenant's, of its class and to its destination: the module may let others by.
     pub(super) fn lane_wait(&self, now: Ms, t: &Taken) -> Option<Ms> {
+        if self.undivided() {
+            return None;
+        }
         let lane = self.lanes.get(&lane_name(t)).filter(|l| l.held.min(l.served.len()) >= LANE_LEAST)?;
         let each = (now - lane.since).max(1.0) / lane.served.len() as f64;
         let short = each * (lane.held + 1) as f64 - (t.valid_until - now);
@@ -465,15 +474,13 @@
     /// A place that was found is not needed.
     pub(super) fn leave_place(&mut self, cell: CellNo, size: u64) {
         if !self.cells.undivided() {
-            self.cells.held.give(cell);
-            (0..size.div_ceil(PIECE)).for_each(|_| self.cells.room.give(cell));
-            self.cells.all[cell].held = self.cells.all[cell].held.saturating_sub(1);
+            self.cells.give_place(cell, size);
         }
     }
 
     /// A cell hands back one of the calls for which it borrowed room: the last one that was taken and never went out.
     fn give_back(&mut self, now: Ms, cell: CellNo) -> bool {
-        let idle = |c: &super::Call| {
+        let idle = |c: &Call| {
             c.cell == cell && c.out.is_none() && c.ran.is_none() && c.ending.is_none() && c.frozen.is_none()
         };
         let last = self.calls.iter().rev().find(|(_, c)| idle(c)).map(|(no, _)| *no);
@@ -507,7 +514,7 @@
         let mut cells = Cells::new(&settings, &[spec("a"), spec("b")], &[], 1 << 20);
         assert_eq!(cells.links_left(0, "e", 8), 7, "a quarter of the idle part is never lent");
         (0..7).for_each(|_| cells.link(0, "e", true));
-        cells.resumed(1, 100);
+        cells.all[1].held = 1;
         assert_eq!((cells.links_left(0, "e", 8), cells.links_left(1, "e", 8)), (4, 1), "the owner wants it");
         (0..3).for_each(|_| cells.link(0, "e", false));
         assert_eq!(cells.links_left(1, "e", 8), 4);
--- a/src/dispatch/seats.rs
+++ b/src/dispatch/seats.rs
@@ -16,7 +16,7 @@
     self, Answer, Ask, Contents, Envelope, Held, Kind, Parked, Past, Report, SeatRecord, Wish,
 };
 use prost::Message as _;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 
 /// What is out when a move begins may end by itself for so long.
@@ -90,6 +90,15 @@
     stood: Ms,
 }
 
+/// Why a key's messages wait.
+#[derive(Debug, Clone)]
+pub(super) struct Wait {
+    until: Ms,
+    tenant: String,
+    /// For this call of ours; else for one that ends elsewhere.
+    call: Option<CallNo>,
+}
+
 /// All seats of a dispatcher.
 #[derive(Debug, Default)]
 pub(super) struct Seats {
@@ -99,9 +108,11 @@
     of: BTreeMap<String, Place>,
     /// Tenants that are to be placed here, unless somebody says that they are served there: until when it is waited.
     asking: BTreeMap<String, Ms>,
-    /// Keys whose messages wait, one of them may run still elsewhere: until when, and whose.
-    parked: HashMap<u64, (Ms, String)>,
-    /// Keys that rest after an attempt that may still run.
+    /// Tenants that are in the middle of a move.
+    moving: BTreeSet<String>,
+    /// Keys whose messages wait.
+    parked: HashMap<u64, Wait>,
+    /// Keys that rest after an attempt that may still run: until when, and whose.
     rests: HashMap<u64, (Ms, String)>,
     /// Bytes of what was received, in a compacted journal.
     bytes: u64,
@@ -135,7 +146,7 @@
 
     /// Are there any moves, waits or questions under way?
     fn busy(&self) -> bool {
-        !self.asking.is_empty() || !self.parked.is_empty() || self.of.values().any(|p| p.seat.is_moving())
+        !self.asking.is_empty() || !self.parked.is_empty() || !self.moving.is_empty()
     }
 
     /// Bytes that received contents need in the journal.
@@ -145,13 +156,34 @@
 
     /// A seat as it is written down, with the keys that wait.
     fn record(&self, tenant: &str, seat: &Seat<Contents>) -> SeatRecord {
-        let own = self.parked.iter().filter(|(_, p)| p.1 == tenant);
-        let parked = own.map(|(key, p)| Parked { key: *key, until: ms(p.0).saturating_add(1) }).collect();
+        // What waits for a call of ours is found anew by a start.
+        let own = self.parked.iter().filter(|(_, w)| w.tenant == tenant && w.call.is_none());
+        let parked = own.map(|(key, w)| Parked { key: *key, until: ms(w.until).saturating_add(1) }).collect();
         SeatRecord { parked, ..wire::record(tenant, seat, |n| self.name(n)) }
     }
 
-    pub(super) fn park(&mut self, keys: HashMap<u64, (Ms, String)>) {
-        self.parked.extend(keys);
+    /// Keys that wait here for what ends elsewhere.
+    fn park(&mut self, tenant: &str, keys: &[Parked]) {
+        let wait = |until: u64| Wait { until: until as Ms, tenant: tenant.to_string(), call: None };
+        self.parked.extend(keys.iter().map(|k| (k.key, wait(k.until))));
+    }
+
+    /// Takes up the keys that waited when an earlier process ended.
+    pub(super) fn park_again(&mut self, now: Ms, read: &SeatsRead) {
+        for (tenant, record) in &read.last {
+            self.park(tenant, &record.parked);
+        }
+        self.parked.retain(|_, w| w.until > now);
+    }
+
+    /// A seat is so from now on.
+    fn put(&mut self, tenant: &str, place: Place) {
+        match place.seat.is_moving() {
+            true => self.moving.insert(tenant.to_string()),
+            false => self.moving.remove(tenant),
+        };
+        self.of.insert(tenant.to_string(), place);
+        self.reckon();
     }
 
     fn reckon(&mut self) {
@@ -250,13 +282,6 @@
         self.adopting.iter().map(|(t, no)| (t, *no))
     }
 
-    /// Keys that wait, until when, and whose they are.
-    pub(super) fn parked(&self, now: Ms) -> HashMap<u64, (Ms, String)> {
-        let all = self.last.iter().flat_map(|(t, r)| r.parked.iter().map(move |p| (t, p)));
-        let waits = all.filter(|(_, p)| p.until as Ms > now);
-        waits.map(|(t, p)| (p.key, (p.until as Ms, t.clone()))).collect()
-    }
-
     /// Does the message stand under an offer that is not settled?
     pub(super) fn is_offered(&self, tenant: &str, no: CallNo) -> bool {
         self.last.get(tenant).is_some_and(|r| matches!(r.phase, 3 | 4) && r.offered.contains(&no))
@@ -306,9 +331,8 @@
             if let Phase::Offered { contents, .. } = &place.seat.phase {
                 place.offer_until = offer_until(now, contents);
             }
-            self.seats.of.insert(tenant, place);
+            self.seats.put(&tenant, place);
         }
-        self.seats.reckon();
         self.place_new(now, &spec);
     }
 
@@ -330,7 +354,7 @@
             if at.is_some() {
                 self.write_seat(&tenant, &seat);
             }
-            self.seats.of.insert(tenant, fresh(now, seat));
+            self.seats.put(&tenant, fresh(now, seat));
         }
         if spec.peers.len() < 2 {
             self.seats.asking.values_mut().for_each(|t| *t = now);
@@ -395,7 +419,7 @@
             let node = other(&seat.phase);
             let there = node.map(|n| self.seats.name(n)).unwrap_or_default();
             let (is, epoch) = (phase_name(&seat.phase), seat.epoch);
-            if let Some(place) = self.seats.of.get_mut(tenant) {
+            if let Some(mut place) = self.seats.of.remove(tenant) {
                 (place.since, place.tick_at, place.pause) = (now, now + AGAIN_FIRST, AGAIN_FIRST);
                 if let Phase::Offered { contents, .. } = &seat.phase {
                     place.offer_until = offer_until(now, contents);
@@ -407,9 +431,9 @@
                     place.stood = (now - c.still_since as Ms).max(0.0);
                 }
                 place.seat = seat;
+                self.seats.put(tenant, place);
             }
             self.seats.asking.remove(tenant);
-            self.seats.reckon();
             log::info!(tenant = tenant, phase = is, was = was, epoch = epoch, was_epoch = old_epoch, other = there.as_str(); "{tenant} is {is}");
             if adopted.is_some() {
                 self.claim(tenant, None);
@@ -572,25 +596,32 @@
             Ask::Reclaim => self.advance(now, tenant, Input::Reclaim).err().map(|e| e.to_string()),
             Ask::None => Some("this wish is not known here".into()),
         };
-        let wanted = |t: &&String| tenant.is_empty() || t.as_str() == tenant;
-        let seats = self.seats.of.keys().filter(wanted).map(|t| self.report(now, t)).collect();
-        Answer { refused: refused.unwrap_or_default(), seats }
+        Answer { refused: refused.unwrap_or_default(), seats: self.reports(now, tenant) }
     }
 
-    fn report(&self, now: Ms, tenant: &str) -> Report {
-        let own = || self.calls.values().filter(|c| c.taken.tenant == tenant && c.ending.is_none());
-        let Some(p) = self.seats.of.get(tenant) else { return Report::default() };
-        let asking = self.seats.asking.contains_key(tenant);
-        Report {
-            tenant: tenant.into(),
-            phase: if asking { "asking" } else { phase_name(&p.seat.phase) }.into(),
-            other: other(&p.seat.phase).map(|n| self.seats.name(n)).unwrap_or_default(),
-            epoch: p.seat.epoch,
-            held: own().count() as u64,
-            still: own().filter(|c| c.frozen.is_some()).count() as u64,
-            since: ms(now - p.since),
-            stood: ms(p.stood),
+    /// How the seats are: of one tenant, or of all.
+    fn reports(&self, now: Ms, tenant: &str) -> Vec<Report> {
+        let mut held: HashMap<&str, (u64, u64)> = HashMap::new();
+        for c in self.calls.values().filter(|c| c.ending.is_none()) {
+            let count = held.entry(&c.taken.tenant).or_default();
+            *count = (count.0 + 1, count.1 + u64::from(c.frozen.is_some()));
         }
+        let wanted = self.seats.of.iter().filter(|(t, _)| tenant.is_empty() || *t == tenant);
+        let report = |(tenant, p): (&String, &Place)| {
+            let asking = self.seats.asking.contains_key(tenant);
+            let (held, still) = held.get(tenant.as_str()).copied().unwrap_or_default();
+            Report {
+                tenant: tenant.clone(),
+                phase: if asking { "asking" } else { phase_name(&p.seat.phase) }.into(),
+                other: other(&p.seat.phase).map(|n| self.seats.name(n)).unwrap_or_default(),
+                epoch: p.seat.epoch,
+                held,
+                still,
+                since: ms(now - p.since),
+                stood: ms(p.stood),
+            }
+        };
+        wanted.map(report).collect()
     }
 
     /// Takes a tenant's messages out of the module; what is out may end.
@@ -618,54 +649,51 @@
         if let Some(p) = self.seats.of.get_mut(tenant) {
             p.stood = now - p.still_since;
         }
-        let moving = |c: &Call| c.taken.tenant == tenant && c.frozen == Some(Frozen::Moving);
-        let all: Vec<CallNo> = self.calls.iter().filter(|(_, c)| moving(c)).map(|(no, _)| *no).collect();
-        for no in all {
-            // What is out still goes on by itself; it ends here whatever becomes of it.
-            let out = self.calls.get(&no).is_some_and(|c| c.out.is_some());
-            if out {
-                if let Some((attempt, written)) = self.calls[&no].out.as_ref().map(|o| (o.attempt, o.written))
-                {
-                    if written && self.is_unsafe(no) {
-                        self.calls.entry(no).and_modify(|c| c.frozen = Some(Frozen::Behind));
-                        let key = self.calls[&no].taken.key;
-                        let until = self.calls[&no].taken.valid_until + self.settings.key_quiet;
-                        if let Some(key) = key {
-                            self.seats.parked.insert(key, (until, tenant.to_string()));
-                        }
-                        continue;
-                    }
-                    self.cancel(now, no, attempt);
-                }
-            }
-            let key = self.calls.get(&no).and_then(|c| c.taken.key);
-            match key.is_some_and(|k| self.seats.parked.contains_key(&k)) {
-                true => drop(self.calls.entry(no).and_modify(|c| c.frozen = Some(Frozen::Parked))),
-                false => self.thaw(now, no),
-            }
+        let own = |state| move |c: &Call| c.taken.tenant == tenant && c.frozen == Some(state);
+        let mut back = self.those(own(Frozen::Moving));
+        back.retain(|no| self.cut_or_leave(now, *no));
+        // The module does not know of those that were left, now or before: what follows them waits here.
+        for no in self.those(own(Frozen::Behind)) {
+            let t = &self.calls[&no].taken;
+            let until = t.valid_until + self.settings.key_quiet;
+            let wait = Wait { until, tenant: t.tenant.clone(), call: Some(no) };
+            t.key.map(|key| self.seats.parked.insert(key, wait));
+        }
+        for no in back {
+            self.calls.entry(no).and_modify(|c| c.frozen = Some(Frozen::Parked));
+            self.thaw_if_free(no);
         }
     }
 
-    /// Gives a message (back) to the module.
-    fn thaw(&mut self, now: Ms, no: CallNo) {
-        let Some(c) = self.calls.get_mut(&no).filter(|c| c.ending.is_none()) else { return };
-        c.frozen = None;
-        let (cell, class) = (c.cell, place(&self.names.classes, &c.taken.class).unwrap_or(0));
-        let c = &self.calls[&no];
-        let rests = c.taken.key.and_then(|k| self.seats.rests.get(&k)).is_some_and(|r| r.0 > now);
-        let resumed = Event::Resumed(Resumed {
-            message: self.message(class, &c.taken, true),
-            attempts: c.attempts,
-            ran: c.ran.as_ref().map(|s| (s.at, self.zone_of(&s.zone))),
-            cut_off: rests,
-            ended: false,
-        });
-        self.cells.post(cell, resumed);
+    /// The numbers of calls that are so, in the order in which they were taken.
+    fn those(&self, are: impl Fn(&Call) -> bool) -> Vec<CallNo> {
+        self.calls.iter().filter(|(_, c)| are(c)).map(|(no, _)| *no).collect()
     }
 
-    /// The number of a zone by its name; one that is none for a zone that is not there any more.
-    pub(super) fn zone_of(&self, name: &str) -> usize {
-        place(&self.names.zones, name).unwrap_or(self.names.zones.len())
+    /// Of a call whose tenant moves, or does not after all, cuts off what is out if it may be repeated or has not begun. Else
+    /// it is left: it ends here by itself.
+    fn cut_or_leave(&mut self, now: Ms, no: CallNo) -> bool {
+        let out = self.calls.get(&no).and_then(|c| c.out.as_ref()).map(|o| (o.attempt, o.written));
+        let Some((attempt, written)) = out else { return true };
+        let leave = written && self.is_unsafe(no);
+        match leave {
+            true => drop(self.calls.entry(no).and_modify(|c| c.frozen = Some(Frozen::Behind))),
+            false => self.cancel(now, no, attempt),
+        }
+        !leave
+    }
+
+    /// Gives a call back to the module, unless others of its key must end first.
+    fn thaw_if_free(&mut self, no: CallNo) {
+        if self.calls.get(&no).is_some_and(|c| c.ending.is_none() && !self.is_parked(c.taken.key)) {
+            self.resume(no);
+        }
+    }
+
+    /// A call that was left has ended here: what waits for it may go, once its key has rested.
+    pub(super) fn free_key(&mut self, now: Ms, no: CallNo) {
+        let waits = self.seats.parked.values_mut().filter(|w| w.call == Some(no));
+        waits.for_each(|w| w.until = w.until.min(now + self.settings.key_quiet));
     }
 
     fn is_unsafe(&self, no: CallNo) -> bool {
@@ -694,13 +722,17 @@
 
     /// A message that stayed here while its tenant moved has come back without a delivery: the module knows it no more.
     pub(super) fn end_behind(&mut self, now: Ms, no: CallNo) {
-        let Some(c) = self.calls.get(&no) else { return };
-        if c.frozen == Some(Frozen::Behind) && c.out.is_none() && c.ending.is_none() {
-            let ending = if c.ran.is_some() { Ending::GivenUp } else { Ending::HandedBack(0.0) };
-            self.finish(now, no, ending);
+        if self.calls.get(&no).is_some_and(|c| c.frozen == Some(Frozen::Behind) && c.out.is_none()) {
+            self.end_unsent(now, no);
         }
     }
 
+    /// Ends a call that the module does not have: without a promise if it may have run.
+    fn end_unsent(&mut self, now: Ms, no: CallNo) {
+        let ran = self.calls.get(&no).is_some_and(|c| c.ran.is_some());
+        self.finish(now, no, if ran { Ending::GivenUp } else { Ending::HandedBack(0.0) });
+    }
+
     /// All that is handed over of a tenant; what stays here shows in its keys and in what is past.
     fn contents_of(&self, now: Ms, tenant: &str, still_since: Ms) -> Contents {
         let goes = |c: &Call| c.frozen == Some(Frozen::Moving) && c.out.is_none() && c.ending.is_none();
@@ -724,7 +756,6 @@
                     attempts: c.attempts,
                     ran_at: c.ran.as_ref().map(|s| ms(s.at)),
                     ran_in: c.ran.as_ref().map(|s| s.zone.clone()).unwrap_or_default(),
-                    rests_until: 0,
                     no: *no,
                 });
                 continue;
@@ -737,9 +768,10 @@
             let until = ms(t.valid_until + self.once.span(&t.class));
             contents.past.extend(name.map(|id| Past { id, name: true, ending: 1, until, ..Past::default() }));
         }
-        let waits = self.seats.parked.iter().chain(&self.seats.rests);
-        for (key, (until, _)) in waits.filter(|(_, w)| w.0 > now && w.1 == tenant) {
-            let until = ms(*until).saturating_add(1);
+        let waits = self.seats.parked.iter().map(|(key, w)| (key, w.until, &w.tenant));
+        let rests = self.seats.rests.iter().map(|(key, r)| (key, r.0, &r.1));
+        for (key, until, _) in waits.chain(rests).filter(|w| w.1 > now && w.2 == tenant) {
+            let until = ms(until).saturating_add(1);
             parked.entry(*key).and_modify(|u| *u = (*u).max(until)).or_insert(until);
         }
         contents.parked = parked.into_iter().map(|(key, until)| Parked { key, until }).collect();
@@ -760,13 +792,7 @@
     /// Messages are somebody else's: nothing is told of them here.
     fn strike_out(&mut self, now: Ms, contents: &Contents) {
         for h in &contents.held {
-            let Some(c) = self.calls.remove(&h.no) else { continue };
-            self.live_bytes -= c.size;
-            if c.ending.is_none() {
-                self.ceilings.unqueue(c.taken.dest);
-                self.cells.over(now, c.cell, c.size);
-                self.cells.leave_lane(now, &c.taken, false);
-            }
+            let Some(c) = self.take_out(now, h.no) else { continue };
             let name = self.once.name(&c.taken.class, &c.taken.idempotency, &c.taken.identity.1);
             name.iter().for_each(|n| self.once.forget(n));
             self.forget_identity(&c.taken.identity);
@@ -778,8 +804,7 @@
     /// may have run elsewhere: it is given up, and its clients hear so.
     fn overtaken(&mut self, now: Ms, tenant: &str) {
         let own = |c: &Call| c.taken.tenant == tenant && c.ending.is_none();
-        let all: Vec<CallNo> = self.calls.iter().filter(|(_, c)| own(c)).map(|(no, _)| *no).collect();
-        for no in all {
+        for no in self.those(own) {
             let Some(c) = self.calls.get_mut(&no) else { continue };
             let (cell, known, out) = (c.cell, c.frozen.is_none(), c.out.is_some());
             c.frozen = Some(Frozen::Behind);
@@ -845,30 +870,14 @@
         if !self.append_seat(&settled) {
             return false;
         }
-        for k in &contents.parked {
-            self.seats.parked.insert(k.key, (k.until as Ms, tenant.to_string()));
-        }
+        self.seats.park(tenant, &contents.parked);
         // From here on a journal that is written anew must tell of what was written here.
         if let Some(place) = self.seats.of.get_mut(tenant) {
             place.seat = seat.clone();
         }
-        for call in calls {
-            let no = call.taken.no;
-            self.cells.resumed(cell, call.size);
-            self.cells.enter_lane(now, &call.taken);
-            self.live_bytes += call.size;
-            let t = &call.taken;
-            let name = self.once.name(&t.class, &t.idempotency, &t.identity.1);
-            name.into_iter().for_each(|n| self.once.held(n, no));
-            self.ceilings.queue(t.dest);
-            let until = t.valid_until.max(now) + super::admit::MEMORY;
-            let (identity, key) = (t.identity.clone(), t.key);
-            self.recall(now, identity, no, None, until, tenant.to_string());
-            self.counters.resumed += 1;
-            self.calls.insert(no, call);
-            if !self.is_parked(key) {
-                self.thaw(now, no);
-            }
+        for mut call in calls {
+            call.frozen = self.is_parked(call.taken.key).then_some(Frozen::Parked);
+            self.hold_again(now, call);
         }
         for past in &contents.past {
             let (until, ending) = (past.until as Ms, ending_in(past));
@@ -882,9 +891,9 @@
                 false => {
                     let identity = (past.client.clone(), past.id.clone());
                     self.recall(now, identity.clone(), 0, ending, until, tenant.to_string());
-                    if let Some(ending) = ending {
-                        self.note(&Record::Known { identity, ending, until, tenant: tenant.into() });
-                    }
+                    // What ends elsewhere is, for a start after this, one that may have taken effect.
+                    let ending = ending.unwrap_or(Ending::GivenUp);
+                    self.note(&Record::Known { identity, ending, until, tenant: tenant.into() });
                 }
             }
         }
@@ -899,9 +908,7 @@
         self.unpark(now);
         self.end_still(now);
         self.ask(now);
-        let moving: Vec<String> =
-            self.seats.of.iter().filter(|(_, p)| p.seat.is_moving()).map(|(t, _)| t.clone()).collect();
-        for tenant in moving {
+        for tenant in self.seats.moving.clone() {
             let Some(p) = self.seats.of.get_mut(&tenant) else { continue };
             match (&p.seat.phase, p.drain_until) {
                 (Phase::Draining { .. }, Some(until)) => self.drain_on(now, &tenant, until),
@@ -923,20 +930,12 @@
 
     fn drain_on(&mut self, now: Ms, tenant: &str, until: Ms) {
         let out = |c: &Call| c.taken.tenant == tenant && c.frozen == Some(Frozen::Moving) && c.out.is_some();
-        let left: Vec<CallNo> = self.calls.iter().filter(|(_, c)| out(c)).map(|(no, _)| *no).collect();
+        let left = self.those(out);
         if !left.is_empty() && now < until {
             return;
         }
         for no in left {
-            let Some((attempt, written)) = self.calls[&no].out.as_ref().map(|o| (o.attempt, o.written))
-            else {
-                continue;
-            };
-            if written && self.is_unsafe(no) {
-                self.calls.entry(no).and_modify(|c| c.frozen = Some(Frozen::Behind));
-            } else {
-                self.cancel(now, no, attempt);
-            }
+            self.cut_or_leave(now, no);
         }
         let since = self.seats.of.get(tenant).map_or(now, |p| p.still_since);
         let contents = self.contents_of(now, tenant, since);
@@ -950,12 +949,11 @@
 
     /// Keys whose wait is over.
     fn unpark(&mut self, now: Ms) {
-        let due: Vec<u64> = self.seats.parked.iter().filter(|(_, p)| p.0 <= now).map(|p| *p.0).collect();
+        let due: Vec<u64> = self.seats.parked.iter().filter(|(_, w)| w.until <= now).map(|w| *w.0).collect();
         for key in due {
             self.seats.parked.remove(&key);
             let waits = |c: &Call| c.frozen == Some(Frozen::Parked) && c.taken.key == Some(key);
-            let all: Vec<CallNo> = self.calls.iter().filter(|(_, c)| waits(c)).map(|(no, _)| *no).collect();
-            all.into_iter().for_each(|no| self.thaw(now, no));
+            self.those(waits).into_iter().for_each(|no| self.thaw_if_free(no));
         }
     }
 
@@ -970,11 +968,8 @@
             _ => false,
         };
         let over = |c: &Call| c.ending.is_none() && c.taken.valid_until <= now && due(c);
-        let all: Vec<(CallNo, bool)> =
-            self.calls.iter().filter(|(_, c)| over(c)).map(|(no, c)| (*no, c.ran.is_some())).collect();
-        for (no, ran) in all {
-            let ending = if ran { Ending::GivenUp } else { Ending::HandedBack(0.0) };
-            self.finish(now, no, ending);
+        for no in self.those(over) {
+            self.end_unsent(now, no);
         }
     }
 
@@ -989,7 +984,7 @@
             let seat = Seat::settled();
             if self.write_seat(&tenant, &seat) {
                 self.seats.asking.remove(&tenant);
-                self.seats.of.insert(tenant.clone(), fresh(now, seat));
+                self.seats.put(&tenant, fresh(now, seat));
                 self.claim(&tenant, None);
             }
         }
@@ -1012,12 +1007,12 @@
         }
         let asks = self.seats.asking.values().copied();
         let asks = asks.chain((!self.seats.asking.is_empty()).then_some(self.seats.ask_again));
-        let parked = self.seats.parked.values().map(|p| p.0);
+        let parked = self.seats.parked.values().map(|w| w.until);
         let seat = |p: &Place| match p.drain_until {
             Some(until) => until,
             None => p.tick_at.min(p.offer_until),
         };
-        let seats = self.seats.of.values().filter(|p| p.seat.is_moving()).map(seat);
+        let seats = self.seats.moving.iter().filter_map(|t| self.seats.of.get(t)).map(seat);
         let still = |c: &Call| match c.frozen {
             Some(Frozen::Parked) if c.ending.is_none() => Some(c.taken.valid_until),
             _ => None,
--- a/src/state.rs
+++ b/src/state.rs
@@ -292,9 +292,9 @@
     }
 }
 
-/// Messages of each key in the order in which they came, and until when the key rests.
+/// Messages of each key in the order in which they came, and until when the key rests; and until when all of them do.
 #[derive(Debug, Default)]
-pub(crate) struct Keys(BTreeMap<u64, (VecDeque<MsgId>, Ms)>, usize);
+pub(crate) struct Keys(BTreeMap<u64, (VecDeque<MsgId>, Ms)>, usize, Option<Ms>);
 
 const KEYS_LEAST: usize = 32;
 
@@ -316,9 +316,13 @@
         self.0.entry(key).and_modify(|k| k.1 = until);
     }
 
+    pub(crate) fn rest_all(&mut self, until: Ms) {
+        self.2 = Some(until);
+    }
+
     /// Whose turn it is, and the end of the rest.
     pub(crate) fn turn(&self, key: u64) -> Option<(Option<MsgId>, Ms)> {
-        self.0.get(&key).map(|k| (k.0.front().copied(), k.1))
+        self.0.get(&key).map(|k| (k.0.front().copied(), self.2.map_or(k.1, |all| all.max(k.1))))
     }
 }
 
--- a/tests/resume.rs
+++ b/tests/resume.rs
@@ -27,7 +27,7 @@
 }
 
 fn resumed(message: Message, ran: Option<(Ms, usize)>) -> Event {
-    Event::Resumed(Resumed { message, attempts: 1, ran, cut_off: ran.is_some(), ended: false })
+    Event::Resumed(Resumed { message, attempts: 1, ran, ended: false })
 }
 
 /// Classes: 0 safe, 1 keyed by zone, 2 unsafe.
@@ -66,6 +66,21 @@
     assert_eq!(sends(&out).iter().map(|s| s.0).collect::<Vec<_>>(), [2]);
 }
 
+/// Guards against a key whose late attempt, of an earlier process, may run still: nothing of that attempt needs to be held.
+#[test]
+fn every_key_rests_after_a_restart() {
+    let quiet = settings().key_quiet;
+    let (mut brain, out) = brain(vec![Event::Restarted, Event::Arrived(message(2, 3, Some(7)))]);
+    assert_eq!(sends(&out), []);
+    let at = |brain: &mut Brain, now: Ms| {
+        let mut out = Vec::new();
+        brain.step(now, &[Event::Arrived(message(now as MsgId, 0, None))], &mut out);
+        sends(&out).iter().any(|s| s.0 == 2)
+    };
+    assert!(!at(&mut brain, 1_000.0 + quiet - 5.0), "it rests");
+    assert!(at(&mut brain, 1_000.0 + quiet + 5.0), "and goes then");
+}
+
 #[test]
 fn near_the_end_of_the_process_only_what_can_finish_starts() {
     let closing = |at| {
