--- a/tests/mesh.rs
+++ b/tests/mesh.rs
@@ -791,6 +791,24 @@
     }
 }
 
+/// Guards against a key whose next message begins while one is out that was left when its tenant began to move: the target is
+/// gone, and each move is taken back.
+#[test]
+fn moves_that_are_taken_back_keep_the_order() {
+    for seed in 1..9 {
+        let mut sim = Sim::new(seed, 2, Weather { silent: 0.2, ..CALM });
+        sim.until("the tenants are settled", |s| s.phase(0, "acme") == "settled" && s.taken.len() > 20);
+        sim.fell(1, 19_000.0, false);
+        for _ in 0..3 {
+            sim.wish(0, "acme", Ask::Move, "n1");
+            sim.until("it is offered", |s| s.phase(0, "acme") == "offered");
+            sim.until("it is back", |s| s.phase(0, "acme") == "settled");
+        }
+        sim.run(3.0);
+        assert_eq!(sim.wrong(), Vec::<String>::new(), "seed {seed}");
+    }
+}
+
 /// Guards against two owners where two dispatchers start with empty folders under maps that disagree, out of each other's reach:
 /// once they meet, one of them stays.
 #[test]
