--- a/src/dispatch/book.rs
+++ b/src/dispatch/book.rs
@@ -1,6 +1,6 @@
 //! Book: a call ends once; its client is told until it has heard, and only then is the call over.
 
-use super::{Call, Core, Counters, Frozen, Order, Told, Verdict, ANSWER_KEPT};
+use super::{Call, Core, Counters, Order, Told, Verdict, ANSWER_KEPT};
 use crate::api::*;
 use crate::journal::{CallNo, Ending, Record};
 
@@ -50,10 +50,6 @@
         log::debug!(id = identity.1.as_str(), class = c.taken.class.as_str(), member = dest, outcome = outcome, wait_ms = wait; "a call ended");
         self.ceilings.unqueue(dest);
         self.cells.over(now, c, ending == Ending::Delivered);
-        let behind = c.frozen == Some(Frozen::Behind);
-        if behind {
-            self.free_key(now, no);
-        }
         let platform = identity.0.is_empty();
         self.note(&Record::Ended { no, ending });
         let asking = self.asking.iter().any(|a| a.0 == no);
@@ -73,7 +69,12 @@
         }
         // The platform's client of a delivered call hears of it by itself.
         if asking || (platform && ending == Ending::Delivered) {
-            self.close_over(now, no);
+            if let Some(k) = self.known.get(&identity).filter(|_| asking) {
+                self.answers.insert(no, k.verdict.clone());
+            }
+            // Guards against a crowd that is refused, each time under a new id, and leaves no room for what was taken.
+            let refused = platform && asking && matches!(ending, Ending::HandedBack(_));
+            self.close_call(now, no, if refused { 0.0 } else { MEMORY });
         } else {
             self.tell(no);
         }
@@ -119,6 +120,10 @@
 
     /// Nothing more is owed for the call; a later one of its key may go.
     pub(super) fn close_over(&mut self, now: Ms, no: CallNo) {
+        self.close_call(now, no, MEMORY);
+    }
+
+    fn close_call(&mut self, now: Ms, no: CallNo, memory: Ms) {
         let Some(c) = self.take_out(now, no) else { return };
         let name = self.once.name(&c.taken.class, &c.taken.idempotency, &c.taken.identity.1);
         if let Some(name) = name {
@@ -131,8 +136,10 @@
             }
         }
         self.cells.post(c.cell, Event::Heard(no));
-        let until = now + MEMORY;
-        if let Some(k) = self.known.get_mut(&c.taken.identity) {
+        let until = now + memory;
+        if memory <= 0.0 {
+            self.forget_identity(&c.taken.identity);
+        } else if let Some(k) = self.known.get_mut(&c.taken.identity) {
             let (old, ending) = (k.until as u64, k.ending.or(Some(Ending::GivenUp)));
             (k.until, k.ending) = (until, ending);
             self.fading.remove(&(old, c.taken.identity.clone()));
@@ -144,15 +151,11 @@
     /// Clients that asked in this turn hear what became of their calls.
     pub(super) fn give_verdicts(&mut self) {
         for (no, ticket) in std::mem::take(&mut self.asking) {
-            let verdict = match self.calls.contains_key(&no) {
-                true => Verdict::Taken,
-                false => {
-                    self.known.values().find(|k| k.no == no).map_or(Verdict::Taken, |k| k.verdict.clone())
-                }
-            };
+            let verdict = self.answers.get(&no).cloned().unwrap_or(Verdict::Taken);
             self.counters.busy += u64::from(matches!(verdict, Verdict::Busy(_)));
             self.orders.push(Order::Answer { ticket, verdict });
         }
+        self.answers.clear();
     }
 
     /// Writes a record that a restart could do without, at a price.
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -291,6 +291,8 @@
     next_no: CallNo,
     live_bytes: u64,
     known_bytes: u64,
+    /// How calls ended whose clients wait for the verdict of this turn.
+    answers: HashMap<CallNo, Verdict>,
     /// Clients that wait for the verdict of this turn.
     asking: Vec<(CallNo, Ticket)>,
     orders: Vec<Order>,
@@ -331,6 +333,7 @@
             next_no: 1,
             live_bytes: 0,
             known_bytes: 0,
+            answers: HashMap::new(),
             asking: Vec::new(),
             orders: Vec::new(),
             ceilings: Ceilings::new(parts.promises),
--- a/src/dispatch/seats.rs
+++ b/src/dispatch/seats.rs
@@ -90,15 +90,6 @@
     stood: Ms,
 }
 
-/// Why a key's messages wait.
-#[derive(Debug, Clone)]
-pub(super) struct Wait {
-    until: Ms,
-    tenant: String,
-    /// For this call of ours; else for one that ends elsewhere.
-    call: Option<CallNo>,
-}
-
 /// All seats of a dispatcher.
 #[derive(Debug, Default)]
 pub(super) struct Seats {
@@ -110,8 +101,8 @@
     asking: BTreeMap<String, Ms>,
     /// Tenants that are in the middle of a move.
     moving: BTreeSet<String>,
-    /// Keys whose messages wait.
-    parked: HashMap<u64, Wait>,
+    /// Keys whose messages wait for one that ends where their tenant came from: until when, and whose.
+    parked: HashMap<u64, (Ms, String)>,
     /// Keys that rest after an attempt that may still run: until when, and whose.
     rests: HashMap<u64, (Ms, String)>,
     /// Bytes of what was received, in a compacted journal.
@@ -156,16 +147,14 @@
 
     /// A seat as it is written down, with the keys that wait.
     fn record(&self, tenant: &str, seat: &Seat<Contents>) -> SeatRecord {
-        // What waits for a call of ours is found anew by a start.
-        let own = self.parked.iter().filter(|(_, w)| w.tenant == tenant && w.call.is_none());
-        let parked = own.map(|(key, w)| Parked { key: *key, until: ms(w.until).saturating_add(1) }).collect();
+        let own = self.parked.iter().filter(|(_, w)| w.1 == tenant);
+        let parked = own.map(|(key, w)| Parked { key: *key, until: ms(w.0).saturating_add(1) }).collect();
         SeatRecord { parked, ..wire::record(tenant, seat, |n| self.name(n)) }
     }
 
     /// Keys that wait here for what ends elsewhere.
     fn park(&mut self, tenant: &str, keys: &[Parked]) {
-        let wait = |until: u64| Wait { until: until as Ms, tenant: tenant.to_string(), call: None };
-        self.parked.extend(keys.iter().map(|k| (k.key, wait(k.until))));
+        self.parked.extend(keys.iter().map(|k| (k.key, (k.until as Ms, tenant.to_string()))));
     }
 
     /// Takes up the keys that waited when an earlier process ended.
@@ -173,7 +162,7 @@
         for (tenant, record) in &read.last {
             self.park(tenant, &record.parked);
         }
-        self.parked.retain(|_, w| w.until > now);
+        self.parked.retain(|_, w| w.0 > now);
     }
 
     /// A seat is so from now on.
@@ -649,19 +638,13 @@
         if let Some(p) = self.seats.of.get_mut(tenant) {
             p.stood = now - p.still_since;
         }
-        let own = |state| move |c: &Call| c.taken.tenant == tenant && c.frozen == Some(state);
-        let mut back = self.those(own(Frozen::Moving));
-        back.retain(|no| self.cut_or_leave(now, *no));
-        // The module does not know of those that were left, now or before: what follows them waits here.
-        for no in self.those(own(Frozen::Behind)) {
-            let t = &self.calls[&no].taken;
-            let until = t.valid_until + self.settings.key_quiet;
-            let wait = Wait { until, tenant: t.tenant.clone(), call: Some(no) };
-            t.key.map(|key| self.seats.parked.insert(key, wait));
-        }
-        for no in back {
-            self.calls.entry(no).and_modify(|c| c.frozen = Some(Frozen::Parked));
-            self.thaw_if_free(no);
+        let moving = |c: &Call| c.taken.tenant == tenant && c.frozen == Some(Frozen::Moving);
+        for no in self.those(moving) {
+            // What was left holds its key in the module until it has ended.
+            if self.cut_or_leave(now, no) {
+                self.calls.entry(no).and_modify(|c| c.frozen = Some(Frozen::Parked));
+                self.thaw_if_free(no);
+            }
         }
     }
 
@@ -690,12 +673,6 @@
         }
     }
 
-    /// A call that was left has ended here: what waits for it may go, once its key has rested.
-    pub(super) fn free_key(&mut self, now: Ms, no: CallNo) {
-        let waits = self.seats.parked.values_mut().filter(|w| w.call == Some(no));
-        waits.for_each(|w| w.until = w.until.min(now + self.settings.key_quiet));
-    }
-
     fn is_unsafe(&self, no: CallNo) -> bool {
         let class = self.calls.get(&no).and_then(|c| place(&self.names.classes, &c.taken.class));
         class.is_none_or(|c| self.settings.classes[c].effect == Effect::Unsafe)
@@ -768,10 +745,9 @@
             let until = ms(t.valid_until + self.once.span(&t.class));
             contents.past.extend(name.map(|id| Past { id, name: true, ending: 1, until, ..Past::default() }));
         }
-        let waits = self.seats.parked.iter().map(|(key, w)| (key, w.until, &w.tenant));
-        let rests = self.seats.rests.iter().map(|(key, r)| (key, r.0, &r.1));
-        for (key, until, _) in waits.chain(rests).filter(|w| w.1 > now && w.2 == tenant) {
-            let until = ms(until).saturating_add(1);
+        let waits = self.seats.parked.iter().chain(&self.seats.rests);
+        for (key, (until, _)) in waits.filter(|(_, w)| w.0 > now && w.1 == tenant) {
+            let until = ms(*until).saturating_add(1);
             parked.entry(*key).and_modify(|u| *u = (*u).max(until)).or_insert(until);
         }
         contents.parked = parked.into_iter().map(|(key, until)| Parked { key, until }).collect();
@@ -949,7 +925,7 @@
 
     /// Keys whose wait is over.
     fn unpark(&mut self, now: Ms) {
-        let due: Vec<u64> = self.seats.parked.iter().filter(|(_, w)| w.until <= now).map(|w| *w.0).collect();
+        let due: Vec<u64> = self.seats.parked.iter().filter(|(_, w)| w.0 <= now).map(|w| *w.0).collect();
         for key in due {
             self.seats.parked.remove(&key);
             let waits = |c: &Call| c.frozen == Some(Frozen::Parked) && c.taken.key == Some(key);
@@ -1007,7 +983,7 @@
         }
         let asks = self.seats.asking.values().copied();
         let asks = asks.chain((!self.seats.asking.is_empty()).then_some(self.seats.ask_again));
-        let parked = self.seats.parked.values().map(|w| w.until);
+        let parked = self.seats.parked.values().map(|w| w.0);
         let seat = |p: &Place| match p.drain_until {
             Some(until) => until,
             None => p.tick_at.min(p.offer_until),
