--- a/src/tool/cli.rs
+++ b/src/tool/cli.rs
@@ -62,7 +62,7 @@
     /// Write, check, explain and render an application's file.
     #[command(subcommand)]
     App(App),
-    /// Check a cell map, and tell who lives where.
+    /// Check a cell map, tell who lives where, and move tenants between dispatchers.
     #[command(subcommand)]
     Cell(Cell),
     /// Print the record of a file.
--- a/src/tool/mod.rs
+++ b/src/tool/mod.rs
@@ -42,7 +42,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             ToolError::File(path, e) => write!(f, "{}: {e}", path.display()),
-            ToolError::Faults => f.write_str("faults were found; nothing was written"),
+            ToolError::Faults => f.write_str("faults were found; nothing was done"),
             ToolError::Config(e) => e.fmt(f),
             ToolError::Refused(why) | ToolError::Unreached(why) => f.write_str(why),
         }
