Take a refusal without a word of the limit for a full table of connections

The module took them for the limit: pace cut, window halved, route shut after four, and kept its own idle connections, which shut out others. Change: src/fleet.rs tells a refusal at the door (new connection, no report where answers hold reports, no wait); it rests for about a call's time with jitter, and idle connections of that kind are not kept. Ruled out: a limit as their cause (left 0.95, limits 2 to 6 times what was delivered), an outage (before any trouble).

--- a/src/api.rs
+++ b/src/api.rs
@@ -114,6 +114,8 @@
     pub over_share_worth: f64,
     /// Messages that were handed in before are marked.
     pub marks_again: bool,
+    /// Answers tell of the limit ([`Report`]), where there is one.
+    pub reports: bool,
     /// Calls out at once.
     pub slots: usize,
     /// Messages held at once.
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -3,6 +3,7 @@
 
 use crate::api::*;
 use crate::curve::Curve;
+use crate::fleet;
 use crate::state::*;
 use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet};
@@ -445,8 +446,9 @@
         }
         let idle = self.calls.get(&flight.call).and_then(|c| c.idle);
         if self.close_call(now, flight.call) {
-            self.learn_link(now, &flight, idle, e);
-            self.learn(now, &flight, e);
+            let door = fleet::at_the_door(self.s.reports, idle.is_none(), e);
+            self.learn_link(now, &flight, idle, e, door);
+            self.learn(now, &flight, e, door);
         }
         if over {
             self.forget(e.id);
@@ -485,7 +487,7 @@
         first
     }
 
-    fn learn(&mut self, now: Ms, f: &Flight, e: &Ended) {
+    fn learn(&mut self, now: Ms, f: &Flight, e: &Ended, door: bool) {
         if let Some(o) = self.routes.get_mut(&f.route).and_then(|r| r.outage.as_mut()) {
             o.trying = None;
         }
@@ -494,6 +496,7 @@
             Outcome::Cancelled => self.sample(now, f.route, e.took, false),
             Outcome::Late if f.watchdog => self.sample(now, f.route, e.took, false),
             Outcome::NotSent => {}
+            Outcome::Refused if door && self.full_table(now, f.route) => {}
             Outcome::Refused => {
                 self.sample(now, f.route, f64::INFINITY, false);
                 self.refused(now, f.route, f.sent, e.wait);
@@ -510,19 +513,13 @@
 
     /// Calls on connections that had been idle fail more often than others: idle ones are dropped unseen. One
     /// that broke within its answer was not dropped.
-    fn learn_link(&mut self, now: Ms, f: &Flight, idle: Option<Ms>, e: &Ended) {
+    fn learn_link(&mut self, now: Ms, f: &Flight, idle: Option<Ms>, e: &Ended, door: bool) {
         let Some(r) = self.routes.get_mut(&f.route) else { return };
-        if e.outcome == Outcome::NoConnection {
+        if e.outcome == Outcome::NoConnection || door {
             r.refused = Some(now);
             self.links.refused.insert(r.row.kind, now);
         }
-        let failed = match e.outcome {
-            Outcome::Reset if e.heard => 0.0,
-            Outcome::NotSent | Outcome::NoConnection => return,
-            Outcome::Late if f.watchdog => return,
-            Outcome::Reset | Outcome::Late | Outcome::Cancelled => 1.0,
-            Outcome::Delivered | Outcome::Error | Outcome::Refused => 0.0,
-        };
+        let Some(failed) = fleet::on_a_link(e, f.watchdog) else { return };
         let (on_idle, on_others) = self.links.count(idle.is_some(), failed, LINK_WEIGHT);
         if let Some(rest) = idle.filter(|_| failed > 0.0 && on_idle > on_others + LINK_GAP) {
             let shortest = self.links.lost_after(now, LINK_MEMORY).min(rest);
@@ -547,6 +544,19 @@
         }
     }
 
+    /// Guards against taking a full table of connections for a limit or an outage. False: it is taken for shut.
+    fn full_table(&mut self, now: Ms, route: RouteId) -> bool {
+        let draw = self.random.next();
+        let Some(r) = self.routes.get(&route).filter(|r| r.fulls < fleet::FULL_ROUNDS) else { return false };
+        let until = now + fleet::door_rest(self.typical(r), r.fulls, REST_MOST, draw);
+        self.sample(now, route, f64::INFINITY, false);
+        let Some(r) = self.routes.get_mut(&route) else { return false };
+        r.fulls += 1;
+        let u = &mut self.units[r.unit];
+        u.pause_until = u.pause_until.max(until);
+        true
+    }
+
     fn halve(&mut self, route: RouteId) {
         self.routes.entry(route).and_modify(|r| r.window = (r.window / 2.0).max(1.0));
     }
@@ -563,7 +573,7 @@
         if let Some(r) = self.routes.get_mut(&route) {
             let most = if r.fails > FAIL_UNSAFE { most.min(self.s.slots as f64 / 2.0) } else { most };
             r.window = (r.window + 1.0).min(most.max(1.0));
-            r.last_good_send = r.last_good_send.max(sent);
+            (r.last_good_send, r.fulls) = (r.last_good_send.max(sent), 0);
             let u = &mut self.units[r.unit];
             u.rounds = 0;
             u.last_good_send = u.last_good_send.max(sent);
--- a/src/config.rs
+++ b/src/config.rs
@@ -264,6 +264,7 @@
             .collect::<Checked<_>>()?,
         over_share_worth: v.get("over_share_worth").num(1.0)?,
         marks_again: v.get("callers").get("marks_retry").flag()?,
+        reports: v.get("telemetry").get("via").text()? == "answers",
         slots: family.get("slots").amount(1.0)? as usize,
         max_held: limits.get("max_open").amount(1e9)? as usize,
         most_attempts: limits.get("most_tries").amount(1e9)? as u32,
--- a/src/dispatch/relay.rs
+++ b/src/dispatch/relay.rs
@@ -19,7 +19,9 @@
             let w = self.workers.get(&out.route).map(|w| &w.worker);
             let (member, worker) = w.map_or((0, ""), |w| (w.dest, w.uid.as_str()));
             let id = self.calls.get(&no).map_or("", |c| c.taken.identity.1.as_str());
-            log::debug!(id = id, member = member, worker = worker, outcome:? = outcome, wait_ms = wait; "a delegation ended");
+            let (left, limit) = (report.left.unwrap_or(-1.0), report.limit.unwrap_or(-1.0));
+            log::debug!(id = id, member = member, worker = worker, outcome:? = outcome, wait_ms = wait, took_ms = now - out.sent,
+                attempt = attempt, left = left, limit = limit; "a delegation ended");
         }
         let delivered = outcome == Outcome::Delivered;
         let ended = Ended {
--- a/src/dispatch/route.rs
+++ b/src/dispatch/route.rs
@@ -66,6 +66,12 @@
         }
     }
 
+    /// The workers that it knows: id, destination, kind, zone.
+    pub fn workers_known(&self) -> Vec<(&str, DestId, usize, usize)> {
+        let known = self.workers.values().map(|l| &l.worker);
+        known.map(|w| (w.uid.as_str(), w.dest, w.kind, w.zone)).collect()
+    }
+
     pub(super) fn worker(&self, route: RouteId) -> Option<&Worker> {
         self.workers.get(&route).map(|w| &w.worker)
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod curve;
 pub mod disk;
 pub mod dispatch;
+mod fleet;
 pub mod journal;
 pub mod logging;
 pub mod net;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -171,6 +171,8 @@
             log::info!("other dispatchers are heard on {}", l.local_addr()?);
         }
         log::info!("{} listens on {} and holds {} calls", config.name, listener.local_addr()?, core.holds());
+        log::debug!("settings in force: {:?}", core.settings());
+        log::debug!("workers known at the start: {:?}", core.workers_known());
         Ok(Server {
             clock,
             poll,
--- a/src/state.rs
+++ b/src/state.rs
@@ -41,8 +41,9 @@
     pub(crate) last_used: Ms,
     /// Since when its connections are idle; `None` if none is open.
     pub(crate) idle_since: Option<Ms>,
-    /// When it last refused a connection.
+    /// When it last refused a connection, and how many times in a row.
     pub(crate) refused: Option<Ms>,
+    pub(crate) fulls: u32,
     pub(crate) outage: Option<Outage>,
     pub(crate) ramp: Option<Ramp>,
     /// Connections that a ceiling lets it have.
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -164,3 +164,23 @@
     let next: Vec<MsgId> = (0..3).map(|_| w.arrive(0, 1, None)).collect();
     assert!(next.iter().all(|id| w.out(*id).is_some()), "all go at once");
 }
+
+/// 100 senders kept an idle connection each at endpoints that take 16: those turned away took it for a limit that was met,
+/// slowed down and called the endpoint shut, and their own idle connections shut out others.
+#[test]
+fn a_refusal_without_a_word_of_the_limit_is_a_full_table_and_no_limit() {
+    for (reports, pauses) in [(true, false), (false, true)] {
+        let s = Settings { senders: 100, reports, ..settings() };
+        let mut w = Watched::new(s, vec![row(0, 1, 0, 0), row(1, 2, 0, 0)]);
+        deliver(&mut w, 2, 500.0);
+        let id = w.arrive(0, 1, None);
+        for _ in 0..4 {
+            w.pass(100.0);
+            w.out(id).into_iter().for_each(|_| w.end(id, Outcome::Refused, 0.0));
+            w.pass(2_000.0);
+        }
+        assert_eq!(w.out(id).is_none(), pauses, "reports: {reports}");
+        deliver(&mut w, 2, 0.0);
+        assert_eq!(closes(&w) > 0, reports, "idle connections are in the way of others");
+    }
+}
