Take an even share of a told limit with credit, and keep waits told to calls given up

Four refusals in a row made a destination that says which limit was met look shut. Idle connections of a kind known to be full stayed open until used. Calls given up end their sending only and are read for 500 ms for a wait. Probes' waits are kept, too.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -22,18 +22,8 @@
 const RETRY_DRIP: f64 = 0.5; // a second, so that a lone message is not stranded
 const NOT_SENT_REST: Ms = 20.0; // for a message that came back unsent: the count of slots was off
 
-// Windows and pace. A refusal sets the pace; its growth speeds up while none comes.
+// Windows and waits; shares and paces are in `src/fleet.rs`.
 const WINDOW_START: f64 = 2.0; // calls
-const PACE_CUT: f64 = 0.9; // of the rate just accepted
-const PACE_PROVEN: f64 = 0.6; // of the proven throughput: no refusal sets the pace lower
-const PACE_LEAST: f64 = 3.0; // calls a second of all senders together; less with each refused round
-const PACE_MOST: f64 = 1_000.0;
-const PACE_GROW: f64 = 0.05; // share a second,
-const PACE_RISE: f64 = 0.3; // and more of it for each second without a refusal,
-const PACE_CARE: f64 = 0.015; // halved where a refusal costs this share of a mean message
-const RATE_SPAN: Ms = 1_000.0; // over which accepted calls are counted,
-const RATE_CALLS: usize = 5; // stretched until it holds so many: one call in a second is no rate
-const PROVEN_HALF: Ms = 60_000.0; // half-life of the proven throughput
 const REST_FIRST: Ms = 200.0; // after a refusal that told no wait; doubled with each round
 const REST_MOST: Ms = 2_000.0;
 const REFUSED_AGE: Ms = 1_000.0; // a crowd at a limit is taken to have gathered so long at the first refusal
@@ -429,7 +419,7 @@
             if e.wait > 0.0 {
                 u.pause_until = u.pause_until.max(now + e.wait + 2.0 * self.s.round);
             }
-            u.hear(&e.report);
+            u.hear(&e.report, e.outcome);
         }
         let Some(h) = self.held.get_mut(&e.id) else { return };
         let Some(flight) = h.flight.take_if(|f| f.attempt == e.attempt) else { return };
@@ -499,7 +489,8 @@
             Outcome::Refused if door && self.full_table(now, f.route) => {}
             Outcome::Refused => {
                 self.sample(now, f.route, f64::INFINITY, false);
-                self.refused(now, f.route, f.sent, e.wait);
+                let met = e.report.limit.is_some_and(|l| l > 0.0);
+                self.refused(now, f.route, f.sent, e.wait, met);
             }
             Outcome::Error | Outcome::Reset | Outcome::Late | Outcome::NoConnection => {
                 self.sample(now, f.route, f64::INFINITY, false);
@@ -517,7 +508,10 @@
         let Some(r) = self.routes.get_mut(&f.route) else { return };
         if e.outcome == Outcome::NoConnection || door {
             r.refused = Some(now);
-            self.links.refused.insert(r.row.kind, now);
+            let kind = r.row.kind;
+            self.links.refused.insert(kind, now);
+            let idle = self.routes.iter().filter(|(_, r)| r.row.kind == kind && r.idle_since.is_some());
+            self.done.extend(idle.map(|r| *r.0));
         }
         let Some(failed) = fleet::on_a_link(e, f.watchdog) else { return };
         let (on_idle, on_others) = self.links.count(idle.is_some(), failed, LINK_WEIGHT);
@@ -554,6 +548,7 @@
         r.fulls += 1;
         let u = &mut self.units[r.unit];
         u.pause_until = u.pause_until.max(until);
+        u.hold_back(now, until - now, self.s.senders, draw);
         true
     }
 
@@ -577,7 +572,7 @@
             let u = &mut self.units[r.unit];
             u.rounds = 0;
             u.last_good_send = u.last_good_send.max(sent);
-            u.good.add(now, RATE_SPAN, RATE_CALLS, PROVEN_HALF);
+            fleet::accepted(now, &mut u.good);
         }
         self.sample(now, route, took, true);
         self.note(now, route, 0.0);
@@ -651,7 +646,7 @@
 
     /// A refusal: over the limit, or shut. The window halves, the pace falls to what was just accepted, and a
     /// told wait, or one guessed by rounds of refusals, is kept by all that share the limit.
-    fn refused(&mut self, now: Ms, route: RouteId, sent: Ms, wait: Ms) {
+    fn refused(&mut self, now: Ms, route: RouteId, sent: Ms, wait: Ms, met: bool) {
         self.halve(route);
         let Some(r) = self.routes.get_mut(&route) else { return };
         let since = *r.first_fail.get_or_insert(now);
@@ -659,16 +654,17 @@
         let rounds = self.units[unit].rounds;
         let rest = (REST_FIRST * f64::from(1u32 << rounds.min(8))).min(REST_MOST);
         let told = if wait > 0.0 { wait } else { rest };
+        let (draw, senders) = (self.random.next(), self.s.senders);
         let crowd = self.crowd_gap(now, unit, since - told - REFUSED_AGE);
         let spread = CROWD_GAP * crowd * self.random.next();
         let u = &mut self.units[unit];
         if sent >= u.cut_at {
             u.cut_at = now;
-            u.rounds += 1;
-            let rate = u.good.rate(now, RATE_SPAN, RATE_CALLS);
-            let least = PACE_LEAST / self.s.senders as f64 / f64::from(u.rounds);
-            let pace = (PACE_CUT * rate).max(PACE_PROVEN * u.good.best).max(least);
-            u.pause_until = u.pause_until.max(now + told) + spread;
+            // Who tells of the limit that was met is not shut.
+            u.rounds += u32::from(!met);
+            u.hold_back(now, told, senders, draw);
+            let pace = fleet::pace_cut(now, &u.good, senders, u.rounds);
+            u.pause_until = u.pause_until.max(now + told) + if u.limit.is_some() { 0.0 } else { spread };
             // One call may go when the pause ends, however slow the pace; the pace is for those after it.
             u.tokens.level = (1.0 - pace * (told + spread) / 1000.0).max(0.0);
             u.tokens.at = now;
@@ -716,7 +712,7 @@
 
     fn probed(&mut self, now: Ms, route: RouteId, outcome: Outcome, report: &Report) {
         let Some(r) = self.routes.get(&route) else { return };
-        self.units[r.unit].hear(report);
+        self.units[r.unit].hear(report, outcome);
         if r.outage.is_none() {
             return;
         }
@@ -853,12 +849,8 @@
     /// When the route can next take a call: pauses, pace, ramp, window and slots of the destination.
     fn ready(&self, now: Ms, r: &Route, ahead: usize) -> Ms {
         let u = &self.units[r.unit];
-        let mut at = now.max(u.shut_until());
-        let mut gap: Ms = 0.0;
-        if let Some(p) = u.pace {
-            at = at.max(now + (1.0 - u.tokens.level) * 1000.0 / p);
-            gap = 1000.0 / p;
-        }
+        let (wait, mut gap) = u.paced(self.s.senders);
+        let mut at = u.shut_until().max(now + wait);
         if let Some(ramp) = &r.ramp {
             let rate = self.ramp_rate(now, r, ramp);
             at = at.max(now + (1.0 - ramp.tokens.level) * 1000.0 / rate);
@@ -874,15 +866,16 @@
 
     /// Brings pace and ramp of a destination's routes up to now; the others stay untouched.
     fn refill(&mut self, now: Ms, dest: DestId) {
-        let rise = PACE_RISE / (1.0 + self.s.refused_price / PACE_CARE);
         for id in self.dests.get(&dest).cloned().unwrap_or_default() {
             let r = &self.routes[&id];
             let u = &mut self.units[r.unit];
-            if let Some(p) = u.pace {
+            if let Some(limit) = u.limit {
+                u.share.fill(now, limit, self.s.senders);
+            } else if let Some(p) = u.pace {
                 let dt = (now - u.tokens.at).clamp(0.0, 1000.0) / 1000.0;
                 u.tokens.fill(now, p, (p * 0.5).max(1.0));
                 let quiet = (now - u.cut_at).max(0.0) / 1000.0;
-                u.pace = Some((p * (1.0 + (PACE_GROW + rise * quiet) * dt)).min(PACE_MOST));
+                u.pace = Some(fleet::pace_grown(p, dt, quiet, self.s.refused_price));
             }
             let Some(rate) = r.ramp.as_ref().map(|p| self.ramp_rate(now, r, p)) else { continue };
             let Some(r) = self.routes.get_mut(&id) else { continue };
@@ -931,7 +924,9 @@
             let joins = self.open.get(id).is_some_and(|c| self.calls[c].left < self.s.kind(r.row.kind).batch);
             let at = if joins { now } else { self.ready(now, r, ahead.get(id).copied().unwrap_or(0)) };
             let again = if h.avoid == Some(*id) { 0.8 } else { 1.0 };
-            let pay = again * self.curve(r).payoff(|t| self.worth(h, at + t)) - self.fee(r);
+            let u = &self.units[r.unit];
+            let beyond = u.limit.map_or(0.0, |_| u.share.beyond()) * self.s.refused_price * self.mean_worth;
+            let pay = again * self.curve(r).payoff(|t| self.worth(h, at + t)) - self.fee(r) - beyond;
             let load = r.last_used;
             let better = best.is_none_or(|(p, l, _, _)| {
                 let margin = CLEAR_GAIN * p.abs();
@@ -1039,6 +1034,7 @@
             self.next_call += 1;
             r.calls += 1;
             self.units[r.unit].tokens.level -= 1.0;
+            self.units[r.unit].share.spend();
             self.units[r.unit].use_room();
             if let Some(ramp) = &mut r.ramp {
                 ramp.tokens.level -= 1.0;
--- a/src/dispatch/pace.rs
+++ b/src/dispatch/pace.rs
@@ -164,6 +164,23 @@
         self.cells.post(cell, Event::Ended(ended));
     }
 
+    /// All cells hear of a wait that no delegation of theirs was told.
+    pub(super) fn waits(&mut self, route: RouteId, wait: Ms) {
+        let (outcome, report) = (Outcome::Refused, Report::default());
+        let (attempt, took, over, heard) = (0, 0.0, false, true);
+        self.cells.post_all(&Event::Ended(Ended {
+            id: NOBODY,
+            attempt,
+            route,
+            outcome,
+            took,
+            over,
+            wait,
+            report,
+            heard,
+        }));
+    }
+
     /// How long a message with so much time left would have to stay away to be in time; none if it is already.
     pub(super) fn door_wait(&mut self, now: Ms, dest: DestId, left: Ms) -> Option<Ms> {
         self.ceilings.promise(dest)?;
--- a/src/dispatch/relay.rs
+++ b/src/dispatch/relay.rs
@@ -58,6 +58,15 @@
         }
     }
 
+    /// A worker told a wait otherwise than by the outcome of a delegation; 0 is none.
+    pub fn told_wait(&mut self, route: RouteId, wait: Ms) {
+        if wait > 0.0 && self.worker(route).is_some() {
+            log::debug!(wait_ms = wait; "worker {route} told a wait beside the calls");
+            self.waits(route, wait);
+            self.hold(route);
+        }
+    }
+
     /// Guards against a call that was decided before a wait was told and is written after it has begun.
     fn hold(&mut self, route: RouteId) {
         let Some(w) = self.worker(route) else { return };
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -3,6 +3,36 @@
 //! Plain rules: evidence goes in, a span or a rate comes out; no clock, no randomness of its own.
 
 use crate::api::*;
+use crate::state::Accepted;
+
+// The pace of a sender that is refused where no limit is told: the refusal sets it, and its growth speeds up while none comes.
+const PACE_CUT: f64 = 0.9; // of the rate just accepted
+const PACE_PROVEN: f64 = 0.6; // of the proven throughput: no refusal sets the pace lower
+const PACE_LEAST: f64 = 3.0; // calls a second of all senders together; less with each refused round
+const PACE_MOST: f64 = 1_000.0;
+const PACE_GROW: f64 = 0.05; // share a second,
+const PACE_RISE: f64 = 0.3; // and more of it for each second without a refusal,
+const PACE_CARE: f64 = 0.015; // halved where a refusal costs this share of a mean message
+const RATE_SPAN: Ms = 1_000.0; // over which accepted calls are counted,
+const RATE_CALLS: usize = 5; // stretched until it holds so many: one call in a second is no rate
+const PROVEN_HALF: Ms = 60_000.0; // half-life of the proven throughput
+
+/// Calls a second after a refusal, by what was just accepted and what has been of late.
+pub(crate) fn pace_cut(now: Ms, good: &Accepted, senders: usize, rounds: u32) -> f64 {
+    let least = PACE_LEAST / senders as f64 / f64::from(rounds.max(1));
+    (PACE_CUT * good.rate(now, RATE_SPAN, RATE_CALLS)).max(PACE_PROVEN * good.best).max(least)
+}
+
+/// A pace after a further `dt` seconds, `quiet` seconds since the last refusal; slower where a refusal is dear.
+pub(crate) fn pace_grown(pace: f64, dt: f64, quiet: f64, refused_price: f64) -> f64 {
+    let rise = PACE_RISE / (1.0 + refused_price / PACE_CARE);
+    (pace * (1.0 + (PACE_GROW + rise * quiet) * dt)).min(PACE_MOST)
+}
+
+/// Counts a call that was taken.
+pub(crate) fn accepted(now: Ms, good: &mut Accepted) {
+    good.add(now, RATE_SPAN, RATE_CALLS, PROVEN_HALF);
+}
 
 /// Rounds of refused connections in a row after which a route is taken for shut.
 pub(crate) const FULL_ROUNDS: u32 = 6;
@@ -32,3 +62,80 @@
         Outcome::Delivered | Outcome::Error | Outcome::Refused => Some(0.0),
     }
 }
+
+// A sender's share of a limit.
+const CREDIT_START: f64 = 2.0; // calls that a sender may go beyond its share before it knows how full the limit is
+const CREDIT_MOST: f64 = 6.0;
+const CREDIT_TIME: f64 = 0.05; // calls of credit a second that come back by themselves
+const CREDIT_GAIN: f64 = 0.3; // calls of credit for an answer that tells of a limit with all of it left
+const GAIN_USUAL: f64 = 0.9; // of the even share is sent by one that is refused now and then
+const GAIN_LEAST: f64 = 0.4;
+const GAIN_GROW: f64 = 0.05; // share by which it grows for an answer that tells of a limit with all of it left
+const GAIN_MOST: f64 = 1_000.0;
+const GAIN_CUT: f64 = 0.7; // of it is left by a refusal
+
+/// What this sender takes of a limit that all share. Each has an even part of it as a rate, so that all together stay under
+/// the limit however much they hold; what others leave unused it takes as credit, calls beyond its part, that grows while
+/// answers tell of room and is gone with a refusal. Guards against refused calls, which use the limit up: when all who were
+/// refused come again at their own pace, nothing is accepted any more.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Share {
+    /// Calls that may go; under 0 and down to the credit, taken ahead.
+    level: f64,
+    at: Ms,
+    credit: f64,
+    /// Times the even part.
+    gain: f64,
+}
+
+impl Default for Share {
+    fn default() -> Share {
+        Share { level: 1.0, at: f64::MAX, credit: CREDIT_START, gain: 1.0 }
+    }
+}
+
+impl Share {
+    /// Calls a second that it lets go in the long run, of a limit for all.
+    pub(crate) fn rate(&self, limit: f64, senders: usize) -> f64 {
+        limit * self.gain / senders.max(1) as f64
+    }
+
+    /// Brings it up to now.
+    pub(crate) fn fill(&mut self, now: Ms, limit: f64, senders: usize) {
+        let dt = (now - self.at).max(0.0) / 1000.0;
+        self.level = (self.level + dt * self.rate(limit, senders)).min(1.0);
+        self.credit = (self.credit + dt * CREDIT_TIME).min(CREDIT_MOST);
+        self.at = now;
+    }
+
+    /// How long until the next call may go.
+    pub(crate) fn wait(&self, limit: f64, senders: usize) -> Ms {
+        ((1.0 - self.credit - self.level) * 1000.0 / self.rate(limit, senders).max(1e-6)).max(0.0)
+    }
+
+    /// Calls that the next one would be beyond its part.
+    pub(crate) fn beyond(&self) -> f64 {
+        (1.0 - self.level).max(0.0)
+    }
+
+    /// A call goes out.
+    pub(crate) fn spend(&mut self) {
+        self.level -= 1.0;
+    }
+
+    /// A call was taken, and told which share of the limit is left.
+    pub(crate) fn taken(&mut self, left: f64) {
+        let left = left.clamp(0.0, 1.0);
+        self.credit = (self.credit + CREDIT_GAIN * left).min(CREDIT_MOST);
+        self.gain = (self.gain * (1.0 + GAIN_GROW * left)).clamp(GAIN_USUAL, GAIN_MOST);
+    }
+
+    /// A call was refused above the limit, with a wait: the next one goes at a moment of its own within the time of one
+    /// call at its part, counted from the end of the wait.
+    pub(crate) fn refused(&mut self, now: Ms, wait: Ms, limit: f64, senders: usize, draw: f64) {
+        self.gain = (self.gain * GAIN_CUT).max(GAIN_LEAST);
+        self.credit = 0.0;
+        self.level = 0.5 - draw - wait / 1000.0 * self.rate(limit, senders);
+        self.at = now;
+    }
+}
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -23,6 +23,9 @@
 /// A kept connection that breaks so soon after a call was written to it had been dropped unseen while it was idle; the
 /// others to that worker are as old and no better, and each would cost a call.
 const STALE_WITHIN: Ms = 10.0;
+/// A call that was given up on has ended this side's sending. An answer may have been on its way already, and the wait that it
+/// tells is told: the connection is read for so long, which is a few trips through the network.
+const LAST_WORD: Ms = 500.0;
 /// Answers of status 1xx in front of one answer at most.
 const INTERIM_MOST: u32 = 16;
 
@@ -49,6 +52,8 @@
         /// How.
         end: End,
     },
+    /// A worker told a wait on a connection whose task had been given up.
+    Waits(RouteId, Ms),
 }
 
 #[derive(Debug)]
@@ -64,6 +69,8 @@
     /// When the first byte of the answer came.
     heard: Option<Ms>,
     interim: u32,
+    /// Its task was given up: only a wait is still of interest, until then.
+    given_up: Option<Ms>,
     /// The head of an answer whose body is still to come.
     head: Option<Head>,
     idle_since: Ms,
@@ -206,6 +213,7 @@
             written: false,
             heard: None,
             interim: 0,
+            given_up: None,
             head: None,
             idle_since: now,
         });
@@ -226,11 +234,32 @@
         }
     }
 
-    /// Breaks a task off by closing its connection; nothing is found out any more.
-    pub fn abandon(&mut self, task: Task) {
-        if let Some(at) = self.busy.get(&task) {
-            self.close(*at);
+    /// Breaks a task off by ending its connection; nothing is found out any more but a wait.
+    pub fn abandon(&mut self, now: Ms, task: Task) {
+        let Some(at) = self.busy.remove(&task) else { return };
+        let Some(c) = self.conns.get_mut(at) else { return };
+        c.task = None;
+        if !c.up || !c.written || c.head.is_some() {
+            return self.close(at);
         }
+        c.stream.finish();
+        c.given_up = Some(now + LAST_WORD);
+    }
+
+    /// Guards against a wait that was told while its call was being given up: who has told it counts on it.
+    fn last_word(&mut self, at: usize, fill: Fill, found: &mut Vec<Finding>) {
+        let Some(c) = self.conns.get_mut(at) else { return };
+        match head(&c.stream.inbox) {
+            Ok(Some(h)) if (100..200).contains(&h.code) && c.interim < INTERIM_MOST => {
+                c.interim += 1;
+                c.stream.inbox.drain(..h.size);
+                return self.last_word(at, fill, found);
+            }
+            Ok(Some(h)) if h.wait > 0.0 => found.push(Finding::Waits(c.unit.1, h.wait)),
+            Ok(None) if fill == Fill::Blocked => return,
+            _ => {}
+        }
+        self.close(at);
     }
 
     /// Ends delegations that are not written yet and share a wait: they must not reach the worker now.
@@ -271,6 +300,9 @@
             found.push(Finding::Written(task));
         }
         let fill = c.stream.fill(HEAD_MOST + BODY_MOST as usize);
+        if c.given_up.is_some() {
+            return self.last_word(at, fill, found);
+        }
         if c.task.is_none() && c.head.is_none() {
             // Idle: whatever comes now, the connection is of no more use.
             if fill != Fill::Blocked || !c.stream.inbox.is_empty() {
@@ -380,6 +412,7 @@
                 Some((started + PROBE_PATIENCE).min(heard.unwrap_or(f64::MAX)))
             }
             Some(_) => heard,
+            None if c.given_up.is_some() => c.given_up,
             None => heard.or(Some(c.idle_since + self.keep_idle)).filter(|t| *t < f64::MAX),
         }
     }
@@ -391,6 +424,7 @@
         let due: Vec<usize> = self.conns.iter().filter(|(_, c)| due(c)).map(|(at, _)| at).collect();
         for at in due {
             match &self.conns[at] {
+                c if c.given_up.is_some() => self.close(at),
                 c if c.heard.is_some() => self.broke(now, at, found),
                 c if c.up => self.end(now, at, Outcome::Late, found),
                 _ => self.end(now, at, Outcome::NoConnection, found),
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -425,7 +425,9 @@
                 Finding::Ended { task: Task::Delegation(no, attempt), end, .. } => {
                     self.core.outcome(now, no, attempt, end);
                 }
+                Finding::Waits(route, wait) => self.core.told_wait(route, wait),
                 Finding::Ended { task: Task::Probe(route), took, end } => {
+                    self.core.told_wait(route, end.wait);
                     self.core.probed(now, route, end.outcome, took, end.report);
                 }
             }
@@ -448,7 +450,7 @@
             }
             Order::Delegate(d) => self.workers.delegate(now, &d, registry, &mut self.found),
             Order::Abandon { no, attempt } => {
-                self.workers.abandon(Task::Delegation(no, attempt));
+                self.workers.abandon(now, Task::Delegation(no, attempt));
                 self.brokers.abandon(Task::Delegation(no, attempt));
             }
             Order::Hold { dest, route } => {
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,6 +2,7 @@
 
 use crate::api::*;
 use crate::curve::Curve;
+use crate::fleet::Share;
 use std::collections::{BTreeMap, VecDeque};
 
 /// Why and since when a route is not trusted with ordinary traffic.
@@ -123,6 +124,8 @@
     pub(crate) room: Option<(u32, Ms)>,
     /// Its limit, calls a second from all senders, as last told or listed.
     pub(crate) limit: Option<f64>,
+    /// What this sender takes of it.
+    pub(crate) share: Share,
     pub(crate) next_trial: Ms,
     pub(crate) pace: Option<f64>,
     pub(crate) tokens: Bucket,
@@ -155,8 +158,30 @@
         self.room = self.room.map(|(calls, again)| (calls.saturating_sub(1), again));
     }
 
+    /// How long until the next call may go, and the time between those behind it.
+    pub(crate) fn paced(&self, senders: usize) -> (Ms, Ms) {
+        match (self.limit, self.pace) {
+            (Some(limit), _) => {
+                let gap = 1000.0 / self.share.rate(limit, senders).max(f64::MIN_POSITIVE);
+                (self.share.wait(limit, senders), gap)
+            }
+            (None, Some(pace)) => ((1.0 - self.tokens.level) * 1000.0 / pace, 1000.0 / pace),
+            (None, None) => (0.0, 0.0),
+        }
+    }
+
+    /// A call was turned away: the share of what shares a limit shrinks.
+    pub(crate) fn hold_back(&mut self, now: Ms, wait: Ms, senders: usize, draw: f64) {
+        if let Some(limit) = self.limit {
+            self.share.refused(now, wait, limit, senders, draw);
+        }
+    }
+
     /// Takes in what was told of the limit; 0 says that there is none but the capacity.
-    pub(crate) fn hear(&mut self, report: &Report) {
+    pub(crate) fn hear(&mut self, report: &Report, outcome: Outcome) {
+        if let (Outcome::Delivered, Some(left)) = (outcome, report.left) {
+            self.share.taken(left);
+        }
         if let Some(limit) = report.limit {
             self.limit = Some(limit).filter(|l| *l > 0.0);
         }
--- /dev/null
+++ b/tests/fleet.rs
@@ -0,0 +1,168 @@
+//! A hundred senders at destinations whose limit they share: what is harmless for each must be so for all.
+
+mod common;
+use common::{row, settings};
+use lilacbank::api::*;
+use lilacbank::Brain;
+use std::collections::BTreeMap;
+
+/// A destination with a limit for all senders; refused calls use it up. Deterministic.
+struct Limited {
+    limit: f64,
+    level: f64,
+    at: Ms,
+}
+
+impl Limited {
+    /// Takes a call or refuses it; tells which share of the limit is left.
+    fn call(&mut self, now: Ms) -> (bool, f64) {
+        let depth = 0.6 * self.limit;
+        self.level = (self.level + (now - self.at) / 1000.0 * self.limit).min(depth);
+        self.at = now;
+        let taken = self.level >= 1.0;
+        self.level = (self.level - 1.0).max(0.0);
+        (taken, (self.level / depth).max(0.0))
+    }
+}
+
+/// Senders on one clock, with what will happen to each.
+struct Fleet {
+    brains: Vec<Brain>,
+    due: BTreeMap<(u64, u64), (usize, Event)>,
+    count: u64,
+    dest: Limited,
+    now: Ms,
+    state: u64,
+    /// Calls taken and refused, by second.
+    taken: Vec<usize>,
+    refused: Vec<usize>,
+}
+
+const TRIP: Ms = 60.0;
+
+impl Fleet {
+    fn new(senders: usize, limit: f64, seed: u64) -> Fleet {
+        let s = |n: usize| Settings {
+            seed: seed * 1_000 + n as u64,
+            senders,
+            slots: 5,
+            reports: true,
+            refused_price: 0.1,
+            ..settings()
+        };
+        let list = Event::List { rows: vec![row(0, 1, 0, 0)], whole: true, cached: true };
+        let mut fleet = Fleet {
+            brains: (0..senders).map(|n| Brain::new(s(n))).collect(),
+            due: BTreeMap::new(),
+            count: 0,
+            dest: Limited { limit, level: 0.6 * limit, at: 0.0 },
+            now: 0.0,
+            state: seed,
+            taken: vec![0; 64],
+            refused: vec![0; 64],
+        };
+        (0..senders).for_each(|n| fleet.give(n, list.clone()));
+        fleet
+    }
+
+    fn draw(&mut self) -> f64 {
+        self.state = self.state.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
+        (self.state >> 33) as f64 / (1u64 << 31) as f64
+    }
+
+    fn later(&mut self, at: Ms, sender: usize, e: Event) {
+        self.count += 1;
+        self.due.insert(((at * 1000.0) as u64, self.count), (sender, e));
+    }
+
+    fn give(&mut self, n: usize, e: Event) {
+        let mut actions = Vec::new();
+        self.brains[n].step(self.now, &[e], &mut actions);
+        for a in actions {
+            match a {
+                Action::Timer { at, token } => self.later(at, n, Event::Timer(token)),
+                Action::Send { id, route, .. } => {
+                    let (taken, left) = self.dest.call(self.now);
+                    let second = (self.now / 1000.0) as usize;
+                    (if taken { &mut self.taken } else { &mut self.refused })[second] += 1;
+                    let took = if taken { TRIP + 100.0 } else { TRIP };
+                    let outcome = if taken { Outcome::Delivered } else { Outcome::Refused };
+                    let wait = if taken { 0.0 } else { 500.0 };
+                    let report = Report { left: Some(left), limit: Some(self.dest.limit) };
+                    // Each message is given one try at a time, numbered by how often it was sent.
+                    let attempt = self.attempt(n, id);
+                    let e =
+                        Ended { id, attempt, route, outcome, took, over: taken, wait, report, heard: true };
+                    self.later(self.now + took, n, Event::Ended(e));
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn attempt(&mut self, n: usize, id: MsgId) -> u32 {
+        let key = (u64::MAX, (n as u64) << 32 | id);
+        let tries = match self.due.remove(&key) {
+            Some((_, Event::Timer(t))) => t + 1,
+            _ => 0,
+        };
+        self.due.insert(key, (n, Event::Timer(tries)));
+        tries as u32
+    }
+
+    /// Lets messages come at so many a second, for any sender, until then.
+    fn play(&mut self, rate: f64, until: Ms) {
+        let mut next = self.now;
+        while self.now < until {
+            let due = self.due.first_key_value().map(|(k, _)| k.0 as f64 / 1000.0).unwrap_or(f64::MAX);
+            if next <= due {
+                self.now = self.now.max(next);
+                next += -(1.0 - self.draw()).ln() * 1000.0 / rate;
+                let n = (self.draw() * self.brains.len() as f64) as usize;
+                self.count += 1;
+                let valid_until = self.now + 8_000.0;
+                let m = Message { id: self.count, class: 0, valid_until, dest: 1, ..Message::default() };
+                self.give(n, Event::Arrived(m));
+            } else if let Some((_, (n, e))) = self.due.pop_first() {
+                self.now = self.now.max(due);
+                self.give(n, e);
+            }
+        }
+    }
+
+    fn sums(&self, from: usize, to: usize) -> (usize, usize) {
+        (self.taken[from..to].iter().sum(), self.refused[from..to].iter().sum())
+    }
+}
+
+/// Refused calls use a limit up: 100 senders that came again each at a pace of its own got nothing through for good.
+#[test]
+fn more_than_a_limit_bears_does_not_close_it_for_all() {
+    for seed in 1..=5 {
+        let mut fleet = Fleet::new(100, 25.0, seed);
+        fleet.play(40.0, 30_000.0);
+        let (taken, refused) = fleet.sums(5, 30);
+        assert!(taken as f64 >= 0.7 * 25.0 * 25.0, "seed {seed}: {taken} taken, {refused} refused");
+        assert!(refused * 3 <= taken, "seed {seed}: {taken} taken, {refused} refused");
+    }
+}
+
+/// A limit that is lowered and raised again: neither refusals without end nor a fleet that stays slow.
+#[test]
+fn a_limit_lowered_under_full_load_is_met_and_the_rise_is_followed() {
+    for seed in 1..=5 {
+        let mut fleet = Fleet::new(100, 50.0, seed);
+        fleet.play(40.0, 10_000.0);
+        fleet.dest.limit = 20.0;
+        fleet.play(40.0, 19_000.0);
+        let (low, refused) = fleet.sums(13, 19);
+        assert!(
+            low as f64 >= 0.6 * 20.0 * 6.0,
+            "seed {seed}: {low} taken, {refused} refused while it is low"
+        );
+        fleet.dest.limit = 50.0;
+        fleet.play(40.0, 30_000.0);
+        let (high, _) = fleet.sums(22, 30);
+        assert!(high as f64 >= 0.9 * 40.0 * 8.0, "seed {seed}: {high} taken once it is high again");
+    }
+}
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -367,3 +367,22 @@
     assert_eq!(d.client().ask(&[b"PING"]), "+PONG");
     assert!(d.memory_mb() < 60, "{} MB", d.memory_mb());
 }
+
+/// A wait was told while the call that it answered was being given up; the next call went out within it.
+#[test]
+fn a_wait_told_to_a_call_that_was_given_up_is_kept() {
+    let full = "429 Too Many Requests\r\nRetry-After: 4";
+    let worker = Worker::start(
+        move |_, nth| if nth == 0 { Reply::After(Duration::from_millis(500), full) } else { OK },
+    );
+    let site = one(&worker);
+    let d = site.start();
+    let mut c = d.client();
+    assert_eq!(c.submit("id-1", "c=safe,d=400,dest=1"), "+OK");
+    until("the call is given up", || !site.platform.noticed("id-1").is_empty());
+    std::thread::sleep(Duration::from_millis(400));
+    let asked = Instant::now();
+    assert_eq!(c.submit("id-2", "c=safe,d=12000,dest=1"), "+OK");
+    until("the call goes once the wait is over", || worker.of("id-2") == 1);
+    assert!(asked.elapsed() > Duration::from_millis(2_500), "{:?}", asked.elapsed());
+}
