Ask an overbooked registry in turns, ramp by the told limit, keep no probe's connection

Change: Asking in src/fleet.rs (turns in proportion to the senders, doubled with each failure in a row; patience that grows with silence; a told wait); the ramp's base is the even share of a told limit; a probed route counts as used.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -713,6 +713,7 @@
     fn probed(&mut self, now: Ms, route: RouteId, outcome: Outcome, report: &Report) {
         let Some(r) = self.routes.get(&route) else { return };
         self.units[r.unit].hear(report, outcome);
+        self.done.insert(route);
         if r.outage.is_none() {
             return;
         }
@@ -842,7 +843,9 @@
         let u = &self.units[r.unit];
         let done = ((now - ramp.since) / self.s.cold.max(1.0)).min(1.0);
         let part = ramp.from + (1.0 - ramp.from) * done;
-        let usual = self.demand(now, r.unit).max(CROWD_LEAST / self.s.senders as f64);
+        // Its capacity is the limit or more; where none is told, the demand is taken for what it can do.
+        let senders = self.s.senders as f64;
+        let usual = u.limit.map_or(self.demand(now, r.unit), |l| l / senders).max(CROWD_LEAST / senders);
         usual * part * self.s.overload_factor * RAMP_SHARE / u.routes.max(1) as f64
     }
 
--- a/src/dispatch/book.rs
+++ b/src/dispatch/book.rs
@@ -47,7 +47,8 @@
         c.ending = Some(ending);
         let (identity, dest) = (c.taken.identity.clone(), c.taken.dest);
         let (outcome, wait) = told(ending);
-        log::debug!(id = identity.1.as_str(), class = c.taken.class.as_str(), member = dest, outcome = outcome, wait_ms = wait; "a call ended");
+        log::debug!(id = identity.1.as_str(), class = c.taken.class.as_str(), member = dest, outcome = outcome, wait_ms = wait,
+            attempts = c.attempts, left_ms = c.taken.valid_until - now; "a call ended");
         self.ceilings.unqueue(dest);
         self.cells.over(now, c, ending == Ending::Delivered);
         let platform = identity.0.is_empty();
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -139,3 +139,122 @@
         self.at = now;
     }
 }
+
+// Asking the registry.
+const ASK_BEGIN: Ms = 1_000.0; // it answers at once; a watch that has not begun after so long is asked for anew,
+const ASK_QUEUE: Ms = 25.0; // later for each other sender that may be before this one,
+const ASK_BEGIN_MOST: Ms = 8_000.0; // and with each in a row that was not answered it is given twice the time
+const ASK_AGAIN: Ms = 200.0; // before the next asking; doubled with each failure in a row
+const ASK_AGAIN_MOST: Ms = 2_000.0;
+const ASK_TURNS_MOST: u32 = 3; // doublings of the crowd's time
+const ASK_TURN: Ms = 100.0; // for each sender: in this time its place in a crowd that lost the registry at one moment comes round
+
+/// When to ask the registry, for one of many who lose it at the same moment: a release of the senders, or the end of its
+/// process. One that is overbooked does work for each who asks; those who give up soon and ask again keep it so.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Asking {
+    senders: usize,
+    /// Failures in a row, and of these the ones that were silence.
+    failed: u32,
+    silent: u32,
+}
+
+impl Asking {
+    pub(crate) fn new(senders: usize) -> Asking {
+        Asking { senders, failed: 0, silent: 0 }
+    }
+
+    /// How long an asking may be without an answer.
+    pub(crate) fn patience(&self) -> Ms {
+        let crowd = ASK_QUEUE * (self.senders.max(1) - 1) as f64;
+        ((ASK_BEGIN + crowd) * f64::from(1u32 << self.silent.min(8))).min(ASK_BEGIN_MOST)
+    }
+
+    /// How long to wait before the first asking: a turn among all senders.
+    pub(crate) fn first(&self, draw: f64) -> Ms {
+        draw * ASK_TURN * (self.senders.max(1) - 1) as f64
+    }
+
+    /// An asking failed, with a wait that was told or 0; returns when to ask again.
+    pub(crate) fn failed(&mut self, silent: bool, wait: Ms, draw: f64) -> Ms {
+        let gap = (ASK_AGAIN * f64::from(1u32 << self.failed.min(8))).min(ASK_AGAIN_MOST);
+        // Half of the gap and a draw over it; the crowd's turns come on top, and twice as many each time that they were
+        // too few.
+        let turns = self.first(draw) * f64::from(1u32 << self.failed.min(ASK_TURNS_MOST));
+        self.failed += 1;
+        self.silent += u32::from(silent);
+        wait.max(gap * (0.5 + 0.5 * draw)) + turns
+    }
+
+    /// It answers.
+    pub(crate) fn settled(&mut self) {
+        (self.failed, self.silent) = (0, 0);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::state::Random;
+    use std::collections::VecDeque;
+
+    /// A registry that does one asking in 100 ms, answers 503 to one that has waited 2 s and does its work all the same.
+    /// Returns when the last of the senders has its watch.
+    fn all_watch(senders: usize, seed: u64) -> Option<Ms> {
+        let mut random = Random::new(seed);
+        let mut askers: Vec<Asking> = vec![Asking::new(senders); senders];
+        // When each asks next, or until when it waits for the answer.
+        let mut at: Vec<(Ms, bool)> = askers.iter().map(|a| (a.first(random.next()), false)).collect();
+        let mut has = vec![false; senders];
+        let mut queue: VecDeque<usize> = VecDeque::new();
+        for tick in 0..600 {
+            let now = f64::from(tick) * 100.0;
+            for n in (0..senders).filter(|n| !has[*n]) {
+                let (due, waits) = at[n];
+                if due > now {
+                    continue;
+                }
+                at[n] = if waits {
+                    let silent = askers[n].patience() < 2_000.0;
+                    (now + askers[n].failed(silent, 0.0, random.next()), false)
+                } else {
+                    queue.push_back(n);
+                    (now + askers[n].patience().min(2_000.0), true)
+                };
+            }
+            // Whoever has given up is served as well, and gains nothing.
+            if let Some(n) = queue.pop_front() {
+                has[n] |= at[n].1;
+            }
+            if has.iter().all(|h| *h) {
+                return Some(now);
+            }
+        }
+        None
+    }
+
+    /// A release of the senders: 100 asked an overbooked registry every second or two, and 81 of them never heard it again.
+    #[test]
+    fn a_crowd_that_lost_the_registry_comes_through_and_a_few_do_at_once() {
+        for seed in 1..=5 {
+            let crowd = all_watch(100, seed);
+            assert!(crowd.is_some_and(|t| t < 30_000.0), "seed {seed}: {crowd:?}");
+            let few = all_watch(3, seed);
+            assert!(few.is_some_and(|t| t < 800.0), "seed {seed}: {few:?}");
+        }
+    }
+
+    /// Guards against numbers from outside that would end in a share without bounds.
+    #[test]
+    fn a_share_stays_within_its_bounds_whatever_it_is_told() {
+        let mut share = Share::default();
+        for (left, limit) in [(9.0, 1e300), (-3.0, 1e-300), (f64::INFINITY, 25.0), (0.5, 25.0)] {
+            share.fill(1_000.0, limit, 100);
+            share.taken(left);
+            share.refused(1_000.0, 500.0, limit, 100, 0.5);
+            assert!(share.level.is_finite() && share.gain.is_finite() && share.credit == 0.0);
+            assert!(share.wait(limit, 100) >= 0.0);
+            share = Share::default();
+        }
+    }
+}
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -204,6 +204,7 @@
             log::debug!(worker = address, cause:% = e; "no connection to {address}: {e}");
             Outcome::NoConnection
         })?;
+        log::debug!(worker = address, route = unit.1, conn = at; "a connection is opened");
         entry.insert(Conn {
             stream,
             unit,
@@ -222,6 +223,7 @@
 
     fn close(&mut self, at: usize) {
         if let Some(c) = self.conns.try_remove(at) {
+            log::debug!(route = c.unit.1, conn = at; "a connection is closed");
             if let Some(idle) = self.idle.get_mut(&c.unit.1) {
                 idle.retain(|i| *i != at);
                 if idle.is_empty() {
@@ -274,6 +276,7 @@
     /// Closes idle connections to a worker.
     pub fn close_idle(&mut self, route: RouteId) {
         for at in self.idle.remove(&route).unwrap_or_default() {
+            log::debug!(route = route, conn = at; "a connection is closed");
             self.conns.try_remove(at);
         }
     }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -151,6 +151,7 @@
         let rev = known.rev;
         let (settings, names) = (config.settings.clone(), config.names.clone());
         let (promises, once, cells) = (side.promises, side.once, side.cells);
+        let watch = Watch::new(now, config.registry, rev, settings.senders, settings.seed);
         let peers = Peers::new(side.mesh.as_ref());
         let peer_at = side.mesh.as_ref().and_then(|m| m.peer(&m.me)).map(|p| p.peer);
         let parts = Parts { settings, names, journal, promises, once, cells, mesh: side.mesh };
@@ -186,7 +187,7 @@
             peer_listener,
             peers,
             workers,
-            watch: Watch::new(config.registry, rev),
+            watch,
             notices: Notices::new(address_of(config.notices)),
             config,
             environment,
--- a/src/net/registry.rs
+++ b/src/net/registry.rs
@@ -5,16 +5,13 @@
 use super::{token, Kind};
 use crate::api::Ms;
 use crate::config::{self, Names, Node, WorkerList};
+use crate::fleet::Asking;
 use crate::logging::Complaint;
+use crate::state::Random;
 use std::net::SocketAddr;
 
 /// The registry says something every two seconds; after so long it is gone.
 const SILENCE: Ms = 6_500.0;
-/// It answers at once; a watch that has not begun after so long is asked for anew, so that a registry that was silent
-/// or is just coming up is heard well within the span in which its news count as told.
-const BEGIN: Ms = 1_000.0;
-const AGAIN_FIRST: Ms = 200.0;
-const AGAIN_MOST: Ms = 2_000.0;
 /// Bytes of a line at most.
 const LINE_MOST: usize = 4 << 20;
 
@@ -33,13 +30,19 @@
     rev: u64,
     heard: Ms,
     open_at: Ms,
-    again: Ms,
+    asking: Asking,
+    random: Random,
+    /// The wait that a refusal told.
+    told: Ms,
     complaint: Complaint,
 }
 
 impl Watch {
-    /// A watch that goes on from a version and is opened at once.
-    pub fn new(address: Option<SocketAddr>, rev: u64) -> Watch {
+    /// A watch that goes on from a version, for one of so many senders; it is opened in its turn.
+    pub fn new(now: Ms, address: Option<SocketAddr>, rev: u64, senders: usize, seed: u64) -> Watch {
+        let (asking, mut random) = (Asking::new(senders), Random::new(seed));
+        // With no list at all there is nothing to wait for.
+        let turn = if rev > 0 { asking.first(random.next()) } else { 0.0 };
         Watch {
             address,
             stream: None,
@@ -50,8 +53,10 @@
             line: Vec::new(),
             rev,
             heard: 0.0,
-            open_at: 0.0,
-            again: AGAIN_FIRST,
+            open_at: now + turn,
+            asking,
+            random,
+            told: 0.0,
             complaint: Complaint::default(),
         }
     }
@@ -59,7 +64,8 @@
     /// The registry is elsewhere from now on: the watch is opened there at once and goes on from the version held.
     pub fn redirect(&mut self, address: Option<SocketAddr>) {
         (self.address, self.stream) = (address, None);
-        (self.open_at, self.again) = (0.0, AGAIN_FIRST);
+        self.open_at = 0.0;
+        self.asking.settled();
     }
 
     /// When [`Watch::tick`] has something to do.
@@ -67,7 +73,7 @@
         if self.address.is_none() {
             f64::MAX
         } else if self.stream.is_some() {
-            self.heard + if self.begun { SILENCE } else { BEGIN }
+            self.heard + if self.begun { SILENCE } else { self.asking.patience() }
         } else {
             self.open_at
         }
@@ -77,30 +83,32 @@
     pub fn tick(&mut self, now: Ms, registry: &mio::Registry) {
         let Some(address) = self.address.filter(|_| self.next_due() <= now) else { return };
         if self.stream.is_some() {
-            return self.lost(now, "nothing was heard");
+            let silent = !self.begun;
+            return self.lost(now, "nothing was heard", silent);
         }
-        (self.asked, self.begun, self.chunk, self.heard) = (false, false, 0, now);
+        (self.asked, self.begun, self.chunk, self.heard, self.told) = (false, false, 0, now, 0.0);
         self.line.clear();
+        log::debug!(rev = self.rev; "the registry is asked");
         match Stream::connect(address, registry, token(Kind::Watch, 0)) {
             Ok(stream) => self.stream = Some(stream),
-            Err(e) => self.lost(now, &e.to_string()),
+            Err(e) => self.lost(now, &e.to_string(), false),
         }
     }
 
-    fn lost(&mut self, now: Ms, why: &str) {
+    fn lost(&mut self, now: Ms, why: &str, silent: bool) {
         if let Some(count) = self.complaint.raise(now) {
             log::info!(cause = why, count = count; "the watch on the registry ended: {why}");
         }
         self.stream = None;
-        self.open_at = now + self.again;
-        self.again = (self.again * 2.0).min(AGAIN_MOST);
+        let draw = self.random.next();
+        self.open_at = now + self.asking.failed(silent, self.told, draw);
     }
 
     /// Something happened on the connection; returns the news.
     pub fn ready(&mut self, now: Ms, names: &Names) -> Vec<WorkerList> {
         let mut news = Vec::new();
         if let Err(why) = self.read(now, names, &mut news) {
-            self.lost(now, &why);
+            self.lost(now, &why, false);
         }
         news
     }
@@ -127,10 +135,15 @@
                 match head(&stream.inbox).map_err(|e| e.to_string())? {
                     None if stream.inbox.len() > HEAD_MOST => return Err("the head is too long".into()),
                     None => {}
-                    Some(h) if h.code != 200 => return Err(format!("answer {}", h.code)),
+                    Some(h) if h.code != 200 => {
+                        self.told = h.wait;
+                        return Err(format!("answer {}, wait {} ms", h.code, h.wait));
+                    }
                     Some(h) => {
                         stream.inbox.drain(..h.size);
-                        (self.begun, self.chunked, self.again) = (true, h.chunked, AGAIN_FIRST);
+                        log::debug!(rev = self.rev; "the watch on the registry has begun");
+                        (self.begun, self.chunked) = (true, h.chunked);
+                        self.asking.settled();
                         self.complaint.settle();
                     }
                 }
@@ -188,6 +201,7 @@
             let value = config::json("registry", text).map_err(|e| e.to_string())?;
             let list =
                 config::worker_list(&Node::root("registry", &value), names).map_err(|e| e.to_string())?;
+            log::debug!(rev = list.rev, whole = list.whole, rows = list.workers.len(), from = self.rev; "the registry told news");
             self.rev = list.rev;
             news.push(list);
         }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -9,6 +9,8 @@
 /// A destination with a limit for all senders; refused calls use it up. Deterministic.
 struct Limited {
     limit: f64,
+    /// It refuses connections until then, and is cold from then on: a fifth of its limit, all of it after ten seconds.
+    down: (Ms, Ms),
     level: f64,
     at: Ms,
 }
@@ -16,8 +18,9 @@
 impl Limited {
     /// Takes a call or refuses it; tells which share of the limit is left.
     fn call(&mut self, now: Ms) -> (bool, f64) {
-        let depth = 0.6 * self.limit;
-        self.level = (self.level + (now - self.at) / 1000.0 * self.limit).min(depth);
+        let part = (0.2 + 0.8 * (now - self.down.1) / 10_000.0).clamp(0.2, 1.0);
+        let depth = 0.6 * self.limit * part;
+        self.level = (self.level + (now - self.at) / 1000.0 * self.limit * part).min(depth);
         self.at = now;
         let taken = self.level >= 1.0;
         self.level = (self.level - 1.0).max(0.0);
@@ -55,7 +58,7 @@
             brains: (0..senders).map(|n| Brain::new(s(n))).collect(),
             due: BTreeMap::new(),
             count: 0,
-            dest: Limited { limit, level: 0.6 * limit, at: 0.0 },
+            dest: Limited { limit, down: (-1e5, -1e5), level: 0.6 * limit, at: 0.0 },
             now: 0.0,
             state: seed,
             taken: vec![0; 64],
@@ -81,6 +84,14 @@
         for a in actions {
             match a {
                 Action::Timer { at, token } => self.later(at, n, Event::Timer(token)),
+                Action::Send { id, route, .. }
+                    if (self.dest.down.0..self.dest.down.1).contains(&self.now) =>
+                {
+                    let (outcome, wait, attempt) = (Outcome::NoConnection, 0.0, self.attempt(n, id));
+                    let (took, over, report, heard) = (TRIP, false, Report::default(), false);
+                    let e = Ended { id, attempt, route, outcome, took, over, wait, report, heard };
+                    self.later(self.now + TRIP, n, Event::Ended(e));
+                }
                 Action::Send { id, route, .. } => {
                     let (taken, left) = self.dest.call(self.now);
                     let second = (self.now / 1000.0) as usize;
@@ -166,3 +177,24 @@
         assert!(high as f64 >= 0.9 * 40.0 * 8.0, "seed {seed}: {high} taken once it is high again");
     }
 }
+
+/// Senders that each counted on their own demand came back to a destination with four times its limit to spare at a trickle.
+#[test]
+fn a_destination_that_returns_cold_is_used_for_what_it_can_do_and_no_more() {
+    for seed in 1..=5 {
+        let mut fleet = Fleet::new(100, 160.0, seed);
+        fleet.play(40.0, 10_000.0);
+        fleet.dest.down = (10_000.0, 15_000.0);
+        fleet.play(40.0, 30_000.0);
+        let (taken, refused) = fleet.sums(17, 22);
+        assert!(taken as f64 >= 1.2 * 40.0 * 5.0, "seed {seed}: {taken} taken, {refused} refused");
+        for from in 15..22 {
+            let sent = fleet.sums(from, from + 2);
+            let cold = 160.0 * (0.2 + 0.08 * (from as f64 - 15.0)) * 2.0;
+            assert!(
+                ((sent.0 + sent.1) as f64) < 2.0 * cold,
+                "seed {seed}: {sent:?} in two seconds from {from}"
+            );
+        }
+    }
+}
