Refuse numbers of dispatchers that cannot be meant; keep absurd reports from estimates

Need: a share of a limit divides by balancers and multiplies by x1. balancers 0 or 1.5 was rounded, 1e9 taken, rank not read; a negative x1 lifted the limit, a huge one made it endless.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -532,7 +532,7 @@
         }
     }
 
-    /// Guards against taking a full table of connections for a limit or an outage. False: it is taken for shut.
+    /// Guards against taking a full table of connections for a limit or an outage. False: it is as if shut.
     fn full_table(&mut self, now: Ms, route: RouteId) -> bool {
         let draw = self.random.next();
         let Some(r) = self.routes.get(&route).filter(|r| r.fulls < fleet::FULL_ROUNDS) else { return false };
--- a/src/config.rs
+++ b/src/config.rs
@@ -220,6 +220,9 @@
     })
 }
 
+/// Dispatchers that can be meant.
+const BALANCERS_MOST: f64 = 100_000.0;
+
 /// Reads the settings object; absent keys get the documented meaning.
 pub fn settings(seed: u64, v: &Node) -> Checked<(Settings, Names)> {
     v.object()?;
@@ -243,9 +246,20 @@
     let advice =
         if limits.get("retry_after").flag()? { limits.get("max_retry_after").amount(0.0)? } else { 0.0 };
     let zone = v.get("zone").text()?;
+    let (balancers, rank) = (v.get("balancers").num(1.0)?, v.get("rank").num(0.0)?);
+    if balancers.fract() != 0.0 || !(1.0..=BALANCERS_MOST).contains(&balancers) {
+        return v
+            .get("balancers")
+            .fault(format!("{balancers} is no number of dispatchers: 1 to {BALANCERS_MOST}"));
+    }
+    if rank.fract() != 0.0 || !(0.0..balancers).contains(&rank) {
+        return v
+            .get("rank")
+            .fault(format!("{rank} is not the number of one of {balancers}, counted from 0"));
+    }
     let s = Settings {
         seed,
-        senders: v.get("balancers").num(1.0)?.max(1.0) as usize,
+        senders: balancers as usize,
         round: v.get("round").amount(0.0)?,
         classes: v.get("classes").items()?.iter().map(class).collect::<Checked<_>>()?,
         decay: if family.get("decay").text()? == "halves" { Decay::Halves } else { Decay::Line },
@@ -766,4 +780,23 @@
         let shipped = include_str!("../deploy/mqtt.toml");
         assert_eq!(read(shipped), Ok(None), "the platform has no MQTT");
     }
+
+    /// Guards against shares of a limit that are a multiple of what they should be.
+    #[test]
+    fn numbers_of_dispatchers_that_cannot_be_meant_are_named() {
+        let read = |text: &str| {
+            let value = json("settings", text).unwrap();
+            settings(1, &Node::root("settings", &value)).map(|s| s.0.senders).map_err(|e| e.key)
+        };
+        assert_eq!(read("{}"), Ok(1));
+        assert_eq!(read(r#"{"balancers": 100, "rank": 99}"#), Ok(100));
+        for balancers in ["0", "-3", "1.5", "1e9"] {
+            let text = format!(r#"{{"balancers": {balancers}}}"#);
+            assert_eq!(read(&text), Err("settings.balancers".into()), "{balancers}");
+        }
+        for rank in ["2", "-1", "0.5"] {
+            let text = format!(r#"{{"balancers": 2, "rank": {rank}}}"#);
+            assert_eq!(read(&text), Err("settings.rank".into()), "{rank}");
+        }
+    }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -114,6 +114,10 @@
     }
 }
 
+/// A share that is left and a limit in calls a second that a report can mean; noise may take the share over 1.
+const LEFT_MOST: f64 = 2.0;
+const LIMIT_MOST: f64 = 1e6;
+
 /// What shares one limit: a route apart, or all routes of a destination.
 #[derive(Debug, Default)]
 pub(crate) struct Unit {
@@ -183,10 +187,13 @@
 
     /// Takes in what was told of the limit; 0 says that there is none but the capacity.
     pub(crate) fn hear(&mut self, report: &Report, outcome: Outcome) {
-        if let (Outcome::Delivered, Some(left)) = (outcome, report.left) {
+        // What cannot be meant reaches no estimate.
+        let left = report.left.filter(|l| (0.0..=LEFT_MOST).contains(l));
+        let limit = report.limit.filter(|l| (0.0..=LIMIT_MOST).contains(l));
+        if let (Outcome::Delivered, Some(left)) = (outcome, left) {
             self.share.taken(left);
         }
-        if let Some(limit) = report.limit {
+        if let Some(limit) = limit {
             self.told = true;
             self.limit = Some(limit).filter(|l| *l > 0.0);
         }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -259,3 +259,31 @@
     }
     assert!(cuts > 0, "with enough of them the watchdog is there: {own:?}");
 }
+
+/// Guards against shares of numbers that cannot be meant: nothing may go by a limit of less than nothing or of any size.
+#[test]
+fn reports_that_cannot_be_meant_reach_no_share() {
+    for (left, limit) in [(-1.0, -25.0), (1e9, 1e300), (f64::NAN, f64::NAN)] {
+        let mut w =
+            Watched::new(Settings { senders: 100, reports: true, ..settings() }, vec![row(0, 1, 0, 0)]);
+        let tell = |w: &mut Watched, outcome: Outcome, left: f64, limit: f64| {
+            let id = w.arrive(0, 1, None);
+            let Some(a) = w.out(id) else { return false };
+            let report = Report { left: Some(left), limit: Some(limit) };
+            let (wait, over) =
+                (if outcome == Outcome::Refused { 300.0 } else { 0.0 }, outcome == Outcome::Delivered);
+            let e =
+                Ended { id, attempt: a.n, route: 0, outcome, took: 100.0, over, wait, report, heard: true };
+            w.give(vec![Event::Ended(e)]);
+            true
+        };
+        assert!(tell(&mut w, Outcome::Delivered, 0.9, 25.0));
+        assert!(tell(&mut w, Outcome::Delivered, left, limit));
+        assert!(tell(&mut w, Outcome::Refused, left, limit), "{limit}");
+        w.pass(400.0);
+        assert!(
+            !tell(&mut w, Outcome::Delivered, 0.9, 25.0),
+            "after a refusal a share of 25 has its wait: {limit}"
+        );
+    }
+}
