--- a/src/brain.rs
+++ b/src/brain.rs
@@ -170,7 +170,7 @@
             Event::Arrived(m) => self.arrived(now, m, out),
             Event::Restarted => {
                 self.keys.rest_all(now + self.s.key_quiet);
-                self.units.iter_mut().for_each(|u| u.share = Share::of_a_crowd(self.random.next()));
+                self.units.iter_mut().for_each(|u| u.share = Share::begin(true, self.random.next()));
             }
             Event::Resumed(r) => self.resumed(now, r, out),
             Event::Heard(id) => {
@@ -227,9 +227,8 @@
             if units[unit].routes == 0 {
                 units[unit] = Unit::new(row.dest, now);
                 // Who has messages waiting for it is not the only one.
-                if self.held.values().any(|h| h.m.dest == row.dest) {
-                    units[unit].share = Share::of_a_crowd(self.random.next());
-                }
+                let waited = self.held.values().any(|h| h.m.dest == row.dest);
+                units[unit].share = Share::begin(waited, self.random.next());
             }
             units[unit].routes += 1;
             if self.s.weights != Weights::None && row.weight > 0.0 {
@@ -505,8 +504,9 @@
     /// that broke within its answer was not dropped.
     fn learn_link(&mut self, now: Ms, f: &Flight, idle: Option<Ms>, e: &Ended, door: bool) {
         let Some(r) = self.routes.get_mut(&f.route) else { return };
-        if e.outcome == Outcome::NoConnection || door {
-            r.refused = Some(now);
+        r.refused = Some(now).filter(|_| door || e.outcome == Outcome::NoConnection).or(r.refused);
+        // Where refusals tell a full table, a connection that was refused tells an outage.
+        if door || e.outcome == Outcome::NoConnection && !self.s.reports {
             let kind = r.row.kind;
             self.links.refused.insert(kind, now);
             let idle = self.routes.iter().filter(|(_, r)| r.row.kind == kind && r.idle_since.is_some());
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -119,10 +119,15 @@
 }
 
 impl Share {
-    /// For one of many that all begin at this moment, with messages at hand: a restart, or news of an endpoint. The first
-    /// call goes at a moment of its own within the time of one call.
-    pub(crate) fn of_a_crowd(draw: f64) -> Share {
-        Share { level: draw, credit: 0.0, ..Share::default() }
+    /// A new one. Where many begin at this moment with messages at hand (a restart, or news of an endpoint), the first call
+    /// goes at a moment of its own within the time of one call.
+    pub(crate) fn begin(crowd: bool, draw: f64) -> Share {
+        let fresh = Share::default();
+        if crowd {
+            Share { level: draw, credit: 0.0, ..fresh }
+        } else {
+            fresh
+        }
     }
 
     /// Calls a second that it lets go in the long run, of a limit for all.
