--- a/src/config.rs
+++ b/src/config.rs
@@ -388,6 +388,8 @@
     pub name: String,
     /// Where acceptors connect.
     pub listen: SocketAddr,
+    /// Where the operators' door listens; none: there is no door.
+    pub control: Option<SocketAddr>,
     /// Where the registry is; none: the list below is all.
     pub registry: Option<SocketAddr>,
     /// Where the ends of calls are told that were taken on and not delivered.
@@ -561,6 +563,7 @@
         let differs = [
             ("name", self.name != other.name),
             ("listen", self.listen != other.listen),
+            ("control", self.control != other.control),
             ("state", self.state != other.state),
             ("limits", self.limits != other.limits),
             // A sidecar takes these over while it serves.
@@ -629,6 +632,15 @@
         Ok(Config {
             name: told("ROUTER_NAME", "name")?.1,
             listen: address("ROUTER_LISTEN", "listen")?,
+            control: match told("ROUTER_CONTROL", "control")? {
+                (_, text) if text.is_empty() => None,
+                (key, text) => Some(text.parse().or_else(|_| {
+                    fault(
+                        key,
+                        format!("'{text}' is not an address with a port; give one such as 127.0.0.1:7001"),
+                    )
+                })?),
+            },
             registry,
             notices,
             sidecar: if side.absent() { None } else { Some(sidecar(&side)?) },
--- a/src/dispatch/admit.rs
+++ b/src/dispatch/admit.rs
@@ -1,5 +1,6 @@
 //! Admit: a call is written down and numbered before anything is done for it; after a restart it is read back.
 
+use super::beside::Keyed;
 use super::seats::SeatsRead;
 use super::{Call, Core, Frozen, Known, Once, Ticket, Verdict};
 use crate::api::*;
@@ -45,6 +46,11 @@
         {
             return Err(NO_ROOM_ADVICE);
         }
+        let ordered = t.key.is_some() && self.settings.classes.get(class).is_some_and(|c| c.in_order);
+        let keyed = if ordered { self.beside.keyed(now) } else { Keyed::Take };
+        if let Keyed::HandBack(wait) = keyed {
+            return Err(wait);
+        }
         if let Some(wait) = self.cells.lane_wait(now, t) {
             self.counters.door += 1;
             return Err(wait);
@@ -65,7 +71,10 @@
         self.ceilings.queue(taken.dest);
         self.counters.taken += 1;
         // One of its key may run still where its tenant came from.
-        let frozen = self.is_parked(taken.key).then_some(Frozen::Parked);
+        let frozen = match keyed {
+            Keyed::Hold => Some(Frozen::Beside),
+            _ => self.is_parked(taken.key).then_some(Frozen::Parked),
+        };
         self.cells.enter_lane(now, &taken);
         if frozen.is_none() {
             let arrived = Event::Arrived(self.message(class, &taken, again));
@@ -212,6 +221,23 @@
         }
     }
 
+    /// Takes over what another process of this folder left when it ended, during an upgrade: its calls are numbered after
+    /// this one's, held as after a restart, and written to this journal. Returns how many calls came.
+    pub fn take_over(&mut self, now: Ms, records: Vec<Record>) -> usize {
+        let base = self.next_no;
+        let records: Vec<Record> = records.into_iter().map(|r| renumber(r, base)).collect();
+        let calls = records.iter().filter(|r| matches!(r, Record::Taken(_))).count();
+        self.restore(now, records.clone());
+        // Not by `note`: a compaction before all are written would leave out what is not written yet.
+        for record in &records {
+            if let Err(e) = self.journal.append(record) {
+                log::error!(cause:% = e; "the journal misses a record that was taken over: {e}");
+            }
+        }
+        self.compact_if_full();
+        calls
+    }
+
     /// A call of an earlier process, or of another dispatcher, is held here; the module has it if nothing keeps it from it.
     pub(super) fn hold_again(&mut self, now: Ms, call: Call) {
         let (no, t) = (call.taken.no, &call.taken);
@@ -312,3 +338,17 @@
         }
     }
 }
+
+/// The same record with its call numbered after `base`.
+fn renumber(record: Record, base: CallNo) -> Record {
+    match record {
+        Record::Taken(mut taken) => {
+            taken.no += base;
+            Record::Taken(taken)
+        }
+        Record::State { no, attempts, ran, out } => Record::State { no: no + base, attempts, ran, out },
+        Record::Ended { no, ending } => Record::Ended { no: no + base, ending },
+        Record::Over { no, until } => Record::Over { no: no + base, until },
+        other => other,
+    }
+}
--- a/src/dispatch/book.rs
+++ b/src/dispatch/book.rs
@@ -1,5 +1,6 @@
 //! Book: a call ends once; its client is told until it has heard, and only then is the call over.
 
+use super::figures::Tally;
 use super::{Call, Core, Counters, Order, Told, Verdict, ANSWER_KEPT};
 use crate::api::*;
 use crate::journal::{CallNo, Ending, Record};
@@ -45,6 +46,12 @@
     pub(super) fn finish(&mut self, now: Ms, no: CallNo, ending: Ending) {
         let Some(c) = self.calls.get_mut(&no).filter(|c| c.ending.is_none()) else { return };
         c.ending = Some(ending);
+        let tally = match ending {
+            Ending::Delivered => Tally::Completed,
+            Ending::GivenUp => Tally::Failed,
+            Ending::HandedBack(_) => Tally::Rejected,
+        };
+        self.figures.count(&c.taken.class, tally);
         let (identity, dest) = (c.taken.identity.clone(), c.taken.dest);
         let (outcome, wait) = told(ending);
         log::debug!(id = identity.1.as_str(), class = c.taken.class.as_str(), member = dest, outcome = outcome, wait_ms = wait,
--- /dev/null
+++ b/src/dispatch/door.rs
@@ -0,0 +1,155 @@
+//! The operators' door: what a line on the control address asks, and what is answered. No I/O: the wires hand over the
+//! bytes of a line and write back the answer that the core gives.
+//!
+//! Each connection carries one line; its answer is one line that starts with `200` (yes) or `400` (no, with the reason).
+//! `vars` answers with the figures as a JSON line after the `200` line, then a line `EOF`.
+
+/// Bytes of a line at most, its end included. Guards against a caller that sends without end.
+pub const LINE_MOST: usize = 512;
+/// Bytes of an endpoint's id at most.
+pub const ID_MOST: usize = 256;
+
+/// What a caller asks.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Command {
+    /// Does this process take clients?
+    Check,
+    /// The figures.
+    Vars,
+    /// Take the endpoint of this id out, until `set-up`.
+    SetDown(String),
+    /// Use the endpoint of this id again.
+    SetUp(String),
+    /// Send clients away.
+    DrainOn,
+    /// End the drain.
+    DrainOff,
+}
+
+/// What the bytes read so far come to.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Line {
+    /// No end of the line yet, and room for more.
+    More,
+    /// A command.
+    Asked(Command),
+    /// Nonsense: the reason, for the `400` answer.
+    Bad(String),
+}
+
+/// Reads a line: the bytes up to its end (LF, with or without CR before it).
+///
+/// # Errors
+///
+/// None as such: what is wrong comes back as [`Line::Bad`] with its reason: a line over [`LINE_MOST`] bytes, one that
+/// is not UTF-8, an unknown command, a missing or extra argument.
+pub fn read(bytes: &[u8]) -> Line {
+    let Some(end) = bytes.iter().position(|b| *b == b'\n') else {
+        return if bytes.len() >= LINE_MOST {
+            bad(format!("the line is longer than {LINE_MOST} bytes"))
+        } else {
+            Line::More
+        };
+    };
+    if end >= LINE_MOST {
+        return bad(format!("the line is longer than {LINE_MOST} bytes"));
+    }
+    let line = &bytes[..end];
+    let line = line.strip_suffix(b"\r").unwrap_or(line);
+    let Ok(text) = std::str::from_utf8(line) else { return bad("the line is not UTF-8".into()) };
+    parse(text)
+}
+
+/// The end of a connection before its line was whole.
+pub fn cut_short(bytes: &[u8]) -> Line {
+    match read(bytes) {
+        Line::More if bytes.is_empty() => bad("nothing was asked".into()),
+        Line::More => match std::str::from_utf8(bytes) {
+            Ok(text) => parse(text),
+            Err(_) => bad("the line is not UTF-8".into()),
+        },
+        line => line,
+    }
+}
+
+fn bad(why: String) -> Line {
+    Line::Bad(why)
+}
+
+fn parse(text: &str) -> Line {
+    let words: Vec<&str> = text.split_ascii_whitespace().collect();
+    let one = |make: fn(String) -> Command| match words.as_slice() {
+        [_, id] if id.len() <= ID_MOST => Line::Asked(make((*id).to_string())),
+        [_, _] => bad(format!("an id is at most {ID_MOST} bytes")),
+        [_] => bad(format!("'{}' needs the id of an endpoint", words[0])),
+        _ => bad(format!("'{}' takes one id, not {}", words[0], words.len() - 1)),
+    };
+    let none = |command: Command| match words.len() {
+        1 => Line::Asked(command),
+        n => bad(format!("'{}' takes no argument, {} were given", words[0], n - 1)),
+    };
+    match words.first().copied() {
+        None => bad("the line is empty".into()),
+        Some("check") => none(Command::Check),
+        Some("vars") => none(Command::Vars),
+        Some("drain-on") => none(Command::DrainOn),
+        Some("drain-off") => none(Command::DrainOff),
+        Some("set-down") => one(Command::SetDown),
+        Some("set-up") => one(Command::SetUp),
+        Some(other) => {
+            let shown: String = other.chars().take(32).collect();
+            bad(format!(
+                "unknown command '{shown}'; known: check, vars, set-down ID, set-up ID, drain-on, drain-off"
+            ))
+        }
+    }
+}
+
+/// The answer to a command, as one line, or for `vars` the lines, each with its end.
+pub fn yes(text: &str) -> String {
+    format!("200 {text}\n")
+}
+
+/// A no with its reason.
+pub fn no(why: &str) -> String {
+    format!("400 {why}\n")
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn each_command_is_read_with_its_arguments() {
+        assert_eq!(read(b"check\n"), Line::Asked(Command::Check));
+        assert_eq!(read(b"vars\r\n"), Line::Asked(Command::Vars));
+        assert_eq!(read(b"set-down w-7\n"), Line::Asked(Command::SetDown("w-7".into())));
+        assert_eq!(read(b"set-up  w-7 \n"), Line::Asked(Command::SetUp("w-7".into())));
+        assert_eq!(read(b"drain-on\n"), Line::Asked(Command::DrainOn));
+        assert_eq!(read(b"drain-off\n"), Line::Asked(Command::DrainOff));
+    }
+
+    #[test]
+    fn half_a_line_waits_for_more_and_a_cut_one_is_read_as_it_is() {
+        assert_eq!(read(b"chec"), Line::More);
+        assert_eq!(cut_short(b"check"), Line::Asked(Command::Check));
+        assert!(matches!(cut_short(b""), Line::Bad(_)));
+    }
+
+    /// Guards against nonsense that would be taken for a command, or buffered without end.
+    #[test]
+    fn nonsense_gets_a_reason() {
+        let bad = |bytes: &[u8]| match read(bytes) {
+            Line::Bad(why) => why,
+            other => panic!("{other:?}"),
+        };
+        assert!(bad(b"reboot\n").contains("unknown command 'reboot'"));
+        assert!(bad(b"set-down\n").contains("needs the id"));
+        assert!(bad(b"set-down a b\n").contains("takes one id"));
+        assert!(bad(b"check now\n").contains("takes no argument"));
+        assert!(bad(b"\n").contains("empty"));
+        assert!(bad(b"vars \xff\n").contains("UTF-8"));
+        assert!(bad(&[b'x'; LINE_MOST]).contains("longer"));
+        assert!(bad(format!("set-down {}\n", "i".repeat(ID_MOST + 1)).as_bytes()).contains("at most"));
+    }
+}
--- /dev/null
+++ b/src/dispatch/figures.rs
@@ -0,0 +1,89 @@
+//! Figures for the operators' `vars`: counted where each event happens, from 0 at the start of the process.
+
+use std::collections::BTreeMap;
+
+/// How a message ended, as its client heard it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Tally {
+    /// Delivered.
+    Completed,
+    /// Refused at the door or handed back.
+    Rejected,
+    /// Failed: given up, or not taken and not wanted again.
+    Failed,
+}
+
+/// Counts by class, and of delegations written whole.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Figures {
+    /// Completed, rejected and failed, by the name of the class.
+    classes: BTreeMap<String, [u64; 3]>,
+    /// Messages written whole to endpoints, each attempt once.
+    pub upstream: u64,
+}
+
+/// What a look at the core adds to the counts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Now {
+    /// Messages taken and not yet ended.
+    pub pending: usize,
+    /// Endpoints in the list.
+    pub members: usize,
+    /// Endpoints of the list that are avoided now, by hand or by choice.
+    pub unavailable: usize,
+}
+
+impl Figures {
+    /// One more message of a known class ended so.
+    pub fn count(&mut self, class: &str, tally: Tally) {
+        // Only classes of the settings come here: the map stays as small as they are.
+        let counts = self.classes.entry(class.to_string()).or_default();
+        counts[tally as usize] += 1;
+    }
+
+    /// So many of a class ended so.
+    pub fn of(&self, class: &str, tally: Tally) -> u64 {
+        self.classes.get(class).map_or(0, |c| c[tally as usize])
+    }
+
+    /// The figures as one line of JSON; every class of the settings is there, also with nothing counted.
+    pub fn json(&self, classes: &[String], now: Now) -> String {
+        let by = |tally: Tally| {
+            let all = classes.iter().map(|c| (c.clone(), serde_json::Value::from(self.of(c, tally))));
+            serde_json::Value::Object(all.collect())
+        };
+        serde_json::json!({
+            "completed": by(Tally::Completed),
+            "rejected": by(Tally::Rejected),
+            "failed": by(Tally::Failed),
+            "upstream_requests": self.upstream,
+            "pending": now.pending,
+            "members": now.members,
+            "members_unavailable": now.unavailable,
+        })
+        .to_string()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn every_class_is_shown_and_each_count_is_its_own() {
+        let mut f = Figures::default();
+        f.count("a", Tally::Completed);
+        f.count("a", Tally::Completed);
+        f.count("b", Tally::Failed);
+        f.upstream = 3;
+        let text = f.json(&["a".into(), "b".into()], Now { pending: 4, members: 5, unavailable: 1 });
+        let v: serde_json::Value = serde_json::from_str(&text).unwrap();
+        assert_eq!(v["completed"]["a"], 2);
+        assert_eq!(v["completed"]["b"], 0);
+        assert_eq!(v["failed"]["b"], 1);
+        assert_eq!(v["rejected"]["a"], 0);
+        assert_eq!((v["upstream_requests"].clone(), v["pending"].clone()), (3.into(), 4.into()));
+        assert_eq!((v["members"].clone(), v["members_unavailable"].clone()), (5.into(), 1.into()));
+        assert!(!text.contains('\n'));
+    }
+}
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -6,9 +6,13 @@
 //! [`Order`]s that come back from [`Core::turn`].
 
 mod admit;
+pub mod beside;
 mod book;
 mod cells;
+pub mod control;
 mod counters;
+pub mod door;
+pub mod figures;
 mod once;
 mod pace;
 mod relay;
@@ -205,6 +209,8 @@
     Behind,
     /// One of its key may run still where its tenant comes from.
     Parked,
+    /// One of its key may be held by another process that serves on the folder, during an upgrade.
+    Beside,
 }
 
 /// A call that was taken on.
@@ -289,6 +295,8 @@
     /// Identities by when they may be forgotten.
     fading: BTreeSet<(u64, Identity)>,
     next_no: CallNo,
+    /// Another process on the folder, during an upgrade.
+    beside: beside::Beside,
     live_bytes: u64,
     known_bytes: u64,
     /// How calls ended whose clients wait for the verdict of this turn.
@@ -313,6 +321,12 @@
     closing: Option<Ms>,
     /// What was done so far.
     pub counters: Counters,
+    /// The figures of the operators' door.
+    pub figures: figures::Figures,
+    /// Endpoints out by hand, by id.
+    down: BTreeSet<String>,
+    /// Routes that the module probes and has not sent to since: it avoids them.
+    avoided: BTreeSet<RouteId>,
 }
 
 impl Core {
@@ -331,6 +345,7 @@
             known: HashMap::new(),
             fading: BTreeSet::new(),
             next_no: 1,
+            beside: beside::Beside::default(),
             live_bytes: 0,
             known_bytes: 0,
             answers: HashMap::new(),
@@ -346,6 +361,9 @@
             alarms: Vec::new(),
             closing: None,
             counters: Counters::default(),
+            figures: figures::Figures::default(),
+            down: BTreeSet::new(),
+            avoided: BTreeSet::new(),
         }
     }
 
@@ -364,6 +382,32 @@
         self.calls.len()
     }
 
+    /// The other journal of this folder: of a process that lives beside this one, or of one that has ended and left
+    /// calls, for [`Core::take_over`].
+    ///
+    /// # Errors
+    ///
+    /// Its lock or its file cannot be read.
+    pub fn other(&self) -> std::io::Result<crate::journal::Other> {
+        self.journal.other()
+    }
+
+    /// What a look at the folder found: does another process serve on it? Once it has ended, what was held back for it goes
+    /// to the module, after what was taken over from it.
+    pub fn beside(&mut self, now: Ms, lives: bool) {
+        if !self.beside.seen(now, lives) {
+            return;
+        }
+        let held: Vec<CallNo> =
+            self.calls.iter().filter(|(_, c)| c.frozen == Some(Frozen::Beside)).map(|(no, _)| *no).collect();
+        held.into_iter().for_each(|no| self.resume(no));
+    }
+
+    /// Does another process serve on the folder, during an upgrade?
+    pub fn has_company(&self) -> bool {
+        self.beside.lives()
+    }
+
     /// Delegations that are out.
     pub fn out(&self) -> usize {
         self.calls.values().filter(|c| c.out.is_some()).count()
--- a/src/dispatch/route.rs
+++ b/src/dispatch/route.rs
@@ -8,10 +8,6 @@
 /// Steps of the module in one turn at most; what is left waits for the next turn.
 const STEPS_MOST: usize = 4;
 
-fn row(route: RouteId, w: &Worker) -> Row {
-    Row { route, zone: w.zone, kind: w.kind, dest: w.dest, listing: w.listing, weight: w.weight }
-}
-
 impl Core {
     /// Lets the module decide on all that has come in, and returns what is to be done on the wires.
     pub fn turn(&mut self, now: Ms) -> Vec<Order> {
@@ -52,11 +48,17 @@
 
     fn carry_out(&mut self, now: Ms, cell: usize, action: Action) {
         match action {
-            Action::Send { id, route, cap } => self.send(now, id, route, cap),
+            Action::Send { id, route, cap } => {
+                self.avoided.remove(&route);
+                self.send(now, id, route, cap)
+            }
             Action::Cancel { id, attempt } => self.cancel(now, id, attempt),
             Action::Deny { id, retry_in } => self.hand_back(now, id, retry_in),
             Action::Fail(id) => self.give_up(now, id),
-            Action::Probe(route) => self.probe(now, route),
+            Action::Probe(route) => {
+                self.avoided.insert(route);
+                self.probe(now, route)
+            }
             Action::CloseIdle(route) => {
                 let address = self.address(route);
                 self.orders.push(Order::CloseIdle { route, address });
@@ -115,14 +117,14 @@
                 } else {
                     // Under an id that serves another destination now, nothing of the old one holds.
                     o.worker.listing = Listing::Gone;
-                    rows.push(row(route, &o.worker));
+                    rows.push(self.row_of(route, &o.worker));
                     self.workers.insert(route, Listed { gone: Some(now), ..o });
                 }
             }
             let route = number.unwrap_or(self.next_route);
             self.next_route = self.next_route.max(route + 1);
             self.worker_of.insert(worker.uid.clone(), route);
-            rows.push(row(route, &worker));
+            rows.push(self.row_of(route, &worker));
             let gone = (worker.listing == Listing::Gone).then_some(now);
             self.workers.insert(route, Listed { worker, gone });
         }
--- a/src/dispatch/send.rs
+++ b/src/dispatch/send.rs
@@ -54,6 +54,9 @@
     pub fn written(&mut self, now: Ms, no: CallNo, attempt: u32) {
         let out = self.calls.get_mut(&no).and_then(|c| c.out.as_mut()).filter(|o| o.attempt == attempt);
         let Some(o) = out else { return };
+        if !o.written {
+            self.figures.upstream += 1;
+        }
         o.written = true;
         // It stays out meanwhile: the journal may be written anew here.
         let Some(mut charge) = o.charge.take() else { return };
--- a/src/dispatch/take_in.rs
+++ b/src/dispatch/take_in.rs
@@ -1,6 +1,7 @@
 //! Take in: checks what a front hands over, and answers at once what needs no decision.
 
 use super::admit::NO_ROOM_ADVICE;
+use super::figures::Tally;
 use super::once::Judgement;
 use super::{Core, Order, Ticket, Verdict};
 use crate::api::{Effect, Ms};
@@ -43,7 +44,7 @@
         self.now = now;
         if let Some(verdict) = self.once_verdict(now, &s) {
             self.counters.repeated += 1;
-            return self.orders.push(Order::Answer { ticket, verdict });
+            return self.answer_now(&s.class, ticket, verdict);
         }
         if let Some(k) = self.known.get(&s.identity) {
             self.counters.repeated += 1;
@@ -54,7 +55,7 @@
             // The platform hears of an end once; a session asks again because it may have missed it.
             let told = k.ending.filter(|_| !s.identity.0.is_empty());
             let (no, verdict) = (k.no, k.verdict.clone());
-            self.orders.push(Order::Answer { ticket, verdict });
+            self.answer_now(&s.class, ticket, verdict);
             if let Some(ending) = told {
                 let until = now + super::ANSWER_KEPT;
                 let told = super::Told { no, identity: s.identity, ending, reply: s.reply, until };
@@ -64,6 +65,7 @@
             }
             return;
         }
+        let class_name = s.class.clone();
         let verdict = match self.check(&s) {
             Err(why) => {
                 self.counters.malformed += 1;
@@ -78,7 +80,7 @@
                 if let Some(wait) = self.door_wait(now, s.dest, left) {
                     self.counters.busy += 1;
                     let verdict = Verdict::Busy(wait.min(self.settings.max_advice));
-                    return self.orders.push(Order::Answer { ticket, verdict });
+                    return self.answer_now(&s.class, ticket, verdict);
                 }
                 let taken = Taken {
                     no: self.next_no,
@@ -102,6 +104,20 @@
         if let Verdict::Failed(why) = &verdict {
             log::debug!(cause = why.as_str(), outcome = "failed"; "a call is not taken on");
         }
+        self.answer_now(&class_name, ticket, verdict);
+    }
+
+    /// A verdict at once, counted in the figures if it ends the message.
+    fn answer_now(&mut self, class: &str, ticket: Ticket, verdict: Verdict) {
+        let tally = match verdict {
+            Verdict::Taken => None,
+            Verdict::Busy(_) | Verdict::Elsewhere { .. } => Some(Tally::Rejected),
+            Verdict::Failed(_) => Some(Tally::Failed),
+        };
+        // Only classes of the settings are counted: a client's nonsense makes no new figure.
+        if let Some(tally) = tally.filter(|_| self.names.classes.iter().any(|c| c == class)) {
+            self.figures.count(class, tally);
+        }
         self.orders.push(Order::Answer { ticket, verdict });
     }
 
--- a/src/journal.rs
+++ b/src/journal.rs
@@ -344,6 +344,12 @@
 /// and that the file may fill before it is compacted. Both copies together stay under the limit.
 const FILE_SHARE: f64 = 0.48;
 
+/// The files of a folder's journal. Each is held by one process at a time, so that a new process can serve beside the
+/// old one during an upgrade; the first name is that of a journal of one file.
+const SLOTS: [&str; 2] = ["journal", "journal.1"];
+/// Times that a start looks for a free file before it gives up.
+const LOCK_ROUNDS: u32 = 8;
+
 /// The open journal.
 #[derive(Debug)]
 pub struct Journal {
@@ -353,6 +359,62 @@
     limit: u64,
     /// Half a record stands behind the last whole one.
     torn: bool,
+    /// Held for as long as this process lives; the system lets it go at any end, a kill too.
+    _lock: File,
+    /// Which of the folder's files is this one's.
+    slot: usize,
+}
+
+/// The file of a process that has ended, taken over by this one: its records, and its lock until it is emptied.
+#[derive(Debug)]
+pub struct Orphan {
+    path: PathBuf,
+    _lock: File,
+    /// What it held.
+    pub records: Vec<Record>,
+}
+
+impl Orphan {
+    /// Empties the file once its records are written elsewhere, and lets it go for the next process.
+    ///
+    /// # Errors
+    ///
+    /// The file cannot be emptied; its records stay, and a later look takes them again.
+    pub fn clear(self) -> io::Result<()> {
+        OpenOptions::new().write(true).open(&self.path)?.set_len(0)
+    }
+}
+
+/// The other file of a folder, as [`Journal::other`] finds it.
+#[derive(Debug)]
+pub enum Other {
+    /// Nobody holds it, and it holds nothing.
+    Free,
+    /// A process that lives holds it: two serve on the folder, during an upgrade.
+    Lives,
+    /// A process that has ended left records in it.
+    Left(Orphan),
+}
+
+/// Takes the lock of a slot of the folder if nobody holds it.
+fn lock(folder: &Path, slot: usize) -> io::Result<Option<File>> {
+    let file = OpenOptions::new()
+        .write(true)
+        .create(true)
+        .truncate(false)
+        .open(folder.join(format!("{}.lock", SLOTS[slot])))?;
+    match file.try_lock() {
+        Ok(()) => Ok(Some(file)),
+        Err(std::fs::TryLockError::WouldBlock) => Ok(None),
+        Err(std::fs::TryLockError::Error(e)) => Err(e),
+    }
+}
+
+/// The file where a compaction writes before it takes the journal's name.
+fn fresh(path: &Path) -> PathBuf {
+    let mut name = path.as_os_str().to_owned();
+    name.push(".new");
+    PathBuf::from(name)
 }
 
 /// Reads whole records; returns them and where the last good one ends.
@@ -374,11 +436,36 @@
 
 impl Journal {
     /// Opens the folder's journal and reads what it holds; creates what is missing.
+    ///
+    /// Two processes may serve on one folder, each with a file of its own: this one takes the first file that no living
+    /// process holds. What the other file holds once its process has ended is taken over by [`Journal::orphan`].
+    ///
+    /// # Errors
+    ///
+    /// The folder or a file cannot be made or read, or both files are held by processes that live.
     pub fn open(folder: &Path, limit: u64) -> io::Result<(Journal, Vec<Record>)> {
         std::fs::create_dir_all(folder)?;
-        let path = folder.join("journal");
+        let mut held = None;
+        // The other process looks at a file's lock now and then, and holds it for that instant.
+        for round in 0..LOCK_ROUNDS {
+            for slot in 0..SLOTS.len() {
+                if let Some(lock) = lock(folder, slot)? {
+                    held = Some((slot, lock));
+                    break;
+                }
+            }
+            if held.is_some() {
+                break;
+            }
+            std::thread::sleep(std::time::Duration::from_millis(2 << round.min(4)));
+        }
+        let Some((slot, lock)) = held else {
+            let why = "two processes that live serve on this folder already; end one, or give this one another folder";
+            return Err(io::Error::other(why));
+        };
+        let path = folder.join(SLOTS[slot]);
         // A compaction that was cut short left this; the journal itself is still whole.
-        let _ = std::fs::remove_file(folder.join("journal.new"));
+        let _ = std::fs::remove_file(fresh(&path));
         let mut file = OpenOptions::new().read(true).append(true).create(true).open(&path)?;
         let mut bytes = Vec::new();
         file.read_to_end(&mut bytes)?;
@@ -387,7 +474,51 @@
             log::warn!("the journal's tail of {} bytes is torn and cut off", bytes.len() - good);
             file.set_len(good as u64)?;
         }
-        Ok((Journal { path, file, size: good as u64, limit, torn: false }, records))
+        Ok((Journal { path, file, size: good as u64, limit, torn: false, _lock: lock, slot }, records))
+    }
+
+    /// Which of the folder's files this process holds, from 0.
+    pub fn slot(&self) -> usize {
+        self.slot
+    }
+
+    /// The other file of the folder: held by a process that lives, left with records by one that has ended, or neither.
+    ///
+    /// # Errors
+    ///
+    /// Its lock or its file cannot be opened or read.
+    pub fn other(&self) -> io::Result<Other> {
+        let folder = self.path.parent().unwrap_or(Path::new("."));
+        let mut found = Other::Free;
+        for slot in (0..SLOTS.len()).filter(|s| *s != self.slot) {
+            let Some(lock) = lock(folder, slot)? else {
+                found = Other::Lives;
+                continue;
+            };
+            let path = folder.join(SLOTS[slot]);
+            let bytes = match std::fs::read(&path) {
+                Ok(bytes) => bytes,
+                Err(e) if e.kind() == io::ErrorKind::NotFound => continue,
+                Err(e) => return Err(e),
+            };
+            let (records, _) = scan(&bytes);
+            if !records.is_empty() {
+                return Ok(Other::Left(Orphan { path, _lock: lock, records }));
+            }
+        }
+        Ok(found)
+    }
+
+    /// What [`Journal::other`] finds, if it is left by a process that has ended.
+    ///
+    /// # Errors
+    ///
+    /// As there.
+    pub fn orphan(&self) -> io::Result<Option<Orphan>> {
+        Ok(match self.other()? {
+            Other::Left(orphan) => Some(orphan),
+            _ => None,
+        })
     }
 
     /// Writes a record; after a failure the file is as it was before.
@@ -428,7 +559,7 @@
 
     /// Replaces the file by one with these records only.
     pub fn compact(&mut self, records: impl Iterator<Item = Record>) -> io::Result<()> {
-        let new = self.path.with_extension("new");
+        let new = fresh(&self.path);
         let write = || -> io::Result<(File, u64)> {
             let mut bytes = Vec::new();
             records.for_each(|r| bytes.extend(r.encode()));
@@ -480,15 +611,38 @@
         for r in [&taken(1), &state, &ended, &taken(2)] {
             j.append(r).unwrap();
         }
+        drop(j);
         let whole = std::fs::read(dir.join("journal")).unwrap();
         std::fs::write(dir.join("journal"), &whole[..whole.len() - 3]).unwrap();
         let (mut j, back) = Journal::open(&dir, 1 << 20).unwrap();
         assert_eq!(back, [taken(1), state, ended]);
         j.append(&taken(3)).unwrap();
+        drop(j);
         assert_eq!(Journal::open(&dir, 1 << 20).unwrap().1.last(), Some(&taken(3)));
         std::fs::remove_dir_all(dir).unwrap();
     }
 
+    /// Guards against two processes on one folder writing one file: the second has a file of its own, and takes over what
+    /// the first left once that one has let go of its own.
+    #[test]
+    fn a_second_journal_of_a_folder_has_its_own_file_and_takes_over_the_first() {
+        let dir = folder("slots");
+        let (mut first, _) = Journal::open(&dir, 1 << 20).unwrap();
+        first.append(&taken(1)).unwrap();
+        let (second, none) = Journal::open(&dir, 1 << 20).unwrap();
+        assert_eq!((first.slot(), second.slot(), none), (0, 1, vec![]));
+        assert!(Journal::open(&dir, 1 << 20).is_err(), "a third finds both held");
+        assert!(second.orphan().unwrap().is_none(), "the first one lives");
+        drop(first);
+        let orphan = second.orphan().unwrap().expect("what the first left");
+        assert_eq!(orphan.records, [taken(1)]);
+        orphan.clear().unwrap();
+        assert!(second.orphan().unwrap().is_none(), "taken over once");
+        let (third, left) = Journal::open(&dir, 1 << 20).unwrap();
+        assert_eq!((third.slot(), left), (0, vec![]));
+        std::fs::remove_dir_all(dir).unwrap();
+    }
+
     #[test]
     fn compaction_keeps_what_it_is_given_and_appends_after_it() {
         let dir = folder("compact");
@@ -501,6 +655,7 @@
         j.compact([live.clone()].into_iter()).unwrap();
         assert_eq!(j.size(), live.size());
         j.append(&taken(10)).unwrap();
+        drop(j);
         assert_eq!(Journal::open(&dir, 2_000).unwrap().1, [live, taken(10)]);
         std::fs::remove_dir_all(dir).unwrap();
     }
--- /dev/null
+++ b/src/net/control.rs
@@ -0,0 +1,145 @@
+//! The operators' door on its own address: one line in, one answer out, then the connection ends. A thin front: the
+//! reading of a line is `dispatch::door`'s, the answer the core's.
+
+use super::stream::{Fill, Stream};
+use super::{token, Kind};
+use crate::api::Ms;
+use crate::dispatch::control::{Answer, Effect};
+use crate::dispatch::door::{self, Line};
+use crate::dispatch::Core;
+use mio::net::TcpStream;
+use mio::Registry;
+use slab::Slab;
+use std::collections::BTreeSet;
+use std::io;
+use std::path::Path;
+
+/// Callers at once; the one that has waited longest goes to make room for one more.
+const CALLERS_MOST: usize = 16;
+/// A caller that has not said its line by then is closed: others are not held up by it, and nothing is held for it.
+const LINE_PATIENCE: Ms = 2_000.0;
+/// An answer that is not read by then is given up.
+const WRITE_PATIENCE: Ms = 2_000.0;
+/// The file of the folder where the endpoints out by hand are kept, for the next process and the one beside.
+pub const BANS: &str = "down";
+
+#[derive(Debug)]
+struct Caller {
+    stream: Stream,
+    since: Ms,
+    /// The answer is queued; the connection ends once it is written.
+    answered: bool,
+}
+
+/// The callers of the door.
+#[derive(Debug, Default)]
+pub struct Door {
+    callers: Slab<Caller>,
+    /// Lines that were nonsense, or never came.
+    pub refused: u64,
+    /// Lines answered.
+    pub answered: u64,
+}
+
+/// What the wires are to do after a caller was answered.
+pub type Effects = Vec<Effect>;
+
+impl Door {
+    /// A caller has connected.
+    pub fn accept(&mut self, now: Ms, tcp: TcpStream, registry: &Registry) {
+        if self.callers.len() >= CALLERS_MOST {
+            let oldest = self.callers.iter().min_by(|a, b| a.1.since.total_cmp(&b.1.since)).map(|c| c.0);
+            if let Some(at) = oldest {
+                self.callers.remove(at);
+                self.refused += 1;
+            }
+        }
+        let entry = self.callers.vacant_entry();
+        match Stream::accepted(tcp, registry, token(Kind::Door, entry.key())) {
+            Ok(stream) => {
+                entry.insert(Caller { stream, since: now, answered: false });
+            }
+            Err(e) => log::warn!(cause:% = e; "a caller of the door cannot be served: {e}"),
+        }
+    }
+
+    /// Something happened on a caller's connection. `serving`: this process takes clients.
+    pub fn ready(&mut self, now: Ms, at: usize, core: &mut Core, serving: bool, effects: &mut Effects) {
+        let Some(c) = self.callers.get_mut(at) else { return };
+        if !c.answered {
+            let fill = c.stream.fill(door::LINE_MOST);
+            let line = match door::read(&c.stream.inbox) {
+                Line::More if fill == Fill::Ended => door::cut_short(&c.stream.inbox),
+                line => line,
+            };
+            let answer = match line {
+                Line::More => return,
+                Line::Asked(command) => {
+                    self.answered += 1;
+                    core.control(now, &command, serving)
+                }
+                Line::Bad(why) => {
+                    self.refused += 1;
+                    Answer { text: door::no(&why), effect: None }
+                }
+            };
+            c.stream.inbox.clear();
+            c.stream.queue(answer.text.as_bytes());
+            c.answered = true;
+            effects.extend(answer.effect);
+        }
+        match c.stream.flush() {
+            Ok(true) => {
+                c.stream.finish();
+                self.callers.remove(at);
+            }
+            Ok(false) => {}
+            Err(_) => {
+                self.callers.remove(at);
+            }
+        }
+    }
+
+    /// When [`Door::tick`] has something to do.
+    pub fn next_due(&self) -> Option<Ms> {
+        self.callers.iter().map(|(_, c)| c.since + LINE_PATIENCE.max(WRITE_PATIENCE)).min_by(f64::total_cmp)
+    }
+
+    /// Closes callers whose time is up; one that never said a whole line is told why.
+    pub fn tick(&mut self, now: Ms) {
+        let due: Vec<usize> =
+            self.callers.iter().filter(|(_, c)| now - c.since >= LINE_PATIENCE).map(|(at, _)| at).collect();
+        for at in due {
+            if let Some(mut c) = self.callers.try_remove(at) {
+                if !c.answered {
+                    self.refused += 1;
+                    c.stream.queue(door::no("no whole line came in time").as_bytes());
+                    let _ = c.stream.flush();
+                }
+            }
+        }
+    }
+}
+
+/// The endpoints out by hand that the folder keeps.
+pub fn read_bans(folder: &Path) -> BTreeSet<String> {
+    let text = std::fs::read_to_string(folder.join(BANS)).unwrap_or_default();
+    text.lines().map(str::trim).filter(|l| !l.is_empty()).map(String::from).collect()
+}
+
+/// Keeps them for the next process, whole or not at all.
+///
+/// # Errors
+///
+/// The file cannot be written.
+pub fn write_bans(folder: &Path, ids: &BTreeSet<String>) -> io::Result<()> {
+    let fresh = folder.join(format!("{BANS}.new.{}", std::process::id()));
+    let text: String = ids.iter().map(|id| format!("{id}\n")).collect();
+    std::fs::write(&fresh, text)?;
+    std::fs::rename(&fresh, folder.join(BANS))
+}
+
+/// When the file was written last, to tell whether it is to be read again.
+pub fn bans_changed(folder: &Path) -> Option<std::time::SystemTime> {
+    std::fs::metadata(folder.join(BANS)).and_then(|m| m.modified()).ok()
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,6 +1,7 @@
 //! The wires round the core: one thread, one poll loop.
 
 pub mod clock;
+pub mod control;
 pub mod head;
 pub mod http;
 pub mod mqtt;
@@ -13,8 +14,9 @@
 use crate::api::Ms;
 use crate::config::{Config, Mqtt, Notify, WorkerList};
 use crate::disk;
+use crate::dispatch::control::Effect;
 use crate::dispatch::{Core, Order, Parts, Reloaded, Told};
-use crate::journal::{Ending, Journal};
+use crate::journal::{Ending, Journal, Other};
 use clock::Clock;
 use http::{Finding, Task, Workers};
 use lilacbank_settings::served::Served;
@@ -36,6 +38,8 @@
 const LINGER: Ms = 700.0;
 /// After a client could not be accepted, for want of room: how long until it is tried again.
 const ACCEPT_AGAIN: Ms = 25.0;
+/// How often the journal of a process that served beside this one is looked for, once that one has ended.
+const ADOPT_EVERY: Ms = 100.0;
 /// Descriptors for the listener, the journal, the poll, signals, watch, notices and a margin.
 const SOCKETS_OWN: usize = 40;
 
@@ -58,9 +62,10 @@
     Broker,
     Inward,
     Outward,
+    Door,
 }
 
-const KINDS: [Kind; 10] = [
+const KINDS: [Kind; 11] = [
     Kind::Listener,
     Kind::Acceptor,
     Kind::Worker,
@@ -71,6 +76,7 @@
     Kind::Broker,
     Kind::Inward,
     Kind::Outward,
+    Kind::Door,
 ];
 
 fn token(kind: Kind, number: usize) -> Token {
@@ -106,6 +112,11 @@
     brokers: Brokers,
     peer_listener: Option<TcpListener>,
     peers: Peers,
+    /// The operators' door, if the configuration names its address.
+    door_listener: Option<TcpListener>,
+    door: control::Door,
+    /// When the folder's file of endpoints out by hand was last read.
+    bans_seen: Option<std::time::SystemTime>,
     workers: Workers,
     /// Connections to workers and brokers together.
     outward: usize,
@@ -119,6 +130,8 @@
     leaving: Option<Ms>,
     /// When clients that could not be accepted are tried again; no event tells of them a second time.
     accept_at: Option<Ms>,
+    /// When the folder is next looked at for the journal of a process that has ended.
+    adopt_at: Ms,
 }
 
 impl Server {
@@ -171,10 +184,17 @@
             poll.registry().register(l, token(Kind::Listener, 2), Interest::READABLE)?;
             log::info!("other dispatchers are heard on {}", l.local_addr()?);
         }
+        let mut door_listener = config.control.map(stream::listen).transpose()?;
+        if let Some(l) = &mut door_listener {
+            poll.registry().register(l, token(Kind::Listener, 3), Interest::READABLE)?;
+            log::info!("the operators' door is on {}", l.local_addr()?);
+        }
+        let bans_seen = control::bans_changed(&config.state);
+        core.take_bans(now, &control::read_bans(&config.state));
         log::info!("{} listens on {} and holds {} calls", config.name, listener.local_addr()?, core.holds());
         log::debug!("settings in force: {:?}", core.settings());
         log::debug!("workers known at the start: {:?}", core.workers_known());
-        Ok(Server {
+        let mut server = Server {
             clock,
             poll,
             core,
@@ -186,6 +206,9 @@
             brokers,
             peer_listener,
             peers,
+            door_listener,
+            door: control::Door::default(),
+            bans_seen,
             workers,
             watch,
             notices: Notices::new(address_of(config.notices)),
@@ -196,7 +219,14 @@
             core_at: 0.0,
             leaving: None,
             accept_at: None,
-        })
+            adopt_at: now + ADOPT_EVERY,
+        };
+        // Before any client is read: whether another process serves on the folder decides what is taken.
+        server.take_over(now);
+        if server.core.has_company() {
+            log::info!("serves beside another process on the same folder");
+        }
+        Ok(server)
     }
 
     /// Serves until it is told to leave.
@@ -234,11 +264,12 @@
     fn next_due(&self, now: Ms) -> Ms {
         let wires = [self.workers.next_due(), self.brokers.next_due()];
         let wires = wires.into_iter().chain([self.acceptors.next_due(), self.sessions.next_due()]);
-        let wires = wires.chain([self.peers.next_due()]);
+        let wires = wires.chain([self.peers.next_due(), self.door.next_due()]);
         let own = [Some(self.watch.next_due()), self.notices.next_due()];
         let found = (!self.found.is_empty()).then_some(0.0);
         let core = [self.core.next_due(), found].into_iter().flatten().map(|t| t.max(self.core_at));
-        let all = own.into_iter().chain(wires).chain([self.leave_due(now), self.accept_at]);
+        let all =
+            own.into_iter().chain(wires).chain([self.leave_due(now), self.accept_at, Some(self.adopt_at)]);
         all.flatten().chain(core).fold(f64::MAX, f64::min)
     }
 
@@ -262,6 +293,12 @@
                 self.notices.ready(now).into_iter().for_each(|no| self.core.confirmed(now, no));
             }
             (Some(Kind::Signal), at) => self.signal(now, at),
+            (Some(Kind::Door), at) => {
+                let serving = self.leaving.is_none() && !self.acceptors.is_draining();
+                let mut effects = Vec::new();
+                self.door.ready(now, at, &mut self.core, serving, &mut effects);
+                effects.into_iter().for_each(|e| self.effect(now, e));
+            }
             (None, _) => {}
         }
     }
@@ -271,12 +308,14 @@
             let listener = match which {
                 1 => self.mqtt_listener.as_ref(),
                 2 => self.peer_listener.as_ref(),
+                3 => self.door_listener.as_ref(),
                 _ => Some(&self.listener),
             };
             let Some(listener) = listener else { return };
             let room = match which {
                 1 => self.sessions.room(),
                 2 => self.peers.room(),
+                3 => true,
                 _ => self.acceptors.room(now, &mut self.core),
             };
             if !room {
@@ -286,6 +325,7 @@
             match listener.accept() {
                 Ok((tcp, _)) if which == 1 => self.sessions.accept(now, tcp, self.poll.registry()),
                 Ok((tcp, _)) if which == 2 => self.peers.accept(tcp, self.poll.registry()),
+                Ok((tcp, _)) if which == 3 => self.door.accept(now, tcp, self.poll.registry()),
                 Ok((tcp, _)) => self.acceptors.accept(now, tcp, self.poll.registry()),
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return,
                 Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
@@ -312,7 +352,8 @@
         } else if self.leaving.is_none() {
             log::info!("told to leave, with {} calls held", self.core.holds());
             self.leaving = Some(now);
-            self.core.close(now + LEAVE_AFTER);
+            // Another process beside this one takes over what is held: nothing new is started here.
+            self.core.close(if self.core.has_company() { now } else { now + LEAVE_AFTER });
             self.acceptors.drain(now, &mut self.core);
             self.sessions.drain();
         }
@@ -391,23 +432,79 @@
         self.config.sidecar = new.sidecar;
     }
 
+    /// Carries out what a command of the door asks beside its answer.
+    fn effect(&mut self, now: Ms, effect: Effect) {
+        match effect {
+            Effect::DrainOn => {
+                log::warn!("told to send clients away");
+                self.acceptors.drain(now, &mut self.core);
+            }
+            // Told to leave, it goes on sending them away.
+            Effect::DrainOff if self.leaving.is_some() => {}
+            Effect::DrainOff => {
+                log::warn!("takes clients again");
+                self.acceptors.undrain();
+            }
+            Effect::Bans => {
+                if let Err(e) = control::write_bans(&self.config.state, self.core.bans()) {
+                    log::error!(cause:% = e; "the endpoints out by hand cannot be kept for the next process: {e}");
+                }
+                self.bans_seen = control::bans_changed(&self.config.state);
+            }
+        }
+    }
+
+    /// Takes over what the process beside this one changed of the endpoints out by hand.
+    fn reread_bans(&mut self, now: Ms) {
+        let seen = control::bans_changed(&self.config.state);
+        if seen != self.bans_seen {
+            self.bans_seen = seen;
+            self.core.take_bans(now, &control::read_bans(&self.config.state));
+        }
+    }
+
+    /// Takes over the journal of a process of this folder that has ended, after an upgrade.
+    fn take_over(&mut self, now: Ms) {
+        self.reread_bans(now);
+        let orphan = match self.core.other() {
+            Ok(Other::Left(orphan)) => orphan,
+            Ok(Other::Lives) => return self.core.beside(now, true),
+            Ok(Other::Free) => return self.core.beside(now, false),
+            Err(e) => return log::warn!(cause:% = e; "the folder's other journal cannot be read: {e}"),
+        };
+        let calls = self.core.take_over(now, orphan.records.clone());
+        if let Err(e) = orphan.clear() {
+            log::error!(cause:% = e; "a journal that was taken over cannot be emptied: {e}");
+        }
+        log::info!(calls = calls; "took over {calls} calls from the journal of a process that has ended");
+        self.core.beside(now, false);
+    }
+
     fn may_leave(&self, now: Ms) -> bool {
         let Some(since) = self.leaving.map(|t| now - t) else { return false };
-        since >= LEAVE_AFTER || (since >= LINGER && self.core.holds() == 0)
+        // With another process beside it, that one takes over what is held here once this one has ended.
+        let done = self.core.holds() == 0 || (self.core.has_company() && self.core.out() == 0);
+        since >= LEAVE_AFTER || (since >= LINGER && done)
     }
 
     /// One turn of the loop: timers, findings, the core, and then what it orders.
     fn turn(&mut self, now: Ms) {
+        if now >= self.adopt_at {
+            self.adopt_at = now + ADOPT_EVERY;
+            self.take_over(now);
+        }
         if self.accept_at.take_if(|at| *at <= now).is_some() {
             self.accept(now, 0);
             self.accept(now, 1);
             self.accept(now, 2);
+            self.accept(now, 3);
         }
         self.watch.tick(now, self.poll.registry());
         self.workers.tick(now, &mut self.found);
         self.brokers.tick(now, &mut self.found);
         self.acceptors.tick(now, &mut self.core);
         self.peers.tick(now, self.poll.registry());
+        self.door.tick(now);
         let heard = self.sessions.tick(now, &mut self.core);
         heard.into_iter().for_each(|no| self.core.confirmed(now, no));
         if now >= self.core_at {
--- a/src/net/resp.rs
+++ b/src/net/resp.rs
@@ -342,6 +342,11 @@
     fn command(&mut self, now: Ms, at: usize, parts: Vec<Vec<u8>>, core: &mut Core) {
         let Some(c) = self.conns.get_mut(at) else { return };
         match parts[0].to_ascii_uppercase().as_slice() {
+            // The front asks so whether to send clients here.
+            b"PING" if self.draining => {
+                c.stream.queue(b"-ERR draining\r\n");
+                c.ending = c.stream.inbox.is_empty();
+            }
             b"PING" => {
                 c.served = true;
                 match parts.get(1) {
@@ -400,6 +405,17 @@
     }
 
     /// Ends idle connections, and all others after their next answer.
+    /// Takes clients again after a drain.
+    pub fn undrain(&mut self) {
+        self.draining = false;
+    }
+
+    /// Are clients sent away?
+    pub fn is_draining(&self) -> bool {
+        self.draining
+    }
+
+    /// Sends clients away: `PING` answers no, idle connections end now, others once they have their answer.
     pub fn drain(&mut self, now: Ms, core: &mut Core) {
         self.draining = true;
         let all: Vec<usize> = self.conns.iter().map(|(at, _)| at).collect();
--- a/src/net/stream.rs
+++ b/src/net/stream.rs
@@ -15,6 +15,8 @@
     let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
     // A restart finds its address free although connections of its predecessor are still closing.
     socket.set_reuse_address(true)?;
+    // During an upgrade a second process serves on the same address beside this one.
+    socket.set_reuse_port(true)?;
     socket.bind(&address.into())?;
     socket.listen(BACKLOG)?;
     socket.set_nonblocking(true)?;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -243,7 +243,7 @@
         (x >> 11) % n
     };
     let rows = (0..6).map(|i| row(i, DestId::from(i / 2), (i % 2) as usize, (i / 2) as usize)).collect();
-    let mut w = Watched::new(Settings { seed, can_probe: seed % 2 == 0, ..settings() }, rows);
+    let mut w = Watched::new(Settings { seed, can_probe: seed.is_multiple_of(2), ..settings() }, rows);
     for _ in 0..steps {
         for _ in 0..draw(12) {
             w.pass(10.0);
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -300,6 +300,11 @@
     }
 
     pub fn start(&self) -> Dispatcher {
+        self.start_with("127.0.0.1:0", &[])
+    }
+
+    /// Starts one on this address for clients, with more variables.
+    pub fn start_with(&self, listen: &str, more: &[(&str, &str)]) -> Dispatcher {
         let (config, mqtt) = (self.dir.join("config.json"), self.dir.join("mqtt.toml"));
         self.configure("null");
         let on = self.mqtt;
@@ -307,11 +312,12 @@
         let mut command = Command::new(env!("CARGO_BIN_EXE_lilacbank"));
         command
             .env("ROUTER_CONFIG", config)
-            .env("ROUTER_LISTEN", "127.0.0.1:0")
+            .env("ROUTER_LISTEN", listen)
             .env("ROUTER_DISCOVERY", self.platform.address.to_string())
             .env("ROUTER_STATE", self.dir.join("state"))
             .env("LILACBANK_MQTT", mqtt)
             .env("RUST_LOG", "info");
+        command.envs(more.iter().copied());
         Dispatcher::spawn(&mut command, on)
     }
 }
