Wake the loop on signals through a pipe, not a pair of Unix sockets

A pipe of mio does the same; signal-hook writes to it when send() finds no socket. Checked: tests/platform.rs and tests/daily.rs, which signal the program, pass.

--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -20,7 +20,8 @@
 use clock::Clock;
 use http::{Finding, Task, Workers};
 use lilacbank_settings::served::Served;
-use mio::net::{TcpListener, UnixStream};
+use mio::net::TcpListener;
+use mio::unix::pipe;
 use mio::{Events, Interest, Poll, Token};
 use mqtt::acceptor::Sessions;
 use mqtt::broker::{self, Brokers};
@@ -122,7 +123,7 @@
     outward: usize,
     watch: Watch,
     notices: Notices,
-    signals: Vec<(i32, UnixStream)>,
+    signals: Vec<(i32, pipe::Receiver)>,
     found: Vec<Finding>,
     /// When the core may have its next turn.
     core_at: Ms,
@@ -143,7 +144,8 @@
         // Before all else: a signal whose default is the process's end must find its handler.
         let mut signals = Vec::new();
         for signal in [SIGTERM, SIGINT, SIGUSR1, SIGHUP] {
-            let (mut reader, writer) = UnixStream::pair()?;
+            // A pipe, not a socket: some hosts allow sockets of TCP and UDP only.
+            let (writer, mut reader) = pipe::new()?;
             signal_hook::low_level::pipe::register(signal, std::os::fd::OwnedFd::from(writer))?;
             poll.registry().register(&mut reader, token(Kind::Signal, signals.len()), Interest::READABLE)?;
             signals.push((signal, reader));
