--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -188,6 +188,9 @@
 const ASK_AGAIN_MOST: Ms = 2_000.0;
 const ASK_TURNS_MOST: u32 = 3; // doublings of the crowd's time
 const ASK_TURN: Ms = 100.0; // for each sender: in this time its place in a crowd that lost the registry at one moment comes round
+                            // A start with a list of its own asks within this: the list may be old, and an endpoint that drains since is not to be
+                            // sent to 2 s after the registry would have told of it.
+const ASK_START_MOST: Ms = 800.0;
 
 /// When to ask the registry, for one of many who lose it at the same moment: a release of the senders, or the end of its
 /// process. One that is overbooked does work for each who asks; those who give up soon and ask again keep it so.
@@ -215,6 +218,11 @@
         draw * ASK_TURN * (self.senders.max(1) - 1) as f64
     }
 
+    /// How long to wait before the first asking of a process that starts with a list it kept: a turn, within a bound.
+    pub(crate) fn start(&self, draw: f64) -> Ms {
+        draw * (ASK_TURN * (self.senders.max(1) - 1) as f64).min(ASK_START_MOST)
+    }
+
     /// An asking failed, with a wait that was told or 0; returns when to ask again.
     pub(crate) fn failed(&mut self, silent: bool, wait: Ms, draw: f64) -> Ms {
         let gap = (ASK_AGAIN * f64::from(1u32 << self.failed.min(8))).min(ASK_AGAIN_MOST);
@@ -238,6 +246,19 @@
     use crate::state::Random;
     use std::collections::VecDeque;
 
+    /// Guards against a start that serves from a kept list for many seconds before it asks: 300 senders waited up to 30 s,
+    /// and sent to endpoints that had begun to drain meanwhile.
+    #[test]
+    fn a_start_with_a_kept_list_asks_within_the_bound_however_many_senders() {
+        let mut random = Random::new(5);
+        for senders in [1, 10, 100, 300, 3_000] {
+            let a = Asking::new(senders);
+            let most = (0..1_000).map(|_| a.start(random.next())).fold(0.0, f64::max);
+            assert!(most <= ASK_START_MOST, "{senders}: {most}");
+            assert!(senders < 10 || most > ASK_START_MOST / 2.0, "still spread: {senders}: {most}");
+        }
+    }
+
     /// A registry that does one asking in 100 ms, answers 503 to one that has waited 2 s and does its work all the same.
     /// Returns when the last of the senders has its watch.
     fn all_watch(senders: usize, seed: u64) -> Option<Ms> {
--- a/src/net/registry.rs
+++ b/src/net/registry.rs
@@ -42,7 +42,7 @@
     pub fn new(now: Ms, address: Option<SocketAddr>, rev: u64, senders: usize, seed: u64) -> Watch {
         let (asking, mut random) = (Asking::new(senders), Random::new(seed));
         // With no list at all there is nothing to wait for.
-        let turn = if rev > 0 { asking.first(random.next()) } else { 0.0 };
+        let turn = if rev > 0 { asking.start(random.next()) } else { 0.0 };
         Watch {
             address,
             stream: None,
