Leave new clients to the process beside when told to leave; test an upgrade under load

Cause: a test of an upgrade under load (4 clients, a new process beside the old, SIGTERM to the old) found 192 of 2,835 submissions cut off without an answer: while it lingered, the old process still took new connections (SO_REUSEPORT gives it its share), served each one answer and closed it, and the client's next message met the close. Ruled out: lost or doubled messages (0 doubled; every message taken was delivered or its end told to the platform).

Design: told to leave with another process beside it, the old one takes what waits in its listener's queue and then gives the listener up (a listener that closes resets its queue); kept connections end after their next answer as before.

--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -106,7 +106,8 @@
     environment: Environment,
     poll: Poll,
     core: Core,
-    listener: TcpListener,
+    /// Gone once it leaves with another process beside it: new clients go there.
+    listener: Option<TcpListener>,
     acceptors: Acceptors,
     mqtt_listener: Option<TcpListener>,
     sessions: Sessions,
@@ -200,7 +201,7 @@
             clock,
             poll,
             core,
-            listener,
+            listener: Some(listener),
             acceptors: Acceptors::new(sockets / 2),
             outward: sockets / 2,
             mqtt_listener,
@@ -311,7 +312,7 @@
                 1 => self.mqtt_listener.as_ref(),
                 2 => self.peer_listener.as_ref(),
                 3 => self.door_listener.as_ref(),
-                _ => Some(&self.listener),
+                _ => self.listener.as_ref(),
             };
             let Some(listener) = listener else { return };
             let room = match which {
@@ -358,6 +359,14 @@
             self.core.close(if self.core.has_company() { now } else { now + LEAVE_AFTER });
             self.acceptors.drain(now, &mut self.core);
             self.sessions.drain();
+            if self.core.has_company() {
+                // What waits in its queue is taken first: a listener that closes resets it.
+                self.accept(now, 0);
+                if let Some(mut listener) = self.listener.take() {
+                    let _ = self.poll.registry().deregister(&mut listener);
+                }
+                log::info!("the process beside takes the new clients");
+            }
         }
     }
 
--- a/tests/daily.rs
+++ b/tests/daily.rs
@@ -216,3 +216,82 @@
     until("all are delivered", || delivered(16, 40));
     assert!(a.count() > 0, "back in use");
 }
+
+/// An upgrade under load: clients hand in all the time while a new process starts beside the old one and the old one is
+/// told to leave. Every message that was taken is delivered once: none lost, none twice; every client has an answer.
+#[test]
+fn an_upgrade_under_load_loses_and_doubles_nothing() {
+    use std::sync::atomic::AtomicUsize;
+    let taken = Arc::new(Mutex::new(Vec::<String>::new()));
+    let t = taken.clone();
+    let worker = Worker::start(move |r, _| {
+        t.lock().unwrap().push(r.header("x-txn").to_string());
+        Reply::After(std::time::Duration::from_millis(5), "200 OK")
+    });
+    let site = Site::new(&[entry("w1", &worker.address.to_string(), "a", 1, "in_service")]);
+    let mut old = site.start();
+    let address = old.address();
+    let (stop, answered, unanswered) =
+        (Arc::new(AtomicBool::new(false)), Arc::new(Mutex::new(Vec::new())), Arc::new(AtomicUsize::new(0)));
+    let clients: Vec<_> = (0..4)
+        .map(|k| {
+            let (stop, answered, unanswered) = (stop.clone(), answered.clone(), unanswered.clone());
+            std::thread::spawn(move || {
+                let mut n = 0;
+                while !stop.load(Ordering::SeqCst) {
+                    // A new connection now and then: the kernel gives it to either process.
+                    let Ok(mut c) = Client::try_connect(address) else { continue };
+                    for _ in 0..5 {
+                        let id = format!("load-{k}-{n}");
+                        n += 1;
+                        match c.try_submit(&id, "c=pay,t=acme,d=15000,dest=1").as_str() {
+                            "" => {
+                                unanswered.fetch_add(1, Ordering::SeqCst);
+                                break;
+                            }
+                            line => answered.lock().unwrap().push((id, line.to_string())),
+                        }
+                        std::thread::sleep(std::time::Duration::from_millis(2));
+                    }
+                }
+            })
+        })
+        .collect();
+    std::thread::sleep(std::time::Duration::from_millis(400));
+    let _new = site.start_with(&address.to_string(), &[]);
+    std::thread::sleep(std::time::Duration::from_millis(400));
+    old.signal("-TERM");
+    old.ended();
+    std::thread::sleep(std::time::Duration::from_millis(400));
+    stop.store(true, Ordering::SeqCst);
+    clients.into_iter().for_each(|c| c.join().unwrap());
+    let answered = answered.lock().unwrap().clone();
+    let ok: Vec<&String> = answered.iter().filter(|(_, l)| l == "+OK").map(|(id, _)| id).collect();
+    assert!(ok.len() > 200, "under load: {} taken", ok.len());
+    let start = std::time::Instant::now();
+    let missing = || {
+        let t = taken.lock().unwrap();
+        ok.iter()
+            .filter(|id| !t.contains(id) && site.platform.noticed(id).is_empty())
+            .cloned()
+            .cloned()
+            .collect::<Vec<String>>()
+    };
+    while !missing().is_empty() && start.elapsed() < PATIENCE {
+        std::thread::sleep(std::time::Duration::from_millis(20));
+    }
+    assert_eq!(missing(), Vec::<String>::new(), "each taken message is delivered or its end told");
+    std::thread::sleep(std::time::Duration::from_millis(300));
+    let t = taken.lock().unwrap();
+    let doubled = ok.iter().filter(|id| t.iter().filter(|x| *x == **id).count() > 1).count();
+    let refused = answered.iter().filter(|(_, l)| l != "+OK").count();
+    eprintln!(
+        "taken {}, refused {refused}, cut off {}, doubled {doubled}",
+        ok.len(),
+        unanswered.load(Ordering::SeqCst)
+    );
+    assert_eq!(doubled, 0);
+    // Guards against an old process that takes new clients while it leaves: each got one answer and lost the next
+    // (192 of 2,835 cut off before). A connection in use when it closes may lose one.
+    assert!(unanswered.load(Ordering::SeqCst) <= 8, "cut off");
+}
