--- a/src/main.rs
+++ b/src/main.rs
@@ -35,7 +35,8 @@
     let (config, mqtt) = match read {
         Ok(both) => both,
         Err(why) => {
-            why.iter().for_each(|w| log::error!("configuration: {w}"));
+            let file = environment("ROUTER_CONFIG").unwrap_or_default();
+            why.iter().for_each(|w| log::error!("configuration: {w} (in {file} or its variable)"));
             return ExitCode::from(2);
         }
     };
--- a/tests/daily.rs
+++ b/tests/daily.rs
@@ -295,3 +295,25 @@
     // (192 of 2,835 cut off before). A connection in use when it closes may lose one.
     assert!(unanswered.load(Ordering::SeqCst) <= 8, "cut off");
 }
+
+/// A bad address for the door ends the start with the key, the file and a remedy.
+#[test]
+fn a_bad_door_address_is_refused_at_the_start_with_key_and_remedy() {
+    let site = Site::new(&[]);
+    site.configure("null");
+    let out = std::process::Command::new(env!("CARGO_BIN_EXE_lilacbank"))
+        .env("ROUTER_CONFIG", site.dir.join("config.json"))
+        .env("ROUTER_LISTEN", "127.0.0.1:0")
+        .env("ROUTER_DISCOVERY", site.platform.address.to_string())
+        .env("ROUTER_STATE", site.dir.join("state"))
+        .env("ROUTER_CONTROL", "door-7")
+        .output()
+        .unwrap();
+    assert_eq!(out.status.code(), Some(2));
+    let text = String::from_utf8_lossy(&out.stderr);
+    assert!(
+        text.contains("ROUTER_CONTROL: 'door-7' is not an address with a port; give one such as"),
+        "{text}"
+    );
+    assert!(text.contains("config.json"), "{text}");
+}
