--- a/tests/daily.rs
+++ b/tests/daily.rs
@@ -317,3 +317,27 @@
     );
     assert!(text.contains("config.json"), "{text}");
 }
+
+/// An endpoint taken out at the old process's door is out at the new one's too, within a moment, and stays out after the
+/// old one has ended.
+#[test]
+fn a_ban_holds_across_an_upgrade() {
+    let [a, b] = [0, 1].map(|_| Worker::start(|_, _| Reply::Answer("200 OK")));
+    let list = [("wa", &a), ("wb", &b)];
+    let site = Site::new(&list.map(|(uid, w)| entry(uid, &w.address.to_string(), "a", 1, "in_service")));
+    let mut old = site.start_with("127.0.0.1:0", &[("ROUTER_CONTROL", "127.0.0.1:0")]);
+    let (address, old_door) = (old.address().to_string(), door_of(&mut old));
+    let mut new = site.start_with(&address, &[("ROUTER_CONTROL", "127.0.0.1:0")]);
+    let new_door = door_of(&mut new);
+    until("both know both", || vars(old_door)["members"] == 2 && vars(new_door)["members"] == 2);
+    assert_eq!(door(old_door, b"set-down wa\n"), "200 wa is out\n");
+    until("the new one has it too", || vars(new_door)["members_unavailable"] == 1);
+    old.signal("-TERM");
+    old.ended();
+    let mut c = new.client();
+    for n in 0..10 {
+        assert_eq!(c.submit(&format!("u-{n}"), "c=safe,t=acme,dest=1"), "+OK");
+    }
+    until("all are delivered", || (0..10).all(|n| b.of(&format!("u-{n}")) > 0));
+    assert_eq!(a.count(), 0);
+}
