Add lilacbank control to ask the door; name file and line in a start's fault

Need: tried as a newcomer, the on-call page's nc commands failed on a machine without nc, and a bad control key in the file was refused with key and remedy but no line. 'lilacbank control [--at ADDR] COMMAND [ID]' says one line and prints the answer: status 0 for 200, 1 for 400, 2 when nothing answers (ROUTER_CONTROL without --at). A fault of the file at the start now ends with '(FILE, line N)': the line where its key is written; a variable's fault names the variable only.

--- a/src/config.rs
+++ b/src/config.rs
@@ -29,6 +29,22 @@
 
 impl std::error::Error for ConfigError {}
 
+impl ConfigError {
+    /// The line of the file where its key is written, from 1; none for a variable or a key that is not there.
+    pub fn line_in(&self, text: &str) -> Option<usize> {
+        let last = self.key.rsplit('.').next()?.split('[').next()?;
+        if last.is_empty() || last.starts_with("ROUTER_") {
+            return None;
+        }
+        let quoted = format!("\"{last}\"");
+        let at = text
+            .match_indices(&quoted)
+            .map(|(at, _)| at + quoted.len())
+            .find(|end| text[*end..].trim_start().starts_with(':'))?;
+        Some(text[..at].matches('\n').count() + 1)
+    }
+}
+
 /// A result that names the key at fault.
 pub type Checked<T> = Result<T, ConfigError>;
 
@@ -776,6 +792,11 @@
             assert_eq!(e.key, key, "{e}");
         }
         assert_eq!(Config::read(&none).unwrap_err().key, "ROUTER_CONFIG");
+        let text = "{\"name\":\"n\",\n \"control\" : \"localhost\"}";
+        let bad = ConfigError { key: "control".into(), what: String::new() };
+        assert_eq!(bad.line_in(text), Some(2));
+        let variable = ConfigError { key: "ROUTER_CONTROL".into(), what: String::new() };
+        assert_eq!(variable.line_in(text), None);
         assert_eq!(Config::from_json("{", &none).unwrap_err().key, "ROUTER_CONFIG");
     }
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -20,10 +20,16 @@
 
 fn serve(how: Serve) -> ExitCode {
     let environment = how.environment();
+    let file = environment("ROUTER_CONFIG").unwrap_or_default();
     let read = || -> Result<(Config, Mqtt), Vec<String>> {
         let one = |e: ConfigError| vec![e.to_string()];
         let text = Config::text(&environment).map_err(one)?;
-        let config = Config::from_json(&text, &environment).map_err(one)?;
+        let placed = |e: ConfigError| match e.line_in(&text) {
+            Some(line) => vec![format!("{e} ({file}, line {line})")],
+            None if e.key.starts_with("ROUTER_") => vec![e.to_string()],
+            None => vec![format!("{e} ({file})")],
+        };
+        let config = Config::from_json(&text, &environment).map_err(placed)?;
         check_sidecar(&config, &text)?;
         let mqtt = Mqtt::read(&environment, config.sidecar.as_ref()).map_err(one)?;
         Ok((config, mqtt))
@@ -35,8 +41,7 @@
     let (config, mqtt) = match read {
         Ok(both) => both,
         Err(why) => {
-            let file = environment("ROUTER_CONFIG").unwrap_or_default();
-            why.iter().for_each(|w| log::error!("configuration: {w} (in {file} or its variable)"));
+            why.iter().for_each(|w| log::error!("configuration: {w}"));
             return ExitCode::from(2);
         }
     };
--- a/src/tool/cli.rs
+++ b/src/tool/cli.rs
@@ -19,7 +19,8 @@
 
 const AFTER: &str = "\
 The configuration to serve on is the JSON file that ROUTER_CONFIG names; ROUTER_NAME, ROUTER_LISTEN, ROUTER_DISCOVERY \
-and ROUTER_STATE win over its keys, and LILACBANK_MQTT names the MQTT front's own file. RUST_LOG says what is logged.
+and ROUTER_STATE win over its keys, ROUTER_CONTROL over `control` (the operators' door, see `lilacbank control`), and \
+LILACBANK_MQTT names the MQTT front's own file. RUST_LOG says what is logged.
 
 Exit status: 0 good, 1 faults were found or serving failed, 2 it could not be done.";
 
@@ -76,6 +77,16 @@
     /// Work on the JSON that a dispatcher reads.
     #[command(subcommand)]
     Config(Box<Config>),
+    /// Ask a running dispatcher's door: check, vars, set-down ID, set-up ID, drain-on, drain-off.
+    #[command(after_help = "Exit status: 0 the door said 200, 1 it said 400, 2 it could not be reached.")]
+    Control {
+        /// The door's address; ROUTER_CONTROL without it.
+        #[arg(long, value_name = "ADDRESS")]
+        at: Option<String>,
+        /// The command and its id, as one line.
+        #[arg(required = true, num_args = 1..=2, value_name = "COMMAND")]
+        line: Vec<String>,
+    },
     /// Print completions for a shell.
     Completions {
         /// The shell.
--- a/src/tool/mod.rs
+++ b/src/tool/mod.rs
@@ -77,6 +77,7 @@
             }
             Ok(())
         }
+        Command::Control { at, line } => control(at, &line.join(" ")),
         Command::Completions { shell } => {
             let mut command = <Cli as clap::CommandFactory>::command();
             clap_complete::generate(shell, &mut command, "lilacbank", &mut std::io::stdout());
@@ -367,3 +368,32 @@
         }
     }
 }
+
+/// Bytes of an answer of the door at most, `vars` of many classes included.
+const ANSWER_MOST: u64 = 1 << 20;
+
+/// Says one line to a dispatcher's door and prints the answer.
+fn control(at: Option<String>, line: &str) -> Result<(), ToolError> {
+    use std::io::{Read, Write};
+    let at = at.or_else(|| config::environment("ROUTER_CONTROL")).filter(|a| !a.is_empty());
+    let Some(at) = at else {
+        return Err(ToolError::Unreached("no door: give --at ADDRESS or set ROUTER_CONTROL".into()));
+    };
+    let unreached =
+        |e: std::io::Error| ToolError::Unreached(format!("the door at {at} cannot be reached: {e}"));
+    let address: std::net::SocketAddr = at.parse().map_err(|_| {
+        ToolError::Unreached(format!("'{at}' is not an address with a port, such as 127.0.0.1:7001"))
+    })?;
+    let patience = std::time::Duration::from_secs(5);
+    let mut stream = std::net::TcpStream::connect_timeout(&address, patience).map_err(unreached)?;
+    stream.set_read_timeout(Some(patience)).map_err(unreached)?;
+    stream.write_all(format!("{line}\n").as_bytes()).map_err(unreached)?;
+    let mut answer = String::new();
+    stream.take(ANSWER_MOST).read_to_string(&mut answer).map_err(unreached)?;
+    print!("{answer}");
+    match answer.split_whitespace().next() {
+        Some("400") => Err(ToolError::Refused("the door said no".into())),
+        Some(_) => Ok(()),
+        None => Err(ToolError::Unreached(format!("the door at {at} said nothing"))),
+    }
+}
