--- a/src/journal.rs
+++ b/src/journal.rs
@@ -363,6 +363,8 @@
     _lock: File,
     /// Which of the folder's files is this one's.
     slot: usize,
+    /// Damaged stretches that its start found between good records and set aside.
+    damaged: usize,
 }
 
 /// The file of a process that has ended, taken over by this one: its records, and its lock until it is emptied.
@@ -417,21 +419,70 @@
     PathBuf::from(name)
 }
 
-/// Reads whole records; returns them and where the last good one ends.
-fn scan(bytes: &[u8]) -> (Vec<Record>, usize) {
-    let mut records = Vec::new();
+/// What a reading of the file found.
+#[derive(Debug, Default)]
+struct Scan {
+    records: Vec<Record>,
+    /// Where the last good record ends.
+    good: usize,
+    /// Stretches of bytes between good records that are no record: a flipped bit, a write torn and then written after.
+    damaged: Vec<std::ops::Range<usize>>,
+}
+
+/// The record that starts at `at`, if its length fits, its checksum agrees and its body reads.
+fn record_at(bytes: &[u8], at: usize) -> Option<(Record, usize)> {
+    let head = bytes.get(at..at + 8)?;
+    let number = |b: &[u8]| b.iter().rev().fold(0u32, |n, x| n << 8 | u32::from(*x));
+    let (len, sum) = (number(&head[..4]) as usize, number(&head[4..]));
+    let body = bytes.get(at + 8..(at + 8).checked_add(len)?)?;
+    let record = Some(body).filter(|b| crc32fast::hash(b) == sum).and_then(Record::decode)?;
+    Some((record, at + 8 + len))
+}
+
+/// Reads whole records. Where one does not read, the next that does is looked for byte by byte: what lies between is
+/// damaged and set aside, and reading goes on; with none after it, it is a torn tail.
+fn scan(bytes: &[u8]) -> Scan {
+    let mut found = Scan::default();
     let mut at = 0;
-    while let Some(head) = bytes.get(at..at + 8) {
-        let number = |b: &[u8]| b.iter().rev().fold(0u32, |n, x| n << 8 | u32::from(*x));
-        let (len, sum) = (number(&head[..4]) as usize, number(&head[4..]));
-        let Some(body) = bytes.get(at + 8..at + 8 + len) else { break };
-        let Some(record) = Some(body).filter(|b| crc32fast::hash(b) == sum).and_then(Record::decode) else {
-            break;
-        };
-        records.push(record);
-        at += 8 + len;
+    while at < bytes.len() {
+        if let Some((record, end)) = record_at(bytes, at) {
+            found.records.push(record);
+            (at, found.good) = (end, end);
+            continue;
+        }
+        match (at + 1..bytes.len()).find_map(|from| record_at(bytes, from).map(|r| (from, r))) {
+            Some((from, (record, end))) => {
+                found.damaged.push(at..from);
+                found.records.push(record);
+                (at, found.good) = (end, end);
+            }
+            None => break,
+        }
     }
-    (records, at)
+    found
+}
+
+/// Bytes of damaged records that a start sets aside at most; more are counted and dropped, for the folder's room.
+const ASIDE_MOST: usize = 64 << 10;
+
+/// Keeps damaged stretches in the folder's file `damaged`, each after a line that says where it stood; returns its bytes.
+fn set_aside(folder: &Path, file: &str, bytes: &[u8], damaged: &[std::ops::Range<usize>]) -> usize {
+    let mut out = Vec::new();
+    for r in damaged {
+        let part = &bytes[r.clone()];
+        let part = &part[..part.len().min(ASIDE_MOST.saturating_sub(out.len()))];
+        out.extend(format!("\n{file} at byte {} of {} bytes:\n", r.start, r.len()).into_bytes());
+        out.extend(part);
+    }
+    let kept = OpenOptions::new()
+        .append(true)
+        .create(true)
+        .open(folder.join("damaged"))
+        .and_then(|mut f| f.write_all(&out));
+    if let Err(e) = kept {
+        log::warn!("the damaged records could not be set aside: {e}");
+    }
+    damaged.iter().map(|r| r.len()).sum()
 }
 
 impl Journal {
@@ -469,12 +520,37 @@
         let mut file = OpenOptions::new().read(true).append(true).create(true).open(&path)?;
         let mut bytes = Vec::new();
         file.read_to_end(&mut bytes)?;
-        let (records, good) = scan(&bytes);
+        let Scan { records, good, damaged } = scan(&bytes);
         if good < bytes.len() {
             log::warn!("the journal's tail of {} bytes is torn and cut off", bytes.len() - good);
             file.set_len(good as u64)?;
         }
-        Ok((Journal { path, file, size: good as u64, limit, torn: false, _lock: lock, slot }, records))
+        let mut journal = Journal {
+            path,
+            file,
+            size: good as u64,
+            limit,
+            torn: false,
+            _lock: lock,
+            slot,
+            damaged: damaged.len(),
+        };
+        if !damaged.is_empty() {
+            let bytes = set_aside(folder, SLOTS[slot], &bytes, &damaged);
+            log::warn!(
+                records = damaged.len(), bytes = bytes, kept = records.len();
+                "the journal holds {} damaged stretches of {bytes} bytes between good records; they are set aside in \
+                 the folder's file damaged and the good ones are written anew",
+                damaged.len()
+            );
+            journal.compact(records.iter().cloned())?;
+        }
+        Ok((journal, records))
+    }
+
+    /// Damaged stretches that the start found between good records and set aside in the folder's file `damaged`.
+    pub fn damaged(&self) -> usize {
+        self.damaged
     }
 
     /// Which of the folder's files this process holds, from 0.
@@ -501,7 +577,7 @@
                 Err(e) if e.kind() == io::ErrorKind::NotFound => continue,
                 Err(e) => return Err(e),
             };
-            let (records, _) = scan(&bytes);
+            let records = scan(&bytes).records;
             if !records.is_empty() {
                 return Ok(Other::Left(Orphan { path, _lock: lock, records }));
             }
@@ -622,6 +698,32 @@
         std::fs::remove_dir_all(dir).unwrap();
     }
 
+    /// Guards against one flipped bit taking all records after it: the damaged one is set aside, the others stay.
+    #[test]
+    fn a_damaged_record_is_set_aside_and_those_after_it_stay() {
+        let dir = folder("flip");
+        let (mut j, _) = Journal::open(&dir, 1 << 20).unwrap();
+        let records: Vec<Record> = (1..=6).map(taken).collect();
+        records.iter().for_each(|r| j.append(r).unwrap());
+        drop(j);
+        let mut whole = std::fs::read(dir.join("journal")).unwrap();
+        let size = taken(1).size() as usize;
+        for (n, at) in [(2, 12), (4, 3)] {
+            // A bit of the body of the third record and of the length of the fifth.
+            whole[n * size + at] ^= 0x10;
+        }
+        std::fs::write(dir.join("journal"), &whole).unwrap();
+        let (j, back) = Journal::open(&dir, 1 << 20).unwrap();
+        assert_eq!(back, [&records[..2], &records[3..4], &records[5..]].concat());
+        assert_eq!(j.damaged(), 2);
+        let aside = std::fs::read(dir.join("damaged")).unwrap();
+        assert!(aside.len() > 2 * size && String::from_utf8_lossy(&aside).contains("journal at byte"));
+        drop(j);
+        let (j, again) = Journal::open(&dir, 1 << 20).unwrap();
+        assert_eq!((again.len(), j.damaged()), (4, 0), "written anew: a second start finds nothing damaged");
+        std::fs::remove_dir_all(dir).unwrap();
+    }
+
     /// Guards against two processes on one folder writing one file: the second has a file of its own, and takes over what
     /// the first left once that one has let go of its own.
     #[test]
