--- /dev/null
+++ b/crates/rig/src/proxy.rs
@@ -0,0 +1,193 @@
+//! A TCP fault proxy: each connection to it is joined to one to its target, and bytes pass as the fault in force says.
+
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+/// What the proxy does to what passes, from the moment it is set.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    /// Bytes pass as they come.
+    Pass,
+    /// Each piece of bytes waits so long before it passes, either way.
+    Delay(Duration),
+    /// Connections are cut, the ones open and each new one.
+    Reset,
+    /// Connections are taken and bytes read, but nothing passes either way and nothing is answered: silence.
+    Blackhole,
+}
+
+#[derive(Debug)]
+struct Shared {
+    fault: Mutex<Fault>,
+    /// Bumped by each [`Fault::Reset`]: connections of an earlier round are cut.
+    round: AtomicUsize,
+    connections: AtomicUsize,
+    /// Bytes that passed towards the target.
+    forward: AtomicUsize,
+}
+
+/// A proxy on a port that the OS gave, in front of one target.
+#[derive(Debug, Clone)]
+pub struct Proxy {
+    /// Where clients of the target connect instead.
+    pub address: SocketAddr,
+    shared: Arc<Shared>,
+}
+
+impl Proxy {
+    /// Listens on loopback and joins each connection to `target`; bytes pass until a fault is set.
+    ///
+    /// # Errors
+    ///
+    /// No port can be had on loopback.
+    pub fn start(target: SocketAddr) -> std::io::Result<Proxy> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let shared = Arc::new(Shared {
+            fault: Mutex::new(Fault::Pass),
+            round: AtomicUsize::new(0),
+            connections: AtomicUsize::new(0),
+            forward: AtomicUsize::new(0),
+        });
+        let proxy = Proxy { address: listener.local_addr()?, shared };
+        let accepting = proxy.clone();
+        thread::spawn(move || {
+            for client in listener.incoming().map_while(Result::ok) {
+                accepting.join(client, target);
+            }
+        });
+        Ok(proxy)
+    }
+
+    /// Sets what is done from now on; a reset cuts what is open at once.
+    pub fn set(&self, fault: Fault) {
+        *self.shared.fault.lock().unwrap_or_else(|e| e.into_inner()) = fault;
+        if fault == Fault::Reset {
+            self.shared.round.fetch_add(1, Ordering::SeqCst);
+        }
+    }
+
+    /// Connections taken since the start.
+    pub fn connections(&self) -> usize {
+        self.shared.connections.load(Ordering::SeqCst)
+    }
+
+    /// Bytes passed towards the target since the start.
+    pub fn forwarded(&self) -> usize {
+        self.shared.forward.load(Ordering::SeqCst)
+    }
+
+    fn fault(&self) -> Fault {
+        *self.shared.fault.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    fn join(&self, client: TcpStream, target: SocketAddr) {
+        self.shared.connections.fetch_add(1, Ordering::SeqCst);
+        let fault = self.fault();
+        if fault == Fault::Reset {
+            return drop(client.shutdown(Shutdown::Both));
+        }
+        let server = match fault {
+            Fault::Blackhole => None,
+            _ => TcpStream::connect_timeout(&target, Duration::from_secs(2)).ok(),
+        };
+        let round = self.shared.round.load(Ordering::SeqCst);
+        let Some(server) = server else {
+            // Silence: what comes is read and dropped until the client gives up.
+            let mut client = client;
+            thread::spawn(move || {
+                let mut sink = [0u8; 4096];
+                while matches!(client.read(&mut sink), Ok(n) if n > 0) {}
+            });
+            return;
+        };
+        for (from, to, forward) in [(&client, &server, true), (&server, &client, false)] {
+            let (Ok(from), Ok(to)) = (from.try_clone(), to.try_clone()) else { return };
+            let proxy = self.clone();
+            thread::spawn(move || proxy.pump(from, to, forward, round));
+        }
+    }
+
+    fn pump(&self, mut from: TcpStream, mut to: TcpStream, forward: bool, round: usize) {
+        let _ = from.set_read_timeout(Some(Duration::from_millis(50)));
+        let mut buffer = [0u8; 16 << 10];
+        loop {
+            if self.shared.round.load(Ordering::SeqCst) != round {
+                break;
+            }
+            let n = match from.read(&mut buffer) {
+                Ok(0) => break,
+                Ok(n) => n,
+                Err(e)
+                    if matches!(e.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut) =>
+                {
+                    continue
+                }
+                Err(_) => break,
+            };
+            match self.fault() {
+                Fault::Pass => {}
+                Fault::Delay(d) => thread::sleep(d),
+                Fault::Blackhole => continue,
+                Fault::Reset => break,
+            }
+            if forward {
+                self.shared.forward.fetch_add(n, Ordering::SeqCst);
+            }
+            if to.write_all(&buffer[..n]).is_err() {
+                break;
+            }
+        }
+        let _ = from.shutdown(Shutdown::Both);
+        let _ = to.shutdown(Shutdown::Both);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::io::{BufRead, BufReader};
+
+    fn echo() -> SocketAddr {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let at = listener.local_addr().unwrap();
+        thread::spawn(move || {
+            for s in listener.incoming().map_while(Result::ok) {
+                thread::spawn(move || {
+                    let mut w = s.try_clone().unwrap();
+                    for line in BufReader::new(s).lines().map_while(Result::ok) {
+                        let _ = w.write_all(format!("{line}\n").as_bytes());
+                    }
+                });
+            }
+        });
+        at
+    }
+
+    fn ask(at: SocketAddr) -> Option<String> {
+        let mut s = TcpStream::connect(at).ok()?;
+        s.set_read_timeout(Some(Duration::from_millis(300))).ok()?;
+        s.write_all(b"hello\n").ok()?;
+        let mut line = String::new();
+        BufReader::new(s).read_line(&mut line).ok().filter(|n| *n > 0)?;
+        Some(line)
+    }
+
+    /// Guards against a proxy that passes what it should swallow, or swallows what it should pass.
+    #[test]
+    fn bytes_pass_and_stop_as_the_fault_says() {
+        let proxy = Proxy::start(echo()).unwrap();
+        assert_eq!(ask(proxy.address).as_deref(), Some("hello\n"));
+        proxy.set(Fault::Blackhole);
+        assert_eq!(ask(proxy.address), None, "silence");
+        proxy.set(Fault::Reset);
+        assert_eq!(ask(proxy.address), None, "cut");
+        proxy.set(Fault::Pass);
+        assert_eq!(ask(proxy.address).as_deref(), Some("hello\n"));
+        assert_eq!(proxy.connections(), 4);
+        assert_eq!(proxy.forwarded(), 12, "two greetings passed");
+    }
+}
--- a/src/journal.rs
+++ b/src/journal.rs
@@ -462,6 +462,31 @@
     found
 }
 
+/// After damage the journal cannot prove that an open call never went out: each one without a mark of an attempt gets
+/// one, of no building and long ago, so that an unsafe message is never sent again and an approval order is repeated
+/// nowhere. Safe messages go as before. Returns how many were marked.
+pub fn unsure(records: &mut Vec<Record>) -> usize {
+    let mut open: std::collections::BTreeMap<CallNo, (u32, bool)> = std::collections::BTreeMap::new();
+    for r in records.iter() {
+        match r {
+            Record::Taken(t) => drop(open.insert(t.no, (0, false))),
+            Record::State { no, attempts, ran, out } => {
+                if let Some(o) = open.get_mut(no) {
+                    *o = (*attempts, ran.is_some() || out.is_some());
+                }
+            }
+            Record::Ended { no, .. } | Record::Over { no, .. } => drop(open.remove(no)),
+            _ => {}
+        }
+    }
+    let unmarked: Vec<_> = open.into_iter().filter(|(_, (_, marked))| !marked).collect();
+    for (no, (attempts, _)) in &unmarked {
+        let ran = Some(Sent { at: 0.0, zone: String::new() });
+        records.push(Record::State { no: *no, attempts: (*attempts).max(1), ran, out: None });
+    }
+    unmarked.len()
+}
+
 /// Bytes of damaged records that a start sets aside at most; more are counted and dropped, for the folder's room.
 const ASIDE_MOST: usize = 64 << 10;
 
@@ -724,6 +749,31 @@
         std::fs::remove_dir_all(dir).unwrap();
     }
 
+    /// Guards against an unsafe message whose mark of an attempt was in a damaged stretch going again: each open call
+    /// without a mark gets one, calls that ended or are marked are left as they are.
+    #[test]
+    fn after_damage_open_calls_count_as_may_have_run() {
+        let ran = Some(Sent { at: 5.0, zone: "a".into() });
+        let mut records = vec![
+            taken(1),
+            taken(2),
+            Record::State { no: 2, attempts: 3, ran: ran.clone(), out: None },
+            taken(3),
+            Record::Ended { no: 3, ending: Ending::Delivered },
+            taken(4),
+            Record::State { no: 4, attempts: 2, ran: None, out: None },
+        ];
+        assert_eq!(unsure(&mut records), 2);
+        let none = Some(Sent { at: 0.0, zone: String::new() });
+        assert_eq!(
+            records[7..],
+            [
+                Record::State { no: 1, attempts: 1, ran: none.clone(), out: None },
+                Record::State { no: 4, attempts: 2, ran: none, out: None }
+            ]
+        );
+    }
+
     /// Guards against two processes on one folder writing one file: the second has a file of its own, and takes over what
     /// the first left once that one has let go of its own.
     #[test]
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -154,7 +154,14 @@
         if config.sidecar.is_some() {
             disk::claim(&config.state, &config.name)?;
         }
-        let (journal, records) = Journal::open(&config.state, config.limits.disk)?;
+        let (journal, mut records) = Journal::open(&config.state, config.limits.disk)?;
+        if journal.damaged() > 0 {
+            let marked = crate::journal::unsure(&mut records);
+            log::warn!(
+                calls = marked;
+                "after damage in the journal {marked} open calls count as may have run: no unsafe one goes again"
+            );
+        }
         let side = config.sidecar.clone().unwrap_or_default();
         let mesh =
             side.mesh.as_ref().map_or(0, |m| m.peers.len().min(peer::OUTWARD_MOST) + peer::INWARD_MOST);
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -186,6 +186,8 @@
     pub deaf: Arc<Mutex<usize>>,
     /// Watches that began with an earlier number are broken.
     watches: Arc<Mutex<usize>>,
+    /// When each watch was asked for.
+    pub asks: Arc<Mutex<Vec<std::time::Instant>>>,
 }
 
 impl Platform {
@@ -198,6 +200,7 @@
             notices: Arc::default(),
             deaf: Arc::default(),
             watches: Arc::default(),
+            asks: Arc::default(),
         };
         let served = platform.clone();
         thread::spawn(move || {
@@ -225,6 +228,7 @@
                 }
                 continue;
             }
+            self.asks.lock().unwrap().push(std::time::Instant::now());
             out.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").ok()?;
             let after = request.line.split("after=").nth(1).and_then(|r| r.split(' ').next());
             let mut next = after.and_then(|r| r.parse().ok()).unwrap_or(0);
--- /dev/null
+++ b/tests/together.rs
@@ -0,0 +1,141 @@
+//! Coming back together: several processes of the program, each with its folder, a fault proxy on each path to the
+//! member, killed in a wave and started again; the rig's audit holds them to the rules.
+
+mod stand;
+use lilacbank_rig::{Audit, Fault, Proxy};
+use stand::*;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+/// A member that refuses with a wait until it is opened, and then takes each call; each effect by id, in order.
+fn member() -> (Worker, Arc<AtomicBool>, Arc<Mutex<Vec<String>>>) {
+    let (open, effects) = (Arc::new(AtomicBool::new(false)), Arc::new(Mutex::new(Vec::new())));
+    let (o, e) = (open.clone(), effects.clone());
+    let worker = Worker::start(move |r, _| {
+        if !o.load(Ordering::SeqCst) {
+            return Reply::Answer("429 Too Many Requests\r\nRetry-After: 1");
+        }
+        e.lock().unwrap().push(r.header("x-txn").to_string());
+        Reply::Answer("200 OK")
+    });
+    (worker, open, effects)
+}
+
+/// Byte offsets of the records of a journal file, with the first byte of each body: its kind.
+fn records(bytes: &[u8]) -> Vec<(usize, u8)> {
+    let mut at = 0;
+    let mut found = Vec::new();
+    while at + 9 <= bytes.len() {
+        let len = u32::from_le_bytes(bytes[at..at + 4].try_into().unwrap()) as usize;
+        found.push((at, bytes[at + 8]));
+        at += 8 + len;
+    }
+    found
+}
+
+/// Flips one bit in the body of the first record of a state (an attempt) that stands before a later record of a taken
+/// message; returns false if there is none.
+fn flip_a_state(path: &std::path::Path) -> bool {
+    let mut bytes = std::fs::read(path).unwrap();
+    let all = records(&bytes);
+    let Some((at, _)) = all.iter().enumerate().find_map(|(n, (at, kind))| {
+        (*kind == b'S' && all[n + 1..].iter().any(|(_, k)| *k == b'T')).then_some((*at, n))
+    }) else {
+        return false;
+    };
+    bytes[at + 10] ^= 0x04;
+    std::fs::write(path, bytes).unwrap();
+    true
+}
+
+/// Three dispatchers, each behind its own proxy to one member that refuses with a wait. Two are SIGKILLed within
+/// 100 ms while the member falls silent, one of their journals gets a flipped bit in an attempt's record, and both
+/// start again within 1 s. Every message taken with `+OK` gets exactly one final answer, no unsafe one takes effect
+/// twice. Without the journal's reading past a damaged record (src/journal.rs, `scan`), the messages taken after it
+/// are cut off with the "torn tail" and are lost.
+#[test]
+fn a_wave_of_kills_with_a_damaged_journal_loses_nothing_and_doubles_nothing() {
+    let (worker, open, effects) = member();
+    let proxies: Vec<Proxy> = (0..3).map(|_| Proxy::start(worker.address).unwrap()).collect();
+    let sites: Vec<Site> = proxies
+        .iter()
+        .map(|p| Site::new(&[entry("w1", &p.address.to_string(), "a", 1, "in_service")]))
+        .collect();
+    let mut running: Vec<Option<Dispatcher>> = sites.iter().map(|s| Some(s.start())).collect();
+    let mut audit = Audit::default();
+    for round in 0..4 {
+        for (n, d) in running.iter().enumerate() {
+            let mut c = d.as_ref().unwrap().client();
+            for class in ["safe", "pay"] {
+                let id = format!("{class}-{n}-{round}");
+                let said = c.submit(&id, &format!("c={class},t=acme,dest=1"));
+                assert_eq!(said, "+OK", "{id}");
+                audit.taken(&id, class == "pay");
+            }
+        }
+        std::thread::sleep(Duration::from_millis(150));
+    }
+    until("each has tried the member", || worker.count() >= 8);
+    proxies.iter().for_each(|p| p.set(Fault::Blackhole));
+    for d in running.iter_mut().take(2) {
+        d.take().unwrap().kill();
+    }
+    let journal = sites[0].dir.join("state").join("journal");
+    assert!(flip_a_state(&journal), "an attempt's record stands before a later message's");
+    std::thread::sleep(Duration::from_millis(300));
+    for (d, site) in running.iter_mut().zip(&sites).take(2) {
+        *d = Some(site.start());
+    }
+    proxies.iter().for_each(|p| p.set(Fault::Pass));
+    open.store(true, Ordering::SeqCst);
+    let ended = |audit: &Audit| {
+        let mut a = audit.clone();
+        effects.lock().unwrap().iter().for_each(|id| a.effect(id));
+        for site in &sites {
+            for id in ["safe", "pay"]
+                .iter()
+                .flat_map(|c| (0..3).flat_map(move |n| (0..4).map(move |r| format!("{c}-{n}-{r}"))))
+            {
+                site.platform.noticed(&id).iter().for_each(|_| a.gave_up(&id));
+            }
+        }
+        a.verdict()
+    };
+    until("every taken message has its final answer", || ended(&audit).lost.is_empty());
+    std::thread::sleep(Duration::from_millis(500));
+    let v = ended(&audit);
+    assert!(v.clean(), "{v:?}");
+    assert_eq!(v.taken, 24);
+    assert!(v.delivered >= 12, "the safe ones are delivered: {v:?}");
+}
+
+/// A measurement, not a check: ten processes with empty folders started within a few ms against one registry; prints
+/// the registry's asks in the busiest 10 ms. `cargo test --release --test together -- --ignored --nocapture stampede`
+#[test]
+#[ignore = "a measurement"]
+fn stampede_of_first_asks() {
+    let sites: Vec<Site> = (0..10).map(|_| Site::new(&[])).collect();
+    let registry = sites[0].platform.address.to_string();
+    let started = std::time::Instant::now();
+    let running: Vec<Dispatcher> = std::thread::scope(|scope| {
+        let starting: Vec<_> = sites
+            .iter()
+            .map(|s| scope.spawn(|| s.start_with("127.0.0.1:0", &[("ROUTER_DISCOVERY", &registry)])))
+            .collect();
+        starting.into_iter().map(|h| h.join().unwrap()).collect()
+    });
+    let spread = started.elapsed();
+    until("each has asked", || sites[0].platform.asks.lock().unwrap().len() >= running.len());
+    let asks: Vec<f64> = sites[0]
+        .platform
+        .asks
+        .lock()
+        .unwrap()
+        .iter()
+        .map(|t| t.duration_since(started).as_secs_f64() * 1e3)
+        .collect();
+    let busiest =
+        asks.iter().map(|a| asks.iter().filter(|b| **b >= *a && **b < a + 10.0).count()).max().unwrap_or(0);
+    println!("started within {spread:?}; {} asks, at most {busiest} in 10 ms; at ms {asks:.0?}", asks.len());
+}
