--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -176,6 +176,21 @@
     )
 }
 
+/// A worker that refuses with a wait until it is opened, and then takes each call; who was taken, in order.
+pub fn gate() -> (Worker, Arc<std::sync::atomic::AtomicBool>, Arc<Mutex<Vec<String>>>) {
+    let (open, taken) =
+        (Arc::new(std::sync::atomic::AtomicBool::new(false)), Arc::new(Mutex::new(Vec::new())));
+    let (o, t) = (open.clone(), taken.clone());
+    let worker = Worker::start(move |r, _| {
+        if !o.load(std::sync::atomic::Ordering::SeqCst) {
+            return Reply::Answer("429 Too Many Requests\r\nRetry-After: 1");
+        }
+        t.lock().unwrap().push(r.header("x-txn").to_string());
+        Reply::Answer("200 OK")
+    });
+    (worker, open, taken)
+}
+
 /// The platform: a watch that brings what is pushed, and a place for notices.
 #[derive(Clone)]
 pub struct Platform {
