--- a/src/journal.rs
+++ b/src/journal.rs
@@ -456,12 +456,25 @@
                 found.records.push(record);
                 (at, found.good) = (end, end);
             }
+            // A kill tears a write short of its length; one whose length is all there and does not read was damaged
+            // after it was written, and may have been the mark that an attempt went out.
+            None if whole_length(bytes, at) => {
+                found.damaged.push(at..bytes.len());
+                (at, found.good) = (bytes.len(), bytes.len());
+            }
             None => break,
         }
     }
     found
 }
 
+/// The record at `at` has all the bytes that its length says, and more may follow.
+fn whole_length(bytes: &[u8], at: usize) -> bool {
+    let Some(head) = bytes.get(at..at + 8) else { return false };
+    let len = u32::from_le_bytes([head[0], head[1], head[2], head[3]]) as usize;
+    (at + 8).checked_add(len).is_some_and(|end| end <= bytes.len())
+}
+
 /// After damage the journal cannot prove that an open call never went out: each one without a mark of an attempt gets
 /// one, of no building and long ago, so that an unsafe message is never sent again and an approval order is repeated
 /// nowhere. Safe messages go as before. Returns how many were marked.
@@ -749,6 +762,26 @@
         std::fs::remove_dir_all(dir).unwrap();
     }
 
+    /// Guards against a flipped bit in the last record being taken for a torn write: it is damage, and says so.
+    #[test]
+    fn a_damaged_last_record_is_damage_and_a_short_one_is_torn() {
+        let dir = folder("last");
+        let (mut j, _) = Journal::open(&dir, 1 << 20).unwrap();
+        [taken(1), taken(2)].iter().for_each(|r| j.append(r).unwrap());
+        drop(j);
+        let whole = std::fs::read(dir.join("journal")).unwrap();
+        let mut flipped = whole.clone();
+        flipped[whole.len() - 2] ^= 0x01;
+        std::fs::write(dir.join("journal"), &flipped).unwrap();
+        let (j, back) = Journal::open(&dir, 1 << 20).unwrap();
+        assert_eq!((back, j.damaged()), (vec![taken(1)], 1));
+        drop(j);
+        std::fs::write(dir.join("journal"), &whole[..whole.len() - 2]).unwrap();
+        let (j, back) = Journal::open(&dir, 1 << 20).unwrap();
+        assert_eq!((back, j.damaged()), (vec![taken(1)], 0), "short of its length: torn");
+        std::fs::remove_dir_all(dir).unwrap();
+    }
+
     /// Guards against an unsafe message whose mark of an attempt was in a damaged stretch going again: each open call
     /// without a mark gets one, calls that ended or are marked are left as they are.
     #[test]
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -296,6 +296,8 @@
     pub platform: Platform,
     pub disk_mb: f64,
     pub mqtt: bool,
+    /// Dispatchers that the platform says it runs (`balancers`).
+    pub balancers: u32,
 }
 
 impl Site {
@@ -305,15 +307,26 @@
         let dir = std::env::temp_dir().join(format!("lilacbank-test-{}-{n}", std::process::id()));
         let _ = std::fs::remove_dir_all(&dir);
         std::fs::create_dir_all(&dir).unwrap();
-        Site { dir, platform: Platform::start(entries), disk_mb: 3.0, mqtt: false }
+        Site { dir, platform: Platform::start(entries), disk_mb: 3.0, mqtt: false, balancers: 1 }
+    }
+
+    /// A seed of this site's own where the platform runs several dispatchers, as it gives each one; else the one seed.
+    fn seed(&self) -> String {
+        if self.balancers == 1 {
+            return "0a".into();
+        }
+        let name = self.dir.file_name().map(|n| n.to_string_lossy().into_owned()).unwrap_or_default();
+        format!("{:x}", name.bytes().fold(0x0a_u64, |h, b| h.wrapping_mul(0x100_0000_01b3) ^ u64::from(b)))
     }
 
     /// Writes the configuration, with a value for the registry's address in it.
     pub fn configure(&self, discovery: &str) {
         let disk = self.disk_mb;
         let text = format!(
-            r#"{{"name":"n0","seed":"0a","limits":{{"sockets":256,"disk_mb":{disk}}},"settings":{SETTINGS},
-               "discovery":{discovery}}}"#
+            r#"{{"name":"n0","seed":"{seed}","limits":{{"sockets":256,"disk_mb":{disk}}},"settings":{settings},
+               "discovery":{discovery}}}"#,
+            seed = self.seed(),
+            settings = SETTINGS.replacen("\"balancers\":1", &format!("\"balancers\":{}", self.balancers), 1),
         );
         std::fs::write(self.dir.join("config.json"), text).unwrap();
     }
--- a/tests/together.rs
+++ b/tests/together.rs
@@ -7,6 +7,7 @@
 use lilacbank_rig::{Fault, Proxy};
 use stand::*;
 use std::sync::atomic::Ordering;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 /// Byte offsets of the records of a journal file, with the first byte of each body: its kind.
@@ -103,7 +104,13 @@
 #[test]
 #[ignore = "a measurement"]
 fn stampede_of_first_asks() {
-    let sites: Vec<Site> = (0..10).map(|_| Site::new(&[])).collect();
+    let sites: Vec<Site> = (0..10)
+        .map(|_| {
+            let mut site = Site::new(&[]);
+            site.balancers = 10;
+            site
+        })
+        .collect();
     let registry = sites[0].platform.address.to_string();
     let started = std::time::Instant::now();
     let running: Vec<Dispatcher> = std::thread::scope(|scope| {
@@ -127,3 +134,49 @@
         asks.iter().map(|a| asks.iter().filter(|b| **b >= *a && **b < a + 10.0).count()).max().unwrap_or(0);
     println!("started within {spread:?}; {} asks, at most {busiest} in 10 ms; at ms {asks:.0?}", asks.len());
 }
+
+/// All three dispatchers SIGKILLed at once while each has a reimbursement out at a member that took effect and never
+/// answered; in each journal a bit of the mark that it went out is flipped. Started again, none sends it a second time:
+/// each gets its final answer without a call. Without `journal::unsure` (src/net/mod.rs, after `Journal::open`) each is
+/// sent again and takes effect twice; without a flipped last record counting as damage (src/journal.rs,
+/// `whole_length`) the mark is taken for a torn write and the same happens.
+#[test]
+fn a_reimbursement_whose_mark_was_damaged_is_not_sent_again() {
+    let effects = Arc::new(Mutex::new(Vec::<String>::new()));
+    let seen = effects.clone();
+    let worker = Worker::start(move |r, _| {
+        seen.lock().unwrap().push(r.header("x-txn").to_string());
+        Reply::Silence
+    });
+    let proxies: Vec<Proxy> = (0..3).map(|_| Proxy::start(worker.address).unwrap()).collect();
+    let sites: Vec<Site> = proxies
+        .iter()
+        .map(|p| Site::new(&[entry("w1", &p.address.to_string(), "a", 1, "in_service")]))
+        .collect();
+    let running: Vec<Dispatcher> = sites.iter().map(|s| s.start()).collect();
+    let ids: Vec<String> = (0..3).map(|n| format!("pay_{n}")).collect();
+    for (d, id) in running.iter().zip(&ids) {
+        assert_eq!(d.client().submit(id, "c=pay,t=acme,dest=1"), "+OK");
+    }
+    until("each took effect", || effects.lock().unwrap().len() == 3);
+    running.into_iter().for_each(Dispatcher::kill);
+    proxies.iter().for_each(|p| p.set(Fault::Reset));
+    for site in &sites {
+        let path = site.dir.join("state").join("journal");
+        let mut bytes = std::fs::read(&path).unwrap();
+        let (at, _) =
+            *records(&bytes).iter().rev().find(|(_, kind)| *kind == b'S').expect("the mark of the attempt");
+        bytes[at + 10] ^= 0x04;
+        std::fs::write(&path, bytes).unwrap();
+    }
+    let _again: Vec<Dispatcher> = sites.iter().map(|s| s.start()).collect();
+    proxies.iter().for_each(|p| p.set(Fault::Pass));
+    for (site, id) in sites.iter().zip(&ids) {
+        until("it is given up", || !site.platform.noticed(id).is_empty());
+    }
+    std::thread::sleep(Duration::from_millis(500));
+    let effects = effects.lock().unwrap();
+    for id in &ids {
+        assert_eq!(effects.iter().filter(|e| *e == id).count(), 1, "{id}: {effects:?}");
+    }
+}
