Spread the first registry asking of starts that have no list

Cause: Watch::new (src/net/registry.rs) gave a start with revision 0 a turn of 0, so a crowd of starts with empty folders asked the registry in one instant.

Now Asking::empty (src/fleet.rs) draws the turn over ASK_QUEUE (25 ms, the registry's time per sender that the patience of an asking already counts) for each other sender, at most half the bound of a start with a kept list (400 ms): such a start serves nothing until it asks. One alone asks at once. Not taken: one fixed delay (moves the crowd, does not spread it).

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -223,6 +223,12 @@
         draw * (ASK_TURN * (self.senders.max(1) - 1) as f64).min(ASK_START_MOST)
     }
 
+    /// How long to wait before the first asking of a process that starts with no list: it serves nothing until it asks,
+    /// so only the registry's time for the senders that may start with it, and half the bound of a start with a list.
+    pub(crate) fn empty(&self, draw: f64) -> Ms {
+        draw * (ASK_QUEUE * (self.senders.max(1) - 1) as f64).min(ASK_START_MOST / 2.0)
+    }
+
     /// An asking failed, with a wait that was told or 0; returns when to ask again.
     pub(crate) fn failed(&mut self, silent: bool, wait: Ms, draw: f64) -> Ms {
         let gap = (ASK_AGAIN * f64::from(1u32 << self.failed.min(8))).min(ASK_AGAIN_MOST);
@@ -294,6 +300,20 @@
         None
     }
 
+    /// Guards against a crowd of starts with no list that asks the registry all in one instant: of 100, at most a few
+    /// come in any 10 ms, and the last within its bound; one alone asks at once.
+    #[test]
+    fn starts_with_no_list_are_spread_within_a_bound() {
+        let mut random = Random::new(7);
+        let a = Asking::new(100);
+        let mut at: Vec<Ms> = (0..100).map(|_| a.empty(random.next())).collect();
+        at.sort_by(f64::total_cmp);
+        let busiest = at.iter().map(|t| at.iter().filter(|u| **u >= *t && **u < t + 10.0).count()).max();
+        assert!(busiest.is_some_and(|b| b <= 8), "{busiest:?}");
+        assert!(at[99] <= ASK_START_MOST / 2.0);
+        assert_eq!(Asking::new(1).empty(0.9), 0.0);
+    }
+
     /// A release of the senders: 100 asked an overbooked registry every second or two, and 81 of them never heard it again.
     #[test]
     fn a_crowd_that_lost_the_registry_comes_through_and_a_few_do_at_once() {
--- a/src/net/registry.rs
+++ b/src/net/registry.rs
@@ -41,8 +41,8 @@
     /// A watch that goes on from a version, for one of so many senders; it is opened in its turn.
     pub fn new(now: Ms, address: Option<SocketAddr>, rev: u64, senders: usize, seed: u64) -> Watch {
         let (asking, mut random) = (Asking::new(senders), Random::new(seed));
-        // With no list at all there is nothing to wait for.
-        let turn = if rev > 0 { asking.start(random.next()) } else { 0.0 };
+        // With no list there is nothing to serve from, and a short turn among those who may start with it.
+        let turn = if rev > 0 { asking.start(random.next()) } else { asking.empty(random.next()) };
         Watch {
             address,
             stream: None,
