--- a/crates/load/src/member.rs
+++ b/crates/load/src/member.rs
@@ -47,13 +47,18 @@
 }
 
 /// A request's first line, the values of two headers and its body.
-struct Request {
-    line: String,
-    id: String,
-    body: Vec<u8>,
+#[derive(Debug, Clone)]
+pub struct Request {
+    /// The request line, with its line end.
+    pub line: String,
+    /// The message id of `x-txn`, or empty.
+    pub id: String,
+    /// The body, of `content-length` bytes.
+    pub body: Vec<u8>,
 }
 
-fn request(reader: &mut BufReader<TcpStream>) -> Option<Request> {
+/// Reads one HTTP/1.1 request; None at the end of the connection or where it does not read.
+pub fn request(reader: &mut BufReader<TcpStream>) -> Option<Request> {
     let (mut first, mut id, mut length) = (String::new(), String::new(), 0);
     reader.read_line(&mut first).ok().filter(|n| *n > 0)?;
     loop {
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -2,10 +2,15 @@
 //!
 //! [`Proxy`] stands on one path (dispatcher to member, to registry, later to another dispatcher) and delays, resets or
 //! swallows what passes, as the test says from moment to moment. What clients were told is held against what members
-//! did by the audit of `lilacbank-load` (`keyed::audit`).
+//! did by the audit of `lilacbank-load` (`keyed::audit`). [`Registry`] is the platform's registry and notice place.
 
 #![forbid(unsafe_code)]
 
+pub mod config;
 mod proxy;
+mod registry;
+pub mod run;
+pub mod scenario;
 
 pub use proxy::{Fault, Proxy};
+pub use registry::{entry, Registry};
--- /dev/null
+++ b/crates/rig/src/registry.rs
@@ -0,0 +1,124 @@
+//! The platform's registry as a stand-in: a watch that never ends and brings each version of the list, one JSON object
+//! a line, and a place where notices are posted. Every asking is timed, for the count of a stampede.
+
+use lilacbank_load::member::request;
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// The registry and notice place of one installation.
+#[derive(Debug, Clone)]
+pub struct Registry {
+    /// Where the dispatchers reach it (`$ROUTER_DISCOVERY`).
+    pub address: SocketAddr,
+    lists: Arc<Mutex<Vec<String>>>,
+    /// Lines of the notices posted, one JSON object each.
+    pub notices: Arc<Mutex<Vec<String>>>,
+    /// So many notices are answered 500, not 204.
+    pub deaf: Arc<Mutex<usize>>,
+    /// Watches that began with an earlier number are broken.
+    watches: Arc<Mutex<usize>>,
+    /// When each watch was asked for.
+    pub asks: Arc<Mutex<Vec<Instant>>>,
+}
+
+fn lock<T>(m: &Mutex<T>) -> MutexGuard<'_, T> {
+    m.lock().unwrap_or_else(|e| e.into_inner())
+}
+
+/// One entry of the list, as the platform writes it.
+pub fn entry(uid: &str, address: &str, zone: &str, dest: u64, state: &str) -> String {
+    format!(
+        r#"{{"uid":"{uid}","endpoint":"{address}","az":"{zone}","model":"m","pod_group":{dest},"state":"{state}"}}"#
+    )
+}
+
+impl Registry {
+    /// Starts on a port from the OS with a first, whole list of these entries (revision 1).
+    ///
+    /// # Errors
+    ///
+    /// No port can be had on loopback.
+    pub fn start(entries: &[String]) -> std::io::Result<Registry> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let list = format!(r#"{{"rev":1,"all":true,"targets":[{}]}}"#, entries.join(","));
+        let registry = Registry {
+            address: listener.local_addr()?,
+            lists: Arc::new(Mutex::new(vec![list])),
+            notices: Arc::default(),
+            deaf: Arc::default(),
+            watches: Arc::default(),
+            asks: Arc::default(),
+        };
+        let served = registry.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                let r = served.clone();
+                thread::spawn(move || r.serve(stream));
+            }
+        });
+        Ok(registry)
+    }
+
+    fn serve(&self, stream: TcpStream) -> Option<()> {
+        let mut out = stream.try_clone().ok()?;
+        let mut reader = BufReader::new(stream);
+        while let Some(request) = request(&mut reader) {
+            if request.line.starts_with("POST") {
+                let mut deaf = lock(&self.deaf);
+                let text = String::from_utf8_lossy(&request.body).into_owned();
+                lock(&self.notices).extend(text.lines().map(String::from));
+                if *deaf > 0 {
+                    *deaf -= 1;
+                    out.write_all(b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n").ok()?;
+                } else {
+                    out.write_all(b"HTTP/1.1 204 Done\r\n\r\n").ok()?;
+                }
+                continue;
+            }
+            lock(&self.asks).push(Instant::now());
+            out.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").ok()?;
+            let after = request.line.split("after=").nth(1).and_then(|r| r.split([' ', '&']).next());
+            let mut next = after.and_then(|r| r.parse().ok()).unwrap_or(0);
+            let began = *lock(&self.watches);
+            while *lock(&self.watches) == began {
+                let news = lock(&self.lists).get(next..).map(<[String]>::to_vec).unwrap_or_default();
+                next += news.len();
+                let lines = if news.is_empty() { "\n".to_string() } else { news.join("\n") + "\n" };
+                out.write_all(format!("{:x}\r\n{lines}\r\n", lines.len()).as_bytes()).ok()?;
+                thread::sleep(Duration::from_millis(20));
+            }
+            return None;
+        }
+        None
+    }
+
+    /// Breaks all watches; new ones go on after the version that they name.
+    pub fn break_watches(&self) {
+        *lock(&self.watches) += 1;
+    }
+
+    /// Tells a change of the list: these entries, as the next revision.
+    pub fn push(&self, entry: &str) {
+        let mut lists = lock(&self.lists);
+        let rev = lists.len() + 1;
+        lists.push(format!(r#"{{"rev":{rev},"all":false,"targets":[{entry}]}}"#));
+    }
+
+    /// The notices that name this text (a message id).
+    pub fn noticed(&self, id: &str) -> Vec<String> {
+        lock(&self.notices).iter().filter(|n| n.contains(id)).cloned().collect()
+    }
+
+    /// Askings for the watch in the busiest span of this length, and how many in all.
+    pub fn busiest(&self, span: Duration) -> (usize, usize) {
+        let asks = lock(&self.asks).clone();
+        let most = asks
+            .iter()
+            .map(|a| asks.iter().filter(|b| **b >= *a && b.duration_since(*a) < span).count())
+            .max();
+        (most.unwrap_or(0), asks.len())
+    }
+}
