--- a/crates/rig/src/bin/lilacbank-rig.rs
+++ b/crates/rig/src/bin/lilacbank-rig.rs
@@ -25,6 +25,9 @@
         /// Also write the report here.
         #[arg(long)]
         report: Option<PathBuf>,
+        /// Play it so many times, with seeds from the file's on, and print the sum instead of each report.
+        #[arg(long, default_value_t = 1)]
+        trials: u32,
     },
     /// Check a scenario and say what is wrong, with file, line and key.
     Check {
@@ -63,7 +66,7 @@
                 ExitCode::from(2)
             }
         },
-        Do::Run { file, program, report } => {
+        Do::Run { file, program, report, trials } => {
             let scenario = match read(file.as_ref()) {
                 Ok(s) => s,
                 Err(e) => {
@@ -76,14 +79,22 @@
                 eprintln!("the dispatcher's program is not beside this one; build it (cargo build --release) or give --program");
                 return ExitCode::from(2);
             };
-            let played = match lilacbank_rig::run::play(&scenario, &program, &std::env::temp_dir()) {
-                Ok(r) => r,
-                Err(e) => {
-                    eprintln!("the rig could not be set up: {e}");
-                    return ExitCode::from(2);
+            let mut reports = Vec::new();
+            for n in 0..trials.max(1) {
+                let this = Scenario { seed: scenario.seed + u64::from(n), ..scenario.clone() };
+                match lilacbank_rig::run::play(&this, &program, &std::env::temp_dir()) {
+                    Ok(r) => reports.push(r),
+                    Err(e) => {
+                        eprintln!("the rig could not be set up: {e}");
+                        return ExitCode::from(2);
+                    }
                 }
+            }
+            let text = match reports.as_slice() {
+                [one] => serde_json::to_string_pretty(one),
+                all => serde_json::to_string_pretty(&lilacbank_rig::run::Trials::of(all)),
             };
-            let text = serde_json::to_string_pretty(&played).unwrap_or_default();
+            let text = text.unwrap_or_default();
             println!("{text}");
             if let Some(path) = report {
                 if let Err(e) = std::fs::write(&path, &text) {
@@ -91,7 +102,7 @@
                     return ExitCode::from(2);
                 }
             }
-            if played.clean() {
+            if reports.iter().all(lilacbank_rig::run::Report::clean) {
                 ExitCode::SUCCESS
             } else {
                 ExitCode::from(1)
--- a/crates/rig/src/run.rs
+++ b/crates/rig/src/run.rs
@@ -75,6 +75,62 @@
     }
 }
 
+/// What many plays of one scenario showed, summed; times by quantile over the plays that reached them.
+#[derive(Debug, Clone, serde::Serialize)]
+pub struct Trials {
+    /// Plays.
+    pub trials: usize,
+    /// Messages taken in all plays.
+    pub taken: usize,
+    /// Delivered.
+    pub delivered: usize,
+    /// Told as given up.
+    pub told: usize,
+    /// Lost.
+    pub lost: usize,
+    /// Doubled unsafe effects.
+    pub doubled: usize,
+    /// Overlapping calls of a key.
+    pub overlapping: usize,
+    /// Told more than once.
+    pub told_twice: usize,
+    /// Plays that never reached full service.
+    pub never_full: usize,
+    /// Milliseconds to full service: median (nearest rank) of the plays that reached it,
+    pub full_service_p50_ms: Option<u64>,
+    /// and the 99th percentile.
+    pub full_service_p99_ms: Option<u64>,
+    /// The most askings of the registry in 10 ms, in any play.
+    pub asks_in_10ms: usize,
+    /// Starts that failed.
+    pub failed_starts: usize,
+}
+
+impl Trials {
+    /// The sum of these reports.
+    pub fn of(reports: &[Report]) -> Trials {
+        let mut full: Vec<u64> = reports.iter().filter_map(|r| r.full_service_ms).collect();
+        full.sort_unstable();
+        let rank = |q: f64| full.get(((q * full.len() as f64).ceil() as usize).saturating_sub(1)).copied();
+        let sum = |f: fn(&Report) -> usize| reports.iter().map(f).sum();
+        Trials {
+            trials: reports.len(),
+            taken: sum(|r| r.taken),
+            delivered: sum(|r| r.delivered),
+            told: sum(|r| r.told),
+            lost: sum(|r| r.lost.len()),
+            doubled: sum(|r| r.doubled.len()),
+            overlapping: sum(|r| r.overlapping.len()),
+            told_twice: sum(|r| r.told_twice.len()),
+            never_full: reports.len() - full.len(),
+            full_service_p50_ms: rank(0.5),
+            full_service_p99_ms: rank(0.99),
+            asks_in_10ms: reports.iter().map(|r| r.asks_in_10ms).max().unwrap_or(0),
+            failed_starts: sum(|r| r.failed_starts),
+        }
+    }
+}
+
 /// One process of the program, in its folder; started again as the timeline says.
 struct Process {
     folder: PathBuf,
