Give the rig members with limits and cold returns, a proxy for each path, and a plot

The rig's one member took any crowd, and one proxy stood before all dispatchers, so no fleet could be split and no peak be held against a limit.

Design: crates/load's endpoint gets a limit for all callers, outages, a cold return and the mass page's rule for a fall; the rig a proxy for each dispatcher and member, drop and bandwidth, torn journals, upgrades, clocks that are off, a registry set back. The way not taken: a rate limit in the proxy, which sees one dispatcher's path and not the fleet's sum.

--- a/crates/load/src/member.rs
+++ b/crates/load/src/member.rs
@@ -18,6 +18,52 @@
     pub queue: usize,
 }
 
+/// What an endpoint takes of all its callers together, and how it comes back from an outage.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Limit {
+    /// Calls in any second; what comes beyond them is answered 429 and told to wait `wait`.
+    pub per_second: u32,
+    /// The wait that is told.
+    pub wait: Duration,
+    /// After an outage it takes so long until it serves its whole limit again,
+    pub cold: Duration,
+    /// from this part of it on.
+    pub cold_from: f64,
+    /// While it is cold it falls over again when the calls of `over` are more than N + 3 x root of N + 3, N being
+    /// what it may take then times `factor`.
+    pub factor: f64,
+    /// See `factor`.
+    pub over: Duration,
+    /// So long it stays away after a fall.
+    pub away: Duration,
+}
+
+impl Limit {
+    /// Part of the limit that it serves so long after its return.
+    pub fn part(&self, since: Option<Duration>) -> f64 {
+        let done = since.map_or(1.0, |s| s.as_secs_f64() / self.cold.as_secs_f64().max(1e-9)).min(1.0);
+        self.cold_from + (1.0 - self.cold_from) * done
+    }
+
+    /// Calls within `over` that are too many for one that may take this part.
+    pub fn fall_at(&self, part: f64) -> f64 {
+        let n = f64::from(self.per_second) * part * self.factor * self.over.as_secs_f64();
+        n + 3.0 * n.sqrt() + 3.0
+    }
+}
+
+/// Where an endpoint is with its outages.
+#[derive(Debug, Clone, Copy, Default)]
+enum Health {
+    /// It has never been away, or long ago.
+    #[default]
+    Warm,
+    /// Away until it is told to come back, or until then after a fall.
+    Away(Option<Instant>),
+    /// Back since then.
+    Back(Instant),
+}
+
 /// A call that took effect.
 #[derive(Debug, Clone)]
 pub struct Effect {
@@ -36,6 +82,66 @@
     ticket: u64,
     effects: Vec<Effect>,
     refused: usize,
+    health: Health,
+    /// When each call came, also those that were refused.
+    calls: Vec<Instant>,
+    /// Times of the calls of the last second that it took.
+    taken: VecDeque<Instant>,
+    falls: usize,
+}
+
+/// What becomes of a call that has come.
+enum Verdict {
+    /// It is served.
+    Serve,
+    /// 429 with this wait.
+    Wait(Duration),
+    /// The connection breaks.
+    Break,
+}
+
+impl Inner {
+    fn away(&mut self, now: Instant) -> bool {
+        match self.health {
+            Health::Away(Some(until)) if now >= until => {
+                self.health = Health::Back(until);
+                false
+            }
+            Health::Away(_) => true,
+            _ => false,
+        }
+    }
+
+    /// Counts a call against the limit; a fall of a cold one is found here.
+    fn comes(&mut self, now: Instant, limit: &Limit) -> Verdict {
+        self.calls.push(now);
+        let since = match self.health {
+            Health::Back(at) => Some(now.saturating_duration_since(at)),
+            _ => None,
+        };
+        let part = limit.part(since);
+        if part < 1.0 {
+            let from = now.checked_sub(limit.over).unwrap_or(now);
+            let recent = self.calls.iter().rev().take_while(|t| **t > from);
+            // Calls of before its return met no process that could fall.
+            let back = now - since.unwrap_or_default();
+            if recent.filter(|t| **t >= back).count() as f64 > limit.fall_at(part) {
+                self.falls += 1;
+                self.health = Health::Away(Some(now + limit.away));
+                return Verdict::Break;
+            }
+        }
+        let second = now.checked_sub(Duration::from_secs(1)).unwrap_or(now);
+        while self.taken.front().is_some_and(|t| *t <= second) {
+            self.taken.pop_front();
+        }
+        if self.taken.len() as f64 >= (f64::from(limit.per_second) * part).max(1.0) {
+            self.refused += 1;
+            return Verdict::Wait(limit.wait);
+        }
+        self.taken.push_back(now);
+        Verdict::Serve
+    }
 }
 
 /// An endpoint.
@@ -44,6 +150,7 @@
     /// Where it is reached.
     pub address: SocketAddr,
     inner: Arc<(Mutex<Inner>, Condvar)>,
+    limit: Option<Limit>,
 }
 
 /// A request's first line, the values of two headers and its body.
@@ -86,8 +193,17 @@
     ///
     /// Where no port can be had.
     pub fn start(manner: Manner) -> std::io::Result<Endpoint> {
+        Endpoint::limited(manner, None)
+    }
+
+    /// The same, with a limit on the calls of all its callers together.
+    ///
+    /// # Errors
+    ///
+    /// Where no port can be had.
+    pub fn limited(manner: Manner, limit: Option<Limit>) -> std::io::Result<Endpoint> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
-        let endpoint = Endpoint { address: listener.local_addr()?, inner: Arc::default() };
+        let endpoint = Endpoint { address: listener.local_addr()?, inner: Arc::default(), limit };
         let served = endpoint.clone();
         thread::spawn(move || {
             for tcp in listener.incoming().map_while(Result::ok) {
@@ -103,8 +219,30 @@
         let mut out = tcp.try_clone().ok()?;
         let mut reader = BufReader::new(tcp);
         while let Some(r) = request(&mut reader) {
-            let good = r.line.starts_with("GET") || self.call(r.id, manner);
-            let head = if good { "200 OK" } else { "503 Full" };
+            let probe = r.line.starts_with("GET");
+            let verdict = {
+                let mut i = self.inner.0.lock().ok()?;
+                let now = Instant::now();
+                match &self.limit {
+                    _ if i.away(now) => Verdict::Break,
+                    Some(limit) if !probe => i.comes(now, limit),
+                    None if !probe => {
+                        i.calls.push(now);
+                        Verdict::Serve
+                    }
+                    _ => Verdict::Serve,
+                }
+            };
+            let told;
+            let head = match verdict {
+                Verdict::Break => return None,
+                Verdict::Wait(w) => {
+                    told = format!("429 Too Many Requests\r\nRetry-After: {:.3}", w.as_secs_f64());
+                    told.as_str()
+                }
+                Verdict::Serve if probe || self.call(r.id, manner) => "200 OK",
+                Verdict::Serve => "503 Full",
+            };
             out.write_all(format!("HTTP/1.1 {head}\r\nContent-Length: 0\r\n\r\n").as_bytes()).ok()?;
         }
         None
@@ -146,6 +284,30 @@
         self.inner.0.lock().map(|i| i.effects.clone()).unwrap_or_default()
     }
 
+    /// It goes away: connections break and new ones are of no use, until [`Endpoint::come_back`].
+    pub fn go_away(&self) {
+        if let Ok(mut i) = self.inner.0.lock() {
+            i.health = Health::Away(None);
+        }
+    }
+
+    /// It comes back, cold.
+    pub fn come_back(&self) {
+        if let Ok(mut i) = self.inner.0.lock() {
+            i.health = Health::Back(Instant::now());
+        }
+    }
+
+    /// When each call came, in order, also those that were refused.
+    pub fn calls(&self) -> Vec<Instant> {
+        self.inner.0.lock().map(|i| i.calls.clone()).unwrap_or_default()
+    }
+
+    /// Times that it fell over while it was cold.
+    pub fn falls(&self) -> usize {
+        self.inner.0.lock().map(|i| i.falls).unwrap_or(0)
+    }
+
     /// Calls that it had no room for.
     pub fn refused(&self) -> usize {
         self.inner.0.lock().map(|i| i.refused).unwrap_or(0)
@@ -193,3 +355,37 @@
         self.lines.lock().map(|l| l.clone()).unwrap_or_default()
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against a limit that counts nothing and a cold endpoint that takes any crowd: a rig that cannot see a
+    /// stampede.
+    #[test]
+    fn a_cold_endpoint_serves_a_part_of_its_limit_and_falls_under_a_crowd() {
+        let limit = Limit {
+            per_second: 40,
+            wait: Duration::from_millis(100),
+            cold: Duration::from_secs(4),
+            cold_from: 0.5,
+            factor: 2.0,
+            over: Duration::from_millis(500),
+            away: Duration::from_secs(1),
+        };
+        let start = Instant::now();
+        let at = |ms: u64| start + Duration::from_millis(ms);
+        let mut warm = Inner::default();
+        let served = (0..50).filter(|n| matches!(warm.comes(at(n * 10), &limit), Verdict::Serve)).count();
+        assert_eq!((served, warm.refused, warm.falls), (40, 10, 0));
+        let mut cold = Inner { health: Health::Back(start), ..Inner::default() };
+        let served = (0..30).filter(|n| matches!(cold.comes(at(n * 10), &limit), Verdict::Serve)).count();
+        assert!((20..23).contains(&served), "half of it and little more: {served}");
+        // N = 40 x 0.5 x 2 x 0.5 s = 20: 20 + 3 x 4.5 + 3 is passed by the 37th and more within half a second.
+        (30..45).for_each(|n| {
+            cold.comes(at(n * 10), &limit);
+        });
+        assert_eq!(cold.falls, 1);
+        assert!(cold.away(at(500)) && !cold.away(at(1_600)), "away for a second after the fall, then back");
+    }
+}
--- a/crates/rig/src/bin/lilacbank-rig.rs
+++ b/crates/rig/src/bin/lilacbank-rig.rs
@@ -28,6 +28,12 @@
         /// Play it so many times, with seeds from the file's on, and print the sum instead of each report.
         #[arg(long, default_value_t = 1)]
         trials: u32,
+        /// Draw the delivered share, the calls per member and the dispatchers serving into this SVG file (one play).
+        #[arg(long)]
+        plot: Option<PathBuf>,
+        /// Keep the folders and logs of the processes, under the system's folder for temporary files.
+        #[arg(long)]
+        keep: bool,
     },
     /// Check a scenario and say what is wrong, with file, line and key.
     Check {
@@ -66,7 +72,7 @@
                 ExitCode::from(2)
             }
         },
-        Do::Run { file, program, report, trials } => {
+        Do::Run { file, program, report, trials, plot, keep } => {
             let scenario = match read(file.as_ref()) {
                 Ok(s) => s,
                 Err(e) => {
@@ -82,7 +88,7 @@
             let mut reports = Vec::new();
             for n in 0..trials.max(1) {
                 let this = Scenario { seed: scenario.seed + u64::from(n), ..scenario.clone() };
-                match lilacbank_rig::run::play(&this, &program, &std::env::temp_dir()) {
+                match lilacbank_rig::run::play(&this, &program, &std::env::temp_dir(), keep) {
                     Ok(r) => reports.push(r),
                     Err(e) => {
                         eprintln!("the rig could not be set up: {e}");
@@ -90,9 +96,15 @@
                     }
                 }
             }
+            if let (Some(path), Some(one)) = (&plot, reports.last()) {
+                if let Err(e) = lilacbank_rig::plot::draw(one, path) {
+                    eprintln!("{e}");
+                    return ExitCode::from(2);
+                }
+            }
             let text = match reports.as_slice() {
                 [one] => serde_json::to_string_pretty(one),
-                all => serde_json::to_string_pretty(&lilacbank_rig::run::Trials::of(all)),
+                all => serde_json::to_string_pretty(&lilacbank_rig::report::Trials::of(all)),
             };
             let text = text.unwrap_or_default();
             println!("{text}");
@@ -102,7 +114,7 @@
                     return ExitCode::from(2);
                 }
             }
-            if reports.iter().all(lilacbank_rig::run::Report::clean) {
+            if reports.iter().all(lilacbank_rig::report::Report::clean) {
                 ExitCode::SUCCESS
             } else {
                 ExitCode::from(1)
--- a/crates/rig/src/config.rs
+++ b/crates/rig/src/config.rs
@@ -10,7 +10,7 @@
    "deadline":20000,"late_worth":0.5,"worth":1},
   {"name":"pay","effect":"at_most_once","promise":3000,"deadline":20000,"late_worth":0.5,"worth":4}],
  "family_info":{"kind_apart":[true],"slots":8},
- "guarantees":{"answer_slack":20,"cold":1000,"cold_from":0.5,"drain_grace":2000,"key_quiet":100,
+ "guarantees":{"answer_slack":20,"cold":COLD_MS,"cold_from":0.5,"drain_grace":2000,"key_quiet":100,
    "overload_factor":2,"overload_for":2000},
  "kinds":["m"],"tenants":[{"name":"acme","quota_per_s":1000}],"zones":["a","b"],"zone":"a"}"#;
 
@@ -23,10 +23,19 @@
     }
 }
 
-/// The JSON of one dispatcher: its name, seed (hex), folder's limit in MB, how many the platform runs, and the value of
+/// The JSON of one dispatcher: its name, seed (hex), folder's limit in MB, how many the platform runs, the
+/// milliseconds for which a returning member is cold, and the value of
 /// `discovery` (JSON: `null`, or an address in quotes).
-pub fn platform(name: &str, seed: &str, disk_mb: f64, balancers: usize, discovery: &str) -> String {
+pub fn platform(
+    name: &str,
+    seed: &str,
+    disk_mb: f64,
+    balancers: usize,
+    cold_ms: u64,
+    discovery: &str,
+) -> String {
     let settings = SETTINGS.replacen("BALANCERS", &balancers.to_string(), 1);
+    let settings = settings.replacen("COLD_MS", &cold_ms.to_string(), 1);
     format!(
         r#"{{"name":"{name}","seed":"{seed}","limits":{{"sockets":256,"disk_mb":{disk_mb}}},"settings":{settings},
            "discovery":{discovery}}}"#
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -7,8 +7,12 @@
 #![forbid(unsafe_code)]
 
 pub mod config;
+mod measure;
+pub mod plot;
+mod process;
 mod proxy;
 mod registry;
+pub mod report;
 pub mod run;
 pub mod scenario;
 
--- a/crates/rig/src/proxy.rs
+++ b/crates/rig/src/proxy.rs
@@ -19,6 +19,11 @@
     /// Connections are taken and bytes read, but nothing passes either way until the fault is lifted: a partition, which
     /// TCP outlives by sending again; what was held then passes late, in order.
     Blackhole,
+    /// Bytes are read and thrown away; a connection that lost some is cut once the fault is lifted, as one that TCP gave
+    /// up on.
+    Drop,
+    /// So many bytes a second at most pass each way on each connection.
+    Bandwidth(u64),
 }
 
 #[derive(Debug)]
@@ -103,8 +108,9 @@
     fn pump(&self, mut from: TcpStream, mut to: TcpStream, forward: bool, round: usize) {
         let _ = from.set_read_timeout(Some(Duration::from_millis(50)));
         let mut buffer = [0u8; 16 << 10];
+        let mut thrown = false;
         loop {
-            if self.shared.round.load(Ordering::SeqCst) != round {
+            if self.shared.round.load(Ordering::SeqCst) != round || (thrown && self.fault() != Fault::Drop) {
                 break;
             }
             let n = match from.read(&mut buffer) {
@@ -124,6 +130,13 @@
             match self.fault() {
                 Fault::Pass | Fault::Blackhole => {}
                 Fault::Delay(d) => thread::sleep(d),
+                Fault::Drop => {
+                    thrown = true;
+                    continue;
+                }
+                Fault::Bandwidth(rate) => {
+                    thread::sleep(Duration::from_secs_f64(n as f64 / rate.max(1) as f64))
+                }
                 Fault::Reset => break,
             }
             if forward {
@@ -161,7 +174,7 @@
 
     fn ask(at: SocketAddr) -> Option<String> {
         let mut s = TcpStream::connect(at).ok()?;
-        s.set_read_timeout(Some(Duration::from_millis(300))).ok()?;
+        s.set_read_timeout(Some(Duration::from_millis(400))).ok()?;
         s.write_all(b"hello\n").ok()?;
         let mut line = String::new();
         BufReader::new(s).read_line(&mut line).ok().filter(|n| *n > 0)?;
@@ -181,15 +194,21 @@
         let mut line = String::new();
         BufReader::new(held).read_line(&mut line).unwrap();
         assert_eq!(line, "later\n", "held, then passed");
+        proxy.set(Fault::Bandwidth(60));
+        let start = std::time::Instant::now();
+        assert_eq!(ask(proxy.address).as_deref(), Some("hello\n"));
+        assert!(start.elapsed() >= Duration::from_millis(200), "six bytes at sixty a second, there and back");
+        proxy.set(Fault::Drop);
+        assert_eq!(ask(proxy.address), None, "thrown away");
         proxy.set(Fault::Reset);
         assert_eq!(ask(proxy.address), None, "cut");
         proxy.set(Fault::Pass);
         assert_eq!(ask(proxy.address).as_deref(), Some("hello\n"));
-        assert_eq!(proxy.connections(), 5);
+        assert_eq!(proxy.connections(), 7);
         // The silent asker's greeting passes too if its connection was still open when the hole closed.
         assert!(
-            [18, 24].contains(&proxy.forwarded()),
-            "two greetings and what was held: {}",
+            [24, 30].contains(&proxy.forwarded()),
+            "three greetings and what was held: {}",
             proxy.forwarded()
         );
     }
--- a/crates/rig/src/registry.rs
+++ b/crates/rig/src/registry.rs
@@ -14,6 +14,8 @@
     /// Where the dispatchers reach it (`$ROUTER_DISCOVERY`).
     pub address: SocketAddr,
     lists: Arc<Mutex<Vec<String>>>,
+    /// A whole list of an older revision that is told instead, by a registry that was set back.
+    older: Arc<Mutex<Option<String>>>,
     /// Lines of the notices posted, one JSON object each.
     pub notices: Arc<Mutex<Vec<String>>>,
     /// So many notices are answered 500, not 204.
@@ -35,6 +37,11 @@
     )
 }
 
+/// A whole list of this revision.
+fn whole(rev: u64, entries: &[String]) -> String {
+    format!(r#"{{"rev":{rev},"all":true,"targets":[{}]}}"#, entries.join(","))
+}
+
 impl Registry {
     /// Starts on a port from the OS with a first, whole list of these entries (revision 1).
     ///
@@ -43,23 +50,40 @@
     /// No port can be had on loopback.
     pub fn start(entries: &[String]) -> std::io::Result<Registry> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
-        let list = format!(r#"{{"rev":1,"all":true,"targets":[{}]}}"#, entries.join(","));
         let registry = Registry {
             address: listener.local_addr()?,
-            lists: Arc::new(Mutex::new(vec![list])),
+            lists: Arc::new(Mutex::new(vec![whole(1, entries)])),
+            older: Arc::default(),
             notices: Arc::default(),
             deaf: Arc::default(),
             watches: Arc::default(),
             asks: Arc::default(),
         };
-        let served = registry.clone();
+        registry.clone().listen(listener);
+        Ok(registry)
+    }
+
+    /// The same registry at an address of its own, with other addresses of the same endpoints: as one dispatcher sees
+    /// it, whose paths are its own.
+    ///
+    /// # Errors
+    ///
+    /// No port can be had on loopback.
+    pub fn beside(&self, entries: &[String]) -> std::io::Result<Registry> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let (address, lists) = (listener.local_addr()?, Arc::new(Mutex::new(vec![whole(1, entries)])));
+        let registry = Registry { address, lists, ..self.clone() };
+        registry.clone().listen(listener);
+        Ok(registry)
+    }
+
+    fn listen(self, listener: TcpListener) {
         thread::spawn(move || {
             for stream in listener.incoming().map_while(Result::ok) {
-                let r = served.clone();
+                let r = self.clone();
                 thread::spawn(move || r.serve(stream));
             }
         });
-        Ok(registry)
     }
 
     fn serve(&self, stream: TcpStream) -> Option<()> {
@@ -83,6 +107,11 @@
             let after = request.line.split("after=").nth(1).and_then(|r| r.split([' ', '&']).next());
             let mut next = after.and_then(|r| r.parse().ok()).unwrap_or(0);
             let began = *lock(&self.watches);
+            if let Some(older) = lock(&self.older).clone() {
+                let line = older + "\n";
+                out.write_all(format!("{:x}\r\n{line}\r\n", line.len()).as_bytes()).ok()?;
+                next = usize::MAX;
+            }
             while *lock(&self.watches) == began {
                 let news = lock(&self.lists).get(next..).map(<[String]>::to_vec).unwrap_or_default();
                 next += news.len();
@@ -100,6 +129,13 @@
         *lock(&self.watches) += 1;
     }
 
+    /// From now on each new watch is told this whole list under an older revision, and nothing after it: a registry set
+    /// back to a backup. None ends it.
+    pub fn set_back(&self, older: Option<(u64, &[String])>) {
+        *lock(&self.older) = older.map(|(rev, entries)| whole(rev, entries));
+        self.break_watches();
+    }
+
     /// Tells a change of the list: these entries, as the next revision.
     pub fn push(&self, entry: &str) {
         let mut lists = lock(&self.lists);
--- a/crates/rig/src/scenario.rs
+++ b/crates/rig/src/scenario.rs
@@ -45,14 +45,17 @@
 pub struct Scenario {
     /// Draws of the load and the dispatchers' seeds hang on it.
     pub seed: u64,
-    /// Processes of the program, 1 to 64.
+    /// Processes of the program, 1 to 128.
     pub dispatchers: usize,
     /// How many dispatchers the platform says it runs; by default as many as there are.
     #[serde(default)]
     pub balancers: Option<usize>,
     /// Milliseconds of load; the rig then waits for the last final answers.
     pub run_ms: u64,
-    /// The one member behind all.
+    /// Megabytes that the folder of a dispatcher may hold; 3 as on the platform.
+    #[serde(default = "three")]
+    pub disk_mb: f64,
+    /// The members behind all, alike.
     pub member: Member,
     /// Messages handed in.
     pub load: Load,
@@ -71,6 +74,29 @@
     pub at_once: usize,
     /// and waiting; beyond them it answers 503.
     pub queue: usize,
+    /// How many there are; the load is spread evenly over them.
+    #[serde(default = "one")]
+    pub count: usize,
+    /// Calls a second that each takes of all dispatchers together; beyond them it answers 429 with a wait. Without it
+    /// there is no limit, no cold return and no fall.
+    #[serde(default)]
+    pub per_second: Option<u32>,
+    /// Milliseconds after an outage until it serves its whole limit again, from half of it on; as the platform's
+    /// `cold` is told.
+    #[serde(default = "cold")]
+    pub cold_ms: u64,
+}
+
+fn one() -> usize {
+    1
+}
+
+fn three() -> f64 {
+    3.0
+}
+
+fn cold() -> u64 {
+    1_000
 }
 
 /// The load: Poisson arrivals at each dispatcher.
@@ -103,8 +129,34 @@
     Delay,
     /// Connections are cut.
     Reset,
-    /// Nothing passes, nothing is answered.
+    /// Nothing passes, nothing is answered; what was held passes late.
     Blackhole,
+    /// Bytes are thrown away.
+    Drop,
+    /// `bytes_per_s` pass on each connection.
+    Bandwidth,
+}
+
+/// What happens to a member.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum MemberStep {
+    /// It goes away: its connections break.
+    Down,
+    /// It comes back, cold.
+    Up,
+}
+
+/// What the registry tells from now on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum RegistryStep {
+    /// Its list was changed: the next revision.
+    Change,
+    /// It was set back: new watches get the first revision, whole, and nothing after it.
+    Older,
+    /// It tells its newest again.
+    Newest,
 }
 
 /// One step of the timeline.
@@ -128,6 +180,15 @@
     /// Journals to damage by a bit in a record of their middle, of dispatchers that are not running.
     #[serde(default)]
     pub flip: Vec<usize>,
+    /// Journals to cut off at a byte drawn from the seed, of dispatchers that are not running.
+    #[serde(default)]
+    pub tear: Vec<usize>,
+    /// Dispatchers to upgrade: a second process starts beside the first, which is then sent SIGTERM.
+    #[serde(default)]
+    pub upgrade: Vec<usize>,
+    /// Milliseconds by which the clock of the processes that this step starts is off.
+    #[serde(default)]
+    pub clock_ms: i64,
     /// Milliseconds over which the kills or starts of this step are spread.
     #[serde(default)]
     pub spread_ms: u64,
@@ -137,9 +198,24 @@
     /// The path of `fault`.
     #[serde(default)]
     pub path: Option<PathName>,
+    /// The dispatchers whose path it is; all where none is named. A fault on both paths of some splits the fleet.
+    #[serde(default)]
+    pub of: Vec<usize>,
     /// Milliseconds of a `delay`.
     #[serde(default)]
     pub delay_ms: Option<u64>,
+    /// Bytes a second of a `bandwidth`.
+    #[serde(default)]
+    pub bytes_per_s: Option<u64>,
+    /// What happens to the members named in `members` (all where none is named).
+    #[serde(default)]
+    pub member: Option<MemberStep>,
+    /// See `member`.
+    #[serde(default)]
+    pub members: Vec<usize>,
+    /// What the registry tells from now on.
+    #[serde(default)]
+    pub registry: Option<RegistryStep>,
 }
 
 /// Line of a byte of the text, from 1.
@@ -162,28 +238,60 @@
             format!("{file}:{line}: {key}{what}; see `lilacbank-rig default` for a scenario that reads")
         })?;
         let fault = |line: usize, key: &str, what: &str| Err(format!("{file}:{line}: key `{key}`: {what}"));
+        // The line of a key in its section, else the section's own.
+        let within = |section: &str, key: &str| {
+            let from = text.lines().position(|l| l.trim() == format!("[{section}]")).unwrap_or(0);
+            let body = text.lines().enumerate().skip(from + 1);
+            let mut body = body.take_while(|(_, l)| !l.trim_start().starts_with('['));
+            body.find(|(_, l)| l.trim_start().starts_with(key)).map_or(from, |(n, _)| n) + 1
+        };
         let top = |key: &str| text.lines().position(|l| l.trim_start().starts_with(key)).map_or(1, |n| n + 1);
-        if !(1..=64).contains(&scenario.dispatchers) {
+        if !(1..=128).contains(&scenario.dispatchers) {
             return fault(
                 top("dispatchers"),
                 "dispatchers",
-                "1 to 64 processes; give a number in that range",
+                "1 to 128 processes; give a number in that range",
+            );
+        }
+        if !(0.05..=1_000.0).contains(&scenario.disk_mb) {
+            return fault(top("disk_mb"), "disk_mb", "0.05 to 1000 megabytes; give a number in that range");
+        }
+        if !(1..=16).contains(&scenario.member.count) {
+            return fault(
+                within("member", "count"),
+                "member.count",
+                "1 to 16 members; give a number in that range",
+            );
+        }
+        if scenario.member.per_second == Some(0) {
+            return fault(
+                within("member", "per_second"),
+                "member.per_second",
+                "at least 1 call a second; leave it out for no limit",
             );
         }
         if scenario.balancers.is_some_and(|b| b == 0) {
             return fault(top("balancers"), "balancers", "at least 1; leave it out for as many as there are");
         }
         if !(scenario.load.per_second > 0.0 && scenario.load.per_second <= 2_000.0) {
-            return fault(top("per_second"), "load.per_second", "more than 0 and at most 2000 a second");
+            return fault(
+                within("load", "per_second"),
+                "load.per_second",
+                "more than 0 and at most 2000 a second",
+            );
         }
         let known = ["safe", "order", "pay"];
         if scenario.load.classes.is_empty()
             || scenario.load.classes.iter().any(|c| !known.contains(&c.as_str()))
         {
-            return fault(top("classes"), "load.classes", "one or more of \"safe\", \"order\", \"pay\"");
+            return fault(
+                within("load", "classes"),
+                "load.classes",
+                "one or more of \"safe\", \"order\", \"pay\"",
+            );
         }
         if scenario.member.at_once == 0 {
-            return fault(top("at_once"), "member.at_once", "at least 1 call at once");
+            return fault(within("member", "at_once"), "member.at_once", "at least 1 call at once");
         }
         for step in &scenario.steps {
             let span = step.span();
@@ -201,6 +309,9 @@
                 ("start", &s.start),
                 ("wipe", &s.wipe),
                 ("flip", &s.flip),
+                ("tear", &s.tear),
+                ("upgrade", &s.upgrade),
+                ("of", &s.of),
             ];
             if let Some((key, _)) = all.iter().find(|(_, ns)| ns.iter().any(|n| *n >= scenario.dispatchers)) {
                 let what =
@@ -217,6 +328,25 @@
             if s.fault == Some(FaultName::Delay) && s.delay_ms.is_none() {
                 return fault(line("fault"), "at.delay_ms", "a delay needs its milliseconds");
             }
+            if s.fault == Some(FaultName::Bandwidth) && s.bytes_per_s.is_none_or(|b| b == 0) {
+                return fault(
+                    line("fault"),
+                    "at.bytes_per_s",
+                    "a bandwidth needs its bytes a second, 1 or more",
+                );
+            }
+            if s.members.iter().any(|n| *n >= scenario.member.count) {
+                let what =
+                    format!("members are numbered 0 to {}; name one of them", scenario.member.count - 1);
+                return fault(line("members"), "at.members", &what);
+            }
+            if s.member == Some(MemberStep::Down) && scenario.member.per_second.is_none() {
+                return fault(
+                    line("member"),
+                    "at.member",
+                    "a member without `member.per_second` has no outage; give it a limit, or use a fault of its path",
+                );
+            }
             if s.ms > scenario.run_ms {
                 return fault(
                     line("ms"),
@@ -266,5 +396,15 @@
         let e =
             Scenario::parse("f.toml", &DEFAULT.replace("dispatchers = 3", "dispatchers = 0")).unwrap_err();
         assert!(e.starts_with("f.toml:3: key `dispatchers`"), "{e}");
+        for (from, to, key) in [
+            ("fault = \"blackhole\"", "fault = \"bandwidth\"", "f.toml:17: key `at.bytes_per_s`"),
+            ("queue = 256", "queue = 256\ncount = 99", "f.toml:10: key `member.count`"),
+            ("start = [0, 1]", "start = [0, 1]\nmember = \"down\"", "f.toml:28: key `at.member`"),
+            ("start = [0, 1]", "start = [0, 1]\nmembers = [1]", "f.toml:28: key `at.members`"),
+            ("start = [0, 1]", "start = [0, 1]\nregistry = \"gone\"", "f.toml:28: key `registry`"),
+        ] {
+            let e = Scenario::parse("f.toml", &DEFAULT.replacen(from, to, 1)).unwrap_err();
+            assert!(e.starts_with(key), "{e}");
+        }
     }
 }
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -226,6 +226,7 @@
             &self.seed(),
             self.disk_mb,
             self.balancers as usize,
+            1_000,
             discovery,
         );
         std::fs::write(self.dir.join("config.json"), text).unwrap();
--- a/tests/together.rs
+++ b/tests/together.rs
@@ -179,7 +179,7 @@
     use lilacbank_rig::scenario::{Scenario, DEFAULT};
     let scenario = Scenario::parse("default", DEFAULT).unwrap();
     let program = std::path::Path::new(env!("CARGO_BIN_EXE_lilacbank"));
-    let report = lilacbank_rig::run::play(&scenario, program, &std::env::temp_dir()).unwrap();
+    let report = lilacbank_rig::run::play(&scenario, program, &std::env::temp_dir(), false).unwrap();
     assert!(report.clean(), "{report:?}");
     assert!(report.taken > report.handed / 2 && report.delivered > report.taken / 2, "{report:?}");
     assert!(report.first_delivery_ms.is_some(), "{report:?}");
