--- a/src/dispatch/route.rs
+++ b/src/dispatch/route.rs
@@ -184,6 +184,15 @@
         Core::new(Parts { settings, names, journal, promises, once, cells, mesh: None })
     }
 
+    /// The one class `c`, safe, of this deadline.
+    fn one_class(core: &mut Core, deadline: Ms, in_order: bool) {
+        let (promise, window, worth) = (1_000.0, 20_000.0, 1.0);
+        let (effect, late_worth, aim_stretch) = (Effect::Safe, 0.0, 0.0);
+        core.settings.classes =
+            vec![Class { promise, deadline, effect, window, in_order, late_worth, worth, aim_stretch }];
+        core.names.classes = vec!["c".into()];
+    }
+
     fn news(core: &mut Core, now: Ms, workers: Vec<Worker>) {
         core.list(now, WorkerList { rev: 1, whole: false, workers }, false);
         core.turn(now);
@@ -222,11 +231,7 @@
     #[test]
     fn what_a_life_with_a_clock_ahead_left_is_held_to_the_times_of_now() {
         let mut core = core("clock");
-        let (promise, deadline, window, worth) = (1_000.0, 6_000.0, 20_000.0, 1.0);
-        let (effect, in_order, late_worth, aim_stretch) = (Effect::Safe, false, 0.0, 0.0);
-        core.settings.classes =
-            vec![Class { promise, deadline, effect, window, in_order, late_worth, worth, aim_stretch }];
-        core.names.classes = vec!["c".into()];
+        one_class(&mut core, 6_000.0, false);
         let hour = 3_600_000.0;
         let taken = Taken { no: 3, class: "c".into(), valid_until: 2.0 * hour, ..Taken::default() };
         let sent = |at: Ms| Some(Sent { at, zone: "a".into() });
@@ -246,11 +251,7 @@
     #[test]
     fn many_calls_of_an_earlier_process_wait_for_the_module_s_room_in_their_order() {
         let mut core = core("backlog");
-        let (promise, deadline, window, worth) = (1_000.0, 60_000.0, 20_000.0, 1.0);
-        let (effect, in_order, late_worth, aim_stretch) = (Effect::Safe, true, 0.0, 0.0);
-        core.settings.classes =
-            vec![Class { promise, deadline, effect, window, in_order, late_worth, worth, aim_stretch }];
-        core.names.classes = vec!["c".into()];
+        one_class(&mut core, 60_000.0, true);
         core.settings.max_held = 100;
         let taken = |no: u64| {
             let identity = (String::new(), format!("m{no}"));
