--- a/src/dispatch/hints.rs
+++ b/src/dispatch/hints.rs
@@ -44,6 +44,8 @@
     /// Until then an unsafe message handed in again may be one of a lost life.
     unproven_until: Ms,
     next_check: Ms,
+    /// Messages may wait for a member; looked at anew with each check.
+    waits: bool,
     random: Random,
 }
 
@@ -65,6 +67,7 @@
             confirmed: BTreeSet::new(),
             unproven_until: if unproven { now + longest.fold(0.0, f64::max) } else { f64::MIN },
             next_check: now,
+            waits: false,
             random: Random::new(settings.seed ^ 0x48_1415),
             spec,
         }
@@ -135,11 +138,13 @@
         waiting.into_iter().for_each(|no| self.resume(no));
     }
 
-    /// Does an unsafe message of this class have to wait for its destination?
-    pub(super) fn is_unconfirmed(&self, class: &str, dest: DestId) -> bool {
-        self.hints.holds_unsafe()
+    /// Does an unsafe message of this class have to wait for its destination? If so it is looked after from now on.
+    pub(super) fn is_unconfirmed(&mut self, class: &str, dest: DestId) -> bool {
+        let waits = self.hints.holds_unsafe()
             && self.is_unsafe_class(class)
-            && !self.routes_of.get(&dest).into_iter().flatten().any(|r| self.hints.confirmed.contains(r))
+            && !self.routes_of.get(&dest).into_iter().flatten().any(|r| self.hints.confirmed.contains(r));
+        self.hints.waits |= waits;
+        waits
     }
 
     fn is_unsafe_class(&self, class: &str) -> bool {
@@ -231,18 +236,20 @@
 
     /// Unsafe messages that wait: one endpoint of theirs is checked now and then, and what waits in vain is handed back.
     pub(super) fn hints_turn(&mut self, now: Ms) {
-        if !self.hints.holds_unsafe() || now < self.hints.next_check {
+        if !self.hints.waits || now < self.hints.next_check {
             return;
         }
         let mut dests = BTreeSet::new();
         let mut late = Vec::new();
-        for (no, c) in self.calls.iter().filter(|(_, c)| c.frozen == Some(Frozen::Unconfirmed)) {
+        for (no, c) in
+            self.calls.iter().filter(|(_, c)| c.frozen == Some(Frozen::Unconfirmed) && c.ending.is_none())
+        {
             dests.insert(c.taken.dest);
-            if c.ending.is_none() && now + BACK_BEFORE + CHECK_EVERY >= c.taken.valid_until {
+            if now + BACK_BEFORE + CHECK_EVERY >= c.taken.valid_until {
                 late.push(*no);
             }
         }
-        self.hints.next_check = if dests.is_empty() { now + CHECK_EVERY / 5.0 } else { now + CHECK_EVERY };
+        (self.hints.waits, self.hints.next_check) = (!dests.is_empty(), now + CHECK_EVERY);
         let wait = NO_MEMBER_ADVICE.min(self.settings.max_advice);
         // Nothing of them went out since the start, or before: their clients may hand them in again.
         late.into_iter().for_each(|no| self.hand_back(now, no, wait));
@@ -260,9 +267,7 @@
 
     /// When unsafe messages that wait are looked at again.
     pub(super) fn hints_due(&self) -> Option<Ms> {
-        let waits = self.hints.holds_unsafe()
-            && self.calls.values().any(|c| c.frozen == Some(Frozen::Unconfirmed) && c.ending.is_none());
-        waits.then_some(self.hints.next_check)
+        self.hints.waits.then_some(self.hints.next_check)
     }
 
     /// What is to be kept for the next life; none where the operators keep nothing.
