Let the one call that tries a member go out: one kept back beside it broke it off

Each 200 ms one call got the trial of the member that was away and its connection was opened; a second one of the same step was kept back (NotSent, wait 200), and relay.rs took that wait for one that the member had told and broke off what was not written yet: the trial. After eight such attempts the messages were handed back or given up, none of them ever sent. Two causes: relay.rs held for a wait of its own (also in a promised share's ceiling), and state.rs use_room let the module guess more room at once where it had been told long ago. Ruled out: a slow machine, the stand-in's proxy, the deadlines (20 s).

Now a NotSent holds nothing, and with the last call of the told room the module waits 5 ms for the next word (it comes in the same turn).

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -1039,7 +1039,7 @@
             r.calls += 1;
             self.units[r.unit].tokens.level -= 1.0;
             self.units[r.unit].share.spend();
-            self.units[r.unit].use_room();
+            self.units[r.unit].use_room(now);
             if let Some(ramp) = &mut r.ramp {
                 ramp.tokens.level -= 1.0;
             }
--- a/src/dispatch/relay.rs
+++ b/src/dispatch/relay.rs
@@ -46,7 +46,8 @@
         }
         self.hints_heard(now, route, outcome, false);
         self.note_rest(now, no, outcome);
-        if wait > 0.0 {
+        // What was kept back here, for a climb or a promise, was told no wait: what has its place goes out.
+        if wait > 0.0 && outcome != Outcome::NotSent {
             self.hold(out.route);
         }
         if delivered {
--- a/src/dispatch/route.rs
+++ b/src/dispatch/route.rs
@@ -176,10 +176,25 @@
     }
 
     fn core(name: &str) -> Core {
+        core_of(name, Settings::default(), Default::default())
+    }
+
+    /// A core of the settings that tests of the whole program use.
+    fn platform_core(name: &str) -> Core {
+        let text = lilacbank_rig::config::platform("n0", "0a", 3.0, 1, 1_000, "\"127.0.0.1:1\"");
+        let env = |key: &str| match key {
+            "ROUTER_STATE" => Some("unused".to_string()),
+            "ROUTER_LISTEN" => Some("127.0.0.1:0".to_string()),
+            _ => None,
+        };
+        let config = crate::config::Config::reread(&text, &env).unwrap();
+        core_of(name, config.settings, config.names)
+    }
+
+    fn core_of(name: &str, settings: Settings, names: crate::config::Names) -> Core {
         let dir = std::env::temp_dir().join(format!("lilacbank-route-{name}-{}", std::process::id()));
         let (journal, _) = Journal::open(&dir, 1 << 20).unwrap();
         std::fs::remove_dir_all(dir).unwrap();
-        let (settings, names) = (Settings::default(), Default::default());
         let (promises, once, cells) = (Vec::new(), Vec::new(), Vec::new());
         Core::new(Parts { settings, names, journal, promises, once, cells, mesh: None })
     }
@@ -290,6 +305,39 @@
         );
     }
 
+    /// Guards against a trial of a member that was away that never goes out: with the room told long before the first
+    /// call, the module sent a second one beside it, which was kept back, and that broke the first one off, over and over.
+    #[test]
+    fn a_member_that_was_away_is_tried_by_one_call_and_what_is_kept_back_does_not_break_it_off() {
+        use crate::dispatch::Past;
+        use lilacbank_limits::ramp::{Former, Health};
+        let mut core = platform_core("trial");
+        let recovery = crate::together::Recovery { enabled: true, ..Default::default() };
+        let former = Former { health: Health { rate: 0.0, away: Some(0.0) }, age: Some(10.0) };
+        let former = [("u".to_string(), former)].into();
+        core.begin_from(0.0, Past { recovery, former, ..Past::default() });
+        news(&mut core, 0.0, vec![worker("u", 1, Listing::Ready)]);
+        // The room of one call was told by now, and the time of the next one is over when they come.
+        (1..=20).for_each(|n| drop(core.turn(Ms::from(n) * 50.0)));
+        for no in 1..=3 {
+            let identity = (String::new(), format!("m{no}"));
+            let s = Submission { identity, class: "safe".into(), dest: 1, ..Submission::default() };
+            core.submit(1_000.0, no, s);
+        }
+        let orders = core.turn(1_000.0);
+        let out: Vec<_> = orders
+            .iter()
+            .filter_map(|o| if let Order::Delegate(d) = o { Some(d.no) } else { None })
+            .collect();
+        assert_eq!((out.len(), core.counters.over), (1, 0), "one tries it: {orders:?}");
+        // Another that comes to be sent all the same is kept back, and nothing is held for that.
+        let other = if out[0] == 1 { 2 } else { 1 };
+        core.send(1_001.0, other, 0, None);
+        let orders = core.turn(1_001.0);
+        assert_eq!(core.counters.over, 1);
+        assert!(!orders.iter().any(|o| matches!(o, Order::Hold { .. })), "{orders:?}");
+    }
+
     /// Guards against a repeat, after a restart, of what was refused or given up: as taken, its end would never be told.
     #[test]
     fn what_was_refused_before_a_restart_is_not_taken_after_it() {
--- a/src/state.rs
+++ b/src/state.rs
@@ -118,6 +118,9 @@
 const LEFT_MOST: f64 = 2.0;
 const LIMIT_MOST: f64 = 1e6;
 
+/// Room that has changed with a call that went out is told within this.
+const ROOM_TOLD_WITHIN: Ms = 5.0;
+
 /// What shares one limit: a route apart, or all routes of a destination.
 #[derive(Debug, Default)]
 pub(crate) struct Unit {
@@ -159,9 +162,10 @@
         (r.window as usize).min(r.links.map_or(usize::MAX, |l| l as usize))
     }
 
-    /// A call goes out.
-    pub(crate) fn use_room(&mut self) {
-        self.room = self.room.map(|(calls, again)| (calls.saturating_sub(1), again));
+    /// A call goes out. When room was told may be long ago: with none left, more is told before it is guessed.
+    pub(crate) fn use_room(&mut self, now: Ms) {
+        let again = |again: Ms| again.max(now + ROOM_TOLD_WITHIN);
+        self.room = self.room.map(|(calls, at)| (calls.saturating_sub(1), again(at)));
     }
 
     /// How long until the next call may go, and the time between those behind it.
