--- a/crates/load/src/keyed.rs
+++ b/crates/load/src/keyed.rs
@@ -45,6 +45,8 @@
 const PATIENCE: Duration = Duration::from_millis(400);
 /// Before it is tried again where nobody answers.
 const AGAIN: Duration = Duration::from_millis(20);
+/// The end of a connection may be seen so much later than the beginning of the next one.
+const CLOSING: Duration = Duration::from_millis(10);
 /// After so many failures in a row another dispatcher is asked.
 const FAILURES: usize = 5;
 
@@ -175,7 +177,9 @@
             if numbers[base(&pair[1].id)] < numbers[base(&pair[0].id)] {
                 audit.out_of_order.push(pair[1].id.clone());
             }
-            if pair[1].began < pair[0].at {
+            // A call whose caller has closed its connection is over, whatever the endpoint still does about it.
+            let over = pair[0].left.map_or(pair[0].at, |left| left.min(pair[0].at));
+            if pair[1].began + if pair[0].left.is_some() { CLOSING } else { Duration::ZERO } < over {
                 let (after, ran) = (pair[1].began - pair[0].began, pair[0].at - pair[0].began);
                 audit.overlapping.push(format!(
                     "{} and {} ({} ms after it began, which took {} ms)",
@@ -209,6 +213,7 @@
             id: id.into(),
             began: begun + Duration::from_millis(from),
             at: begun + Duration::from_millis(to),
+            left: None,
         };
         let all = [sent(0), sent(1), sent(2), sent(3)];
         let effects = [ran("7-0-0", 0, 10), ran("7-2-0", 20, 30), ran("7-1-0", 25, 40), ran("7-0-0", 50, 60)];
@@ -222,5 +227,11 @@
         assert!(!got.is_clean());
         let good = audit(&all[..1], &effects[..1], &[], |_| true);
         assert!(good.is_clean() && good.delivered == 1);
+        // Called off after 60 ms and sent again at 65 ms: no overlap, though the endpoint went on. Sent again at 40 ms: one.
+        let left = Some(begun + Duration::from_millis(60));
+        let off = Effect { left, ..ran("7-0-0", 0, 100) };
+        let pairs =
+            |second: Effect| audit(&all[..1], &[off.clone(), second], &[], |_| false).overlapping.len();
+        assert_eq!((pairs(ran("7-0-0", 65, 90)), pairs(ran("7-0-0", 40, 90))), (0, 1));
     }
 }
--- a/crates/load/src/member.rs
+++ b/crates/load/src/member.rs
@@ -73,6 +73,36 @@
     pub began: Instant,
     /// and took effect.
     pub at: Instant,
+    /// Its caller had closed the connection by then: the attempt was over for it, whatever the endpoint still did.
+    pub left: Option<Instant>,
+}
+
+/// A running call looks so often whether its caller is still there.
+const LOOK_EVERY: Duration = Duration::from_millis(2);
+
+/// Takes so long; returns when the other side of the connection closed it meanwhile, if it did.
+fn serve_for(service: Duration, tcp: &TcpStream) -> Option<Instant> {
+    let began = Instant::now();
+    let mut left = None;
+    loop {
+        let rest = service.saturating_sub(began.elapsed());
+        if rest.is_zero() {
+            return left;
+        }
+        if left.is_some() {
+            thread::sleep(rest);
+            return left;
+        }
+        thread::sleep(rest.min(LOOK_EVERY));
+        if tcp.set_nonblocking(true).is_ok() {
+            let gone = match tcp.peek(&mut [0]) {
+                Ok(n) => n == 0,
+                Err(e) => e.kind() != std::io::ErrorKind::WouldBlock,
+            };
+            let _ = tcp.set_nonblocking(false);
+            left = gone.then(Instant::now);
+        }
+    }
 }
 
 #[derive(Debug, Default)]
@@ -240,7 +270,7 @@
                     told = format!("429 Too Many Requests\r\nRetry-After: {:.3}", w.as_secs_f64());
                     told.as_str()
                 }
-                Verdict::Serve if probe || self.call(r.id, manner) => "200 OK",
+                Verdict::Serve if probe || self.call(r.id, manner, &out) => "200 OK",
                 Verdict::Serve => "503 Full",
             };
             out.write_all(format!("HTTP/1.1 {head}\r\nContent-Length: 0\r\n\r\n").as_bytes()).ok()?;
@@ -249,7 +279,7 @@
     }
 
     /// Serves a call in its turn; false if there was no room for it.
-    fn call(&self, id: String, manner: &Manner) -> bool {
+    fn call(&self, id: String, manner: &Manner, tcp: &TcpStream) -> bool {
         let (inner, free) = &*self.inner;
         let Ok(mut i) = inner.lock() else { return false };
         if i.serving >= manner.at_once && i.queue.len() >= manner.queue {
@@ -270,10 +300,10 @@
         drop(i);
         free.notify_all();
         let began = Instant::now();
-        thread::sleep(manner.service);
+        let left = serve_for(manner.service, tcp);
         if let Ok(mut i) = inner.lock() {
             i.serving -= 1;
-            i.effects.push(Effect { id, began, at: Instant::now() });
+            i.effects.push(Effect { id, began, at: Instant::now(), left });
         }
         free.notify_all();
         true
--- a/crates/replica/src/copies.rs
+++ b/crates/replica/src/copies.rs
@@ -56,6 +56,10 @@
     pub valid_until: u64,
     /// Its number where it was taken: the order of a key.
     pub no: u64,
+    /// Who took it on.
+    pub taker: String,
+    /// In which of its lives the arbiter may grant.
+    pub arbiter_born: u64,
     /// Where its final answer goes.
     pub reply: Vec<u8>,
     /// The body.
--- a/crates/replica/src/view.rs
+++ b/crates/replica/src/view.rs
@@ -13,13 +13,13 @@
 use std::time::Duration;
 
 /// A member is asked whether it lives once in this span,
-const PROBE_PERIOD: Duration = Duration::from_millis(1_000);
+const PROBE_PERIOD: Duration = Duration::from_millis(600);
 /// and answers within this, directly; else others ask it.
-const PROBE_RTT: Duration = Duration::from_millis(600);
+const PROBE_RTT: Duration = Duration::from_millis(300);
 /// Others that ask in one's place.
 const INDIRECT: usize = 3;
 /// So long a suspicion stands before the member counts as gone: one slowed by half a second refutes it in time.
-pub const SUSPECT_FOR: Duration = Duration::from_millis(3_000);
+pub const SUSPECT_FOR: Duration = Duration::from_millis(2_500);
 /// A packet's bytes at most.
 const PACKET_MOST: usize = 1_400;
 /// A peer that is gone is forgotten after this; it may come back under its name at any time.
--- a/crates/replica/src/wire.rs
+++ b/crates/replica/src/wire.rs
@@ -63,6 +63,15 @@
     /// The body.
     #[prost(bytes = "vec", tag = "16")]
     pub body: Vec<u8>,
+    /// Who took it on.
+    #[prost(string, tag = "17")]
+    pub taker: String,
+    /// It must not run twice.
+    #[prost(bool, tag = "18")]
+    pub once: bool,
+    /// See [`Content::arbiter_born`].
+    #[prost(fixed64, tag = "19")]
+    pub arbiter_born: u64,
 }
 
 /// What is said. The number of each is its place on the wire.
@@ -74,9 +83,9 @@
     /// Hold this, or take in what has changed of it.
     #[prost(message, tag = "11")]
     Hold(WireCopy),
-    /// It is held: the id.
-    #[prost(string, tag = "12")]
-    Held(String),
+    /// It is held as it was said.
+    #[prost(message, tag = "12")]
+    Held(HeldAt),
     /// May it be started under the copy's fence?
     #[prost(message, tag = "13")]
     Ask(WireCopy),
@@ -95,6 +104,43 @@
     /// An endpoint was set down or up.
     #[prost(message, tag = "18")]
     Ban(Ban),
+    /// The writer is there; by its clock.
+    #[prost(uint64, tag = "19")]
+    Beat(u64),
+    /// That was heard.
+    #[prost(uint64, tag = "20")]
+    Beaten(u64),
+    /// Children of a node that differ from the hashes that were said.
+    #[prost(message, tag = "21")]
+    Differ(Differ),
+    /// So many buckets that were asked for are sent.
+    #[prost(uint32, tag = "22")]
+    Done(u32),
+}
+
+/// A copy is held at this fence and stage.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct HeldAt {
+    /// The message.
+    #[prost(string, tag = "1")]
+    pub id: String,
+    /// The fence's epoch.
+    #[prost(uint64, tag = "2")]
+    pub epoch: u64,
+    /// The stage's number.
+    #[prost(uint32, tag = "3")]
+    pub stage: u32,
+}
+
+/// Which children of a node differ.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Differ {
+    /// The node's level.
+    #[prost(uint32, tag = "1")]
+    pub level: u32,
+    /// The children, counted over their level.
+    #[prost(uint32, repeated, tag = "2")]
+    pub children: Vec<u32>,
 }
 
 /// Hashes of the children of a node of the digest.
@@ -155,7 +201,7 @@
     #[prost(uint64, tag = "4")]
     pub life: u64,
     /// What.
-    #[prost(oneof = "Say", tags = "10, 11, 12, 13, 14, 15, 16, 17, 18")]
+    #[prost(oneof = "Say", tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22")]
     pub say: Option<Say>,
 }
 
@@ -239,15 +285,20 @@
     }
 }
 
+/// A stage's number on the wire, and the wait of one handed back.
+pub fn stage_number(stage: Stage) -> (u32, u64) {
+    match stage {
+        Stage::Taken => (0, 0),
+        Stage::Started => (1, 0),
+        Stage::Ended(End::HandedBack(wait)) => (2, wait),
+        Stage::Ended(End::GivenUp) => (3, 0),
+        Stage::Ended(End::Delivered) => (4, 0),
+    }
+}
+
 impl From<&Copy> for WireCopy {
     fn from(c: &Copy) -> WireCopy {
-        let (stage, wait) = match c.stage {
-            Stage::Taken => (0, 0),
-            Stage::Started => (1, 0),
-            Stage::Ended(End::HandedBack(wait)) => (2, wait),
-            Stage::Ended(End::GivenUp) => (3, 0),
-            Stage::Ended(End::Delivered) => (4, 0),
-        };
+        let (stage, wait) = stage_number(c.stage);
         let m = c.content.clone();
         WireCopy {
             id: c.id.clone(),
@@ -266,6 +317,9 @@
             no: m.no,
             reply: m.reply,
             body: m.body,
+            taker: m.taker,
+            once: false,
+            arbiter_born: m.arbiter_born,
         }
     }
 }
@@ -292,6 +346,8 @@
             no: self.no,
             reply: self.reply,
             body: self.body,
+            taker: self.taker,
+            arbiter_born: self.arbiter_born,
         };
         let fence = Fence { epoch: self.epoch, owner: self.owner };
         (!self.id.is_empty()).then_some(Copy { id: self.id, holders: self.holders, fence, stage, content })
--- /dev/null
+++ b/crates/replica/tests/keeper.rs
@@ -0,0 +1,332 @@
+//! Keepers of several dispatchers on a simulated network with losses, doubles, delays, splits and kills, from seeds. What the
+//! dispatcher does round a keeper is played by a small driver; who acted on what, and when, is audited.
+
+use lilacbank_replica::copies::{Content, End, Stage};
+use lilacbank_replica::keeper::{Keeper, News, Spec};
+use lilacbank_replica::owner::{Kind, Step};
+use lilacbank_replica::wire::Envelope;
+use lilacbank_replica::Ms;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// One message as its driver has it.
+#[derive(Debug, Clone)]
+struct Own {
+    kind: Kind,
+    content: Content,
+    stage: Stage,
+    /// Until when its attempt is out, and whether that ends it.
+    out: Option<(Ms, bool)>,
+}
+
+struct Site {
+    keeper: Option<Keeper>,
+    life: u64,
+    /// What a folder keeps.
+    own: BTreeMap<String, Own>,
+}
+
+#[derive(Default)]
+struct Seen {
+    /// Attempts of each message: who, from, until.
+    attempts: BTreeMap<String, Vec<(usize, Ms, Ms)>>,
+    unsafe_ids: BTreeSet<String>,
+    taken: BTreeMap<String, usize>,
+    ends: BTreeMap<String, BTreeSet<End>>,
+    taken_over: u64,
+    /// Nobody else had a copy when the one that took them was killed.
+    alone: BTreeSet<String>,
+}
+
+struct World {
+    sites: Vec<Site>,
+    mail: Vec<(Ms, usize, usize, Envelope)>,
+    /// Pairs that do not hear each other.
+    cut: BTreeSet<(usize, usize)>,
+    delay: BTreeMap<usize, Ms>,
+    loss: f64,
+    rng: StdRng,
+    seen: Seen,
+    last: BTreeMap<(usize, usize), Ms>,
+}
+
+fn name(n: usize) -> String {
+    format!("n{n}")
+}
+
+impl World {
+    fn new(count: usize, seed: u64) -> World {
+        let mut w = World {
+            sites: (0..count).map(|_| Site { keeper: None, life: 0, own: BTreeMap::new() }).collect(),
+            mail: Vec::new(),
+            cut: BTreeSet::new(),
+            delay: BTreeMap::new(),
+            loss: 0.0,
+            rng: StdRng::seed_from_u64(seed),
+            seen: Seen::default(),
+            last: BTreeMap::new(),
+        };
+        (0..count).for_each(|n| w.start(0, n, true));
+        w
+    }
+
+    fn start(&mut self, now: Ms, n: usize, folder: bool) {
+        let count = self.sites.len();
+        let s = &mut self.sites[n];
+        s.life += 1;
+        let mut keeper = Keeper::new(
+            now,
+            Spec {
+                me: name(n),
+                address: name(n),
+                born: s.life * 100 + n as u64,
+                life: s.life,
+                installation: "i".into(),
+                size: count,
+                seeds: (0..count).map(|m| (name(m), name(m))).collect(),
+                copies: 2,
+                most_bytes: 1 << 22,
+                seed: n as u64,
+                catch_up: 5_000,
+            },
+        );
+        if !folder {
+            s.own.clear();
+        }
+        for (id, own) in &mut s.own {
+            own.out = None;
+            if !matches!(own.stage, Stage::Ended(_)) {
+                keeper.restored(id, own.content.clone(), own.kind, own.stage);
+            }
+        }
+        s.keeper = Some(keeper);
+    }
+
+    fn kill(&mut self, now: Ms, n: usize) {
+        self.sites[n].keeper = None;
+        let known =
+            |id: &String| self.sites.iter().filter_map(|s| s.keeper.as_ref()).any(|k| k.knows(id).is_some());
+        let alone = self.sites[n].own.keys().filter(|id| !known(id)).cloned().collect();
+        self.seen.alone = alone;
+        // What was out is cut; it may have run.
+        for (id, own) in &mut self.sites[n].own {
+            if own.out.take().is_some() {
+                let last = self.seen.attempts.get_mut(id).and_then(|a| a.last_mut());
+                last.into_iter().for_each(|a| a.2 = now);
+            }
+        }
+        self.mail.retain(|m| m.1 != n);
+    }
+
+    fn take(&mut self, now: Ms, n: usize, id: String, kind: Kind) {
+        let Some(keeper) = &mut self.sites[n].keeper else { return };
+        let content =
+            Content { class: "c".into(), valid_until: now + 60_000, body: vec![1; 40], ..Content::default() };
+        keeper.taken(now, &id, content.clone(), kind);
+        self.sites[n].own.insert(id.clone(), Own { kind, content, stage: Stage::Taken, out: None });
+        if kind == Kind::Unsafe {
+            self.seen.unsafe_ids.insert(id.clone());
+        }
+        self.seen.taken.insert(id, n);
+    }
+
+    fn end(&mut self, now: Ms, n: usize, id: &str, end: End) {
+        let s = &mut self.sites[n];
+        let Some(own) = s.own.get_mut(id).filter(|o| !matches!(o.stage, Stage::Ended(_))) else { return };
+        (own.stage, own.out) = (Stage::Ended(end), None);
+        s.keeper.iter_mut().for_each(|k| k.ended(now, id, end));
+        self.seen.ends.entry(id.to_string()).or_default().insert(end);
+    }
+
+    /// One dispatcher's turn, as the core does it.
+    fn turn(&mut self, now: Ms, n: usize) {
+        let Some(keeper) = &mut self.sites[n].keeper else { return };
+        keeper.tick(now);
+        for news in keeper.take_news() {
+            match news {
+                News::GiveUp(id) => self.end(now, n, &id, End::GivenUp),
+                News::Leave(id) => {
+                    if let Some(own) = self.sites[n].own.remove(&id).filter(|o| o.out.is_some()) {
+                        let _ = own;
+                        let last = self.seen.attempts.get_mut(&id).and_then(|a| a.last_mut());
+                        last.into_iter().for_each(|a| a.2 = now);
+                    }
+                }
+                News::Take(copy, step) => {
+                    let kind =
+                        if self.seen.unsafe_ids.contains(&copy.id) { Kind::Unsafe } else { Kind::Safe };
+                    self.seen.taken_over += 1;
+                    let own = Own { kind, content: copy.content.clone(), stage: copy.stage, out: None };
+                    self.sites[n].own.insert(copy.id.clone(), own);
+                    if step == Step::GiveUp {
+                        self.end(now, n, &copy.id, End::GivenUp);
+                    }
+                }
+                _ => {}
+            }
+        }
+        let ids: Vec<String> = self.sites[n].own.keys().cloned().collect();
+        for id in ids {
+            let s = &mut self.sites[n];
+            let (Some(own), Some(keeper)) = (s.own.get_mut(&id), s.keeper.as_mut()) else { continue };
+            if matches!(own.stage, Stage::Ended(_)) {
+                continue;
+            }
+            let may = keeper.may_act(now, &id);
+            match own.out {
+                Some((until, delivered)) if until <= now => {
+                    own.out = None;
+                    if delivered {
+                        self.end(now, n, &id, End::Delivered);
+                    } else if own.kind == Kind::Unsafe {
+                        self.end(now, n, &id, End::GivenUp);
+                    }
+                }
+                // A safe one is broken off when its owner may be counted as gone.
+                Some(_) if !may && own.kind == Kind::Safe => {
+                    own.out = None;
+                    let last = self.seen.attempts.get_mut(&id).and_then(|a| a.last_mut());
+                    last.into_iter().for_each(|a| a.2 = now);
+                }
+                None if may && !(own.kind == Kind::Unsafe && own.stage == Stage::Started) => {
+                    own.stage = Stage::Started;
+                    keeper.started(now, &id);
+                    let until = now + self.rng.random_range(20..1_500);
+                    let delivered = self.rng.random_bool(0.8);
+                    own.out = Some((until, delivered));
+                    self.seen.attempts.entry(id).or_default().push((n, now, until));
+                }
+                None if may => self.end(now, n, &id, End::GivenUp),
+                _ => {}
+            }
+        }
+        let Some(keeper) = &mut self.sites[n].keeper else { return };
+        let said = keeper.take_out();
+        for (to, e) in said {
+            let Some(m) = (0..self.sites.len()).find(|m| name(*m) == to) else { continue };
+            if self.cut.contains(&(n, m)) || self.rng.random_bool(self.loss) {
+                continue;
+            }
+            let slow = self.delay.get(&n).copied().unwrap_or(0) + self.delay.get(&m).copied().unwrap_or(0);
+            // In order, as on a connection.
+            let at =
+                (now + slow + self.rng.random_range(1..5)).max(self.last.get(&(n, m)).copied().unwrap_or(0));
+            self.last.insert((n, m), at);
+            self.mail.push((at, n, m, e));
+        }
+    }
+
+    fn run(&mut self, from: Ms, until: Ms, mut each: impl FnMut(&mut World, Ms)) {
+        for now in from..until {
+            each(self, now);
+            let (due, later): (Vec<_>, Vec<_>) =
+                std::mem::take(&mut self.mail).into_iter().partition(|m| m.0 <= now);
+            self.mail = later;
+            for (_, from, to, e) in due {
+                if self.cut.contains(&(from, to)) {
+                    continue;
+                }
+                self.sites[to].keeper.iter_mut().for_each(|k| k.hear(now, e.clone()));
+            }
+            for n in 0..self.sites.len() {
+                if now % 10 == n as Ms || self.sites[n].keeper.as_ref().is_some_and(|k| k.next_due() <= now) {
+                    self.turn(now, n);
+                }
+            }
+        }
+    }
+
+    /// What must hold of all that was seen.
+    fn audit(&self, seed: u64) {
+        for (id, attempts) in &self.seen.attempts {
+            let once = self.seen.unsafe_ids.contains(id);
+            assert!(!once || attempts.len() <= 1, "seed {seed}: {id} was sent again: {attempts:?}");
+            for (k, a) in attempts.iter().enumerate() {
+                for b in &attempts[k + 1..] {
+                    assert!(a.0 == b.0 || b.1 >= a.2, "seed {seed}: {id} overlaps: {attempts:?}");
+                }
+            }
+        }
+        for (id, by) in &self.seen.taken {
+            let ends = self.seen.ends.get(id);
+            let said = || {
+                let of =
+                    |s: &Site| (s.own.get(id).cloned(), s.keeper.as_ref().and_then(|k| k.part(id).cloned()));
+                self.sites.iter().map(of).collect::<Vec<_>>()
+            };
+            assert!(
+                self.seen.alone.contains(id) || ends.is_some(),
+                "seed {seed}: {id} of n{by} has no end: {:?} {:#?}",
+                self.seen.attempts.get(id),
+                said()
+            );
+        }
+        // Nobody is left with another idea of an end.
+        let mut last: BTreeMap<&str, Stage> = BTreeMap::new();
+        for k in self.sites.iter().filter_map(|s| s.keeper.as_ref()) {
+            for id in self.seen.taken.keys() {
+                if let Some(stage) = k.knows(id) {
+                    let first = *last.entry(id).or_insert(stage);
+                    assert_eq!(first, stage, "seed {seed}: {id} differs");
+                }
+            }
+        }
+    }
+}
+
+/// A history of faults: what happens is drawn from the seed.
+fn history(seed: u64, count: usize) -> World {
+    let mut w = World::new(count, seed);
+    w.loss = [0.0, 0.02, 0.1][(seed % 3) as usize];
+    let what = seed / 3 % 6;
+    let victim = (seed % count as u64) as usize;
+    let (from, until) = (4_000, 4_000 + w.rng.random_range(500..12_000));
+    let mut taken = 0;
+    w.run(0, 32_000, |w, now| {
+        if now > 1_500 && now < 20_000 && now % 70 == 0 {
+            let n = w.rng.random_range(0..count);
+            let kind = if w.rng.random_bool(0.5) { Kind::Unsafe } else { Kind::Safe };
+            taken += 1;
+            w.take(now, n, format!("m{taken}"), kind);
+        }
+        match what {
+            0 if now == from => w.kill(now, victim),
+            1 | 2 if now == from => w.kill(now, victim),
+            1 if now == until => w.start(now, victim, true),
+            2 if now == until => w.start(now, victim, false),
+            3 if now == from => {
+                let side = |n: usize| n == victim || n == (victim + 1) % count && count > 3;
+                let pairs = (0..count).flat_map(|a| (0..count).map(move |b| (a, b)));
+                w.cut = pairs.filter(|(a, b)| side(*a) != side(*b)).collect();
+            }
+            3 if now == until => w.cut.clear(),
+            // Only one way, which a split need not be.
+            4 if now == from => w.cut = (0..count).map(|m| (victim, m)).filter(|p| p.0 != p.1).collect(),
+            4 if now == until => w.cut.clear(),
+            5 if now == from => drop(w.delay.insert(victim, 500)),
+            _ => {}
+        }
+    });
+    w
+}
+
+/// Seeds of histories with kills, returns with and without a folder, splits, one-way cuts and a slow peer, losses besides.
+/// `SEEDS=1000 cargo test --release -p lilacbank-replica --test keeper`.
+#[test]
+fn no_message_is_acted_on_by_two_none_unsafe_is_sent_twice_and_each_has_an_end() {
+    let seeds = std::env::var("SEEDS").ok().and_then(|s| s.parse().ok()).unwrap_or(18u64);
+    let first = std::env::var("FIRST").ok().and_then(|s| s.parse().ok()).unwrap_or(0u64);
+    let (mut taken_over, mut taken, mut alone) = (0, 0, 0);
+    for seed in first..first + seeds {
+        let count = if seed % 2 == 0 { 3 } else { 5 };
+        let w = history(seed, count);
+        w.audit(seed);
+        assert!(w.seen.alone.len() <= 4, "seed {seed}: {:?}", w.seen.alone);
+        alone += w.seen.alone.len();
+        taken_over += w.seen.taken_over;
+        taken += w.seen.taken.len();
+    }
+    println!("{seeds} seeds, {taken} messages, {taken_over} taken over, {alone} lay nowhere else");
+    assert!(taken_over > 0);
+}
--- a/crates/rig/src/bin/lilacbank-rig.rs
+++ b/crates/rig/src/bin/lilacbank-rig.rs
@@ -34,6 +34,9 @@
         /// Play it with the dispatchers' recovery on, whatever the file says.
         #[arg(long)]
         recovery: bool,
+        /// Play it with copies at other dispatchers, whatever the file says.
+        #[arg(long)]
+        replication: bool,
         /// Keep the folders and logs of the processes, under the system's folder for temporary files.
         #[arg(long)]
         keep: bool,
@@ -75,7 +78,7 @@
                 ExitCode::from(2)
             }
         },
-        Do::Run { file, program, report, trials, plot, recovery, keep } => {
+        Do::Run { file, program, report, trials, plot, recovery, replication, keep } => {
             let scenario = match read(file.as_ref()) {
                 Ok(s) => s,
                 Err(e) => {
@@ -93,6 +96,7 @@
                 let this = Scenario {
                     seed: scenario.seed + u64::from(n),
                     recovery: scenario.recovery || recovery,
+                    replication: scenario.replication || replication,
                     ..scenario.clone()
                 };
                 match lilacbank_rig::run::play(&this, &program, &std::env::temp_dir(), keep) {
--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -21,7 +21,7 @@
     /// Where it is to listen, on a port of the system's choice.
     listen: SocketAddr,
     /// The operators' file on coming back, if it has one.
-    together: Option<PathBuf>,
+    pub(crate) together: Option<PathBuf>,
     child: Option<Child>,
     /// The processes beside it that were told to leave, during an upgrade.
     leaving: Vec<Child>,
@@ -42,6 +42,11 @@
         Process { folder, listen, config, together, child, leaving, address: Arc::default(), lives }
     }
 
+    /// Its own address, with this port.
+    pub(crate) fn at(&self, port: u16) -> SocketAddr {
+        SocketAddr::new(self.listen.ip(), port)
+    }
+
     /// Starts it where the last one has ended; false if it does not listen in time.
     pub(crate) fn start(&mut self, program: &Path, registry: SocketAddr, clock_ms: i64) -> bool {
         self.stop();
--- a/crates/rig/src/run.rs
+++ b/crates/rig/src/run.rs
@@ -12,6 +12,7 @@
 use lilacbank_load::member::{Endpoint, Limit, Manner};
 use std::net::SocketAddr;
 use std::path::Path;
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -36,6 +37,8 @@
     /// For each dispatcher: the registry as it sees it, the proxy before it, and one before each member.
     paths: Vec<(Registry, Proxy, Vec<Proxy>)>,
     processes: Vec<Process>,
+    /// The proxies between dispatchers, by who connects to whom.
+    mates: Vec<(usize, usize, Proxy)>,
     /// When each member came back from an outage.
     back: Vec<(usize, Instant)>,
     failed_starts: usize,
@@ -82,13 +85,12 @@
             let text = config::platform(&name, &seed, scenario.disk_mb, balancers, m.cold_ms, "null");
             std::fs::create_dir_all(&dir)?;
             std::fs::write(&config, text)?;
-            let together = scenario.recovery.then(|| dir.join("together.toml"));
-            if let Some(path) = &together {
-                std::fs::write(path, "[recovery]\nenabled = true\n")?;
-            }
+            let together = (scenario.recovery || scenario.replication).then(|| dir.join("together.toml"));
             processes.push(Process::new(n, dir, config, together));
         }
+        let mates = together_files(scenario, &processes)?;
         Ok(Stage {
+            mates,
             members,
             registry,
             paths,
@@ -152,10 +154,17 @@
                 FaultName::Bandwidth => Fault::Bandwidth(step.bytes_per_s.unwrap_or(1)),
             };
             let of = |n: &usize| step.of.is_empty() || step.of.contains(n);
+            let between = |(a, b, _): &&(usize, usize, Proxy)| {
+                step.of.is_empty() || step.of.contains(a) != step.of.contains(b)
+            };
+            if path == PathName::Mate {
+                self.mates.iter().filter(between).for_each(|m| m.2.set(fault));
+            }
             for (_, to_registry, to_members) in (0..self.paths.len()).filter(of).map(|n| &self.paths[n]) {
                 match path {
                     PathName::Member => to_members.iter().for_each(|p| p.set(fault)),
                     PathName::Registry => to_registry.set(fault),
+                    PathName::Mate => {}
                 }
             }
         }
@@ -187,6 +196,35 @@
     }
 }
 
+/// Ports of dispatchers for each other: no two of one process of the rig.
+static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
+
+/// Writes the operators' file of each dispatcher; returns the proxies between them.
+fn together_files(scenario: &Scenario, processes: &[Process]) -> std::io::Result<Vec<(usize, usize, Proxy)>> {
+    let port = |_| 20_000 + NEXT_PORT.fetch_add(1, Ordering::Relaxed) % 10_000;
+    let at: Vec<SocketAddr> = processes.iter().map(|p| p.at(port(p))).collect();
+    let mut proxies = Vec::new();
+    for (n, process) in processes.iter().enumerate() {
+        let mut text = format!("[recovery]\nenabled = {}\n", scenario.recovery);
+        if scenario.replication {
+            let (listen, ack) = (at[n], scenario.ack);
+            text += &format!(
+                "[replication]\nenabled = true\nlisten = \"{listen}\"\ninstallation = \"rig\"\nack = {ack}\n"
+            );
+            for (m, target) in at.iter().enumerate().filter(|(m, _)| *m != n) {
+                let proxy = Proxy::start(*target)?;
+                let address = proxy.address;
+                text += &format!("[[replication.peers]]\nname = \"n{m}\"\naddress = \"{address}\"\n");
+                proxies.push((n, m, proxy));
+            }
+        }
+        if let Some(path) = &process.together {
+            std::fs::write(path, text)?;
+        }
+    }
+    Ok(proxies)
+}
+
 /// The list as one dispatcher sees it: a destination of its own for each member, from 1.
 fn entries(proxies: &[Proxy]) -> Vec<String> {
     let entry = |(n, p): (usize, &Proxy)| {
--- a/crates/rig/src/scenario.rs
+++ b/crates/rig/src/scenario.rs
@@ -58,6 +58,12 @@
     /// The dispatchers come back as `[recovery]` of the operators' file says, with its defaults.
     #[serde(default)]
     pub recovery: bool,
+    /// The dispatchers keep copies for each other as `[replication]` of the operators' file says, with its defaults,
+    #[serde(default)]
+    pub replication: bool,
+    /// and with its `ack`.
+    #[serde(default)]
+    pub ack: bool,
     /// The members behind all, alike.
     pub member: Member,
     /// Messages handed in.
@@ -135,6 +141,8 @@
     Member,
     /// Between the dispatchers and the registry.
     Registry,
+    /// Between the dispatchers themselves: with `of`, between those and all others, either way.
+    Mate,
 }
 
 /// A fault of a path.
--- a/src/dispatch/admit.rs
+++ b/src/dispatch/admit.rs
@@ -72,13 +72,15 @@
         name.into_iter().for_each(|n| self.once.held(n, no));
         self.ceilings.queue(taken.dest);
         self.counters.taken += 1;
+        let free = self.copy_taken(now, &taken);
         // One of its key may run still where its tenant came from.
         let frozen = match keyed {
             Keyed::Hold => Some(Frozen::Beside),
             _ if self.is_parked(taken.key) => Some(Frozen::Parked),
             // One of its key may wait there.
             _ if ordered && !self.backlog.is_empty() => Some(Frozen::Queued),
-            _ => self.is_unconfirmed(&taken.class, taken.dest).then_some(Frozen::Unconfirmed),
+            _ if self.is_unconfirmed(&taken.class, taken.dest) => Some(Frozen::Unconfirmed),
+            _ => (!free).then_some(Frozen::Still),
         };
         self.cells.enter_lane(now, &taken);
         if frozen.is_none() {
@@ -94,7 +96,9 @@
             self.backlog.push(no, call.taken.valid_until);
         }
         self.calls.insert(no, call);
-        self.asking.push((no, ticket));
+        if !self.copy_asks(now, no, ticket) {
+            self.asking.push((no, ticket));
+        }
         Ok(())
     }
 
@@ -276,7 +280,7 @@
     }
 
     /// Not by `note`: a compaction before all are written would leave out what is not written yet.
-    fn write_down(&mut self, records: &[Record]) {
+    pub(super) fn write_down(&mut self, records: &[Record]) {
         for record in records {
             if let Err(e) = self.journal.append(record) {
                 log::error!(cause:% = e; "the journal misses a record that was taken over: {e}");
@@ -299,6 +303,7 @@
         self.live_bytes += call.size;
         self.counters.resumed += 1;
         let mut call = call;
+        self.copy_restored(no, &call);
         // Moves know nothing of calls that wait here; divided cells have room of their own.
         let queues = self.cells.undivided() && !self.may_move();
         if queues && call.frozen.is_none() && call.ending.is_none() && self.backlog_room() == 0 {
@@ -330,7 +335,12 @@
     /// Gives a call to the module that it does not have, or not any more.
     pub(super) fn resume(&mut self, no: CallNo) {
         self.backlog.remove(no);
+        let still = self.copy_stands_still(no);
         let Some(c) = self.calls.get_mut(&no) else { return };
+        if still && c.ending.is_none() {
+            c.frozen = Some(Frozen::Still);
+            return;
+        }
         c.frozen = None;
         let c = &self.calls[&no];
         let zone = |name: &str| place(&self.names.zones, name).unwrap_or(self.names.zones.len());
--- a/src/dispatch/book.rs
+++ b/src/dispatch/book.rs
@@ -60,6 +60,8 @@
         self.cells.over(now, c, ending == Ending::Delivered);
         let platform = identity.0.is_empty();
         self.note(&Record::Ended { no, ending });
+        self.copy_answered(no);
+        self.copy_ended(now, no, &identity, ending);
         let asking = self.asking.iter().any(|a| a.0 == no);
         if let Some(k) = self.known.get_mut(&identity) {
             k.ending = Some(ending);
@@ -134,6 +136,8 @@
 
     fn close_call(&mut self, now: Ms, no: CallNo, memory: Ms) {
         let Some(c) = self.take_out(now, no) else { return };
+        self.copy_answered(no);
+        self.copy_ended(now, no, &c.taken.identity, c.ending.unwrap_or(Ending::GivenUp));
         let name = self.once.name(&c.taken.class, &c.taken.idempotency, &c.taken.identity.1);
         if let Some(name) = name {
             // Without an end of its own it may have run.
--- a/src/dispatch/control.rs
+++ b/src/dispatch/control.rs
@@ -41,6 +41,7 @@
             }
             Command::SetDown(id) => {
                 self.set_down(now, id);
+                self.copy_ban(now, id, true);
                 Answer { text: door::yes(&format!("{id} is out")), effect: Some(Effect::Bans) }
             }
             Command::SetUp(id) if !self.worker_of.contains_key(id) && !self.down.contains(id) => {
@@ -48,6 +49,7 @@
             }
             Command::SetUp(id) => {
                 self.set_up(now, id);
+                self.copy_ban(now, id, false);
                 Answer { text: door::yes(&format!("{id} is in use")), effect: Some(Effect::Bans) }
             }
         }
@@ -66,7 +68,13 @@
         }
         self.figures.json(
             &self.names.classes,
-            Now { pending, members, unavailable, unproven: self.counters.unproven },
+            Now {
+                pending,
+                members,
+                unavailable,
+                unproven: self.counters.unproven,
+                replication: self.copying_figures(),
+            },
         )
     }
 
@@ -82,14 +90,14 @@
         ids.iter().for_each(|id| self.set_down(now, id));
     }
 
-    fn set_down(&mut self, now: Ms, id: &str) {
+    pub(super) fn set_down(&mut self, now: Ms, id: &str) {
         if self.down.insert(id.to_string()) {
             log::warn!(member = id; "{id} is taken out by hand");
             self.retell(now, id);
         }
     }
 
-    fn set_up(&mut self, now: Ms, id: &str) {
+    pub(super) fn set_up(&mut self, now: Ms, id: &str) {
         if self.down.remove(id) {
             log::warn!(member = id; "{id} is used again");
             self.retell(now, id);
--- a/src/dispatch/figures.rs
+++ b/src/dispatch/figures.rs
@@ -25,7 +25,7 @@
 }
 
 /// What a look at the core adds to the counts.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct Now {
     /// Messages taken and not yet ended.
     pub pending: usize,
@@ -35,6 +35,8 @@
     pub unavailable: usize,
     /// Unsafe messages handed in again that were answered without a call.
     pub unproven: u64,
+    /// What is known of the other dispatchers; null where nothing is copied.
+    pub replication: serde_json::Value,
 }
 
 /// How far a process has come since its start, and from what it began.
@@ -85,6 +87,7 @@
             "kept_age_ms": self.start.kept_age_ms,
             "older_lists": self.start.older_lists,
             "unproven": now.unproven,
+            "replication": now.replication,
         })
         .to_string()
     }
@@ -101,8 +104,10 @@
         f.count("a", Tally::Completed);
         f.count("b", Tally::Failed);
         f.upstream = 3;
-        let text =
-            f.json(&["a".into(), "b".into()], Now { pending: 4, members: 5, unavailable: 1, unproven: 2 });
+        let text = f.json(
+            &["a".into(), "b".into()],
+            Now { pending: 4, members: 5, unavailable: 1, unproven: 2, ..Now::default() },
+        );
         let v: serde_json::Value = serde_json::from_str(&text).unwrap();
         assert_eq!(v["completed"]["a"], 2);
         assert_eq!(v["completed"]["b"], 0);
--- a/src/dispatch/hints.rs
+++ b/src/dispatch/hints.rs
@@ -147,7 +147,7 @@
         waits
     }
 
-    fn is_unsafe_class(&self, class: &str) -> bool {
+    pub(super) fn is_unsafe_class(&self, class: &str) -> bool {
         let class = crate::config::place(&self.names.classes, class);
         class.and_then(|c| self.settings.classes.get(c)).is_some_and(|c| c.effect == Effect::Unsafe)
     }
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -11,6 +11,7 @@
 mod book;
 mod cells;
 pub mod control;
+mod copying;
 mod counters;
 pub mod door;
 pub mod figures;
@@ -28,9 +29,11 @@
 use crate::journal::{CallNo, Ending, Identity, Journal, Sent};
 use lilacbank_cells::wire::Envelope;
 use lilacbank_limits::{Ceilings, Promise};
+use lilacbank_replica::wire::Envelope as MateEnvelope;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 
+use admit::NO_ROOM_ADVICE;
 pub use cells::CellSpec;
 use cells::Cells;
 pub use counters::Counters;
@@ -182,6 +185,15 @@
         /// What.
         envelope: Box<Envelope>,
     },
+    /// Tell another dispatcher of the copies; it may be lost.
+    Mate {
+        /// Which.
+        to: String,
+        /// What.
+        envelope: Box<MateEnvelope>,
+    },
+    /// The endpoints out by hand have changed: they are to be kept for the next process.
+    KeepBans,
     /// Answer a tool on its own connection.
     Reply {
         /// Which.
@@ -219,6 +231,8 @@
     Unconfirmed,
     /// The module holds as many as it may already.
     Queued,
+    /// Another dispatcher may act on it, or one of its key waits for that.
+    Still,
 }
 
 /// A call that was taken on.
@@ -307,6 +321,8 @@
     first_no: CallNo,
     /// What outlived the last process.
     hints: Hints,
+    /// Copies of messages at other dispatchers, where the operators want them.
+    copying: Option<Box<copying::Copying>>,
     /// Calls of an earlier process that the module does not hold yet.
     backlog: backlog::Backlog,
     /// Another process on the folder, during an upgrade.
@@ -348,6 +364,7 @@
     pub fn new(parts: Parts) -> Core {
         Core {
             backlog: backlog::Backlog::default(),
+            copying: None,
             hints: Hints::new(0.0, Past::default(), &parts.settings),
             cells: Cells::new(&parts.settings, &parts.cells, &parts.promises, parts.journal.room()),
             seats: Seats::new(parts.mesh),
@@ -437,7 +454,8 @@
         }
         let room = self.ceilings.next_due().filter(|_| !self.ceilings.is_empty() || self.hints.climbs());
         let outs = self.calls.values().filter_map(|c| c.out.as_ref()).map(|o| o.until);
-        let own = room.into_iter().chain(self.hints_due()).chain(self.backlog.next_due());
+        let own =
+            room.into_iter().chain(self.hints_due()).chain(self.backlog.next_due()).chain(self.copying_due());
         outs.chain(self.alarms.iter().map(|a| a.0)).chain(own).chain(self.seats_due()).min_by(f64::total_cmp)
     }
 
--- a/src/dispatch/route.rs
+++ b/src/dispatch/route.rs
@@ -17,6 +17,7 @@
         self.ring(now);
         self.seats_turn(now);
         self.hints_turn(now);
+        self.copying_turn(now);
         self.backlog_turn(now);
         for _ in 0..STEPS_MOST {
             self.tell_room(now);
@@ -37,6 +38,7 @@
         }
         self.fade(now);
         self.once.fade(now);
+        self.copying_out();
         std::mem::take(&mut self.orders)
     }
 
--- a/src/dispatch/send.rs
+++ b/src/dispatch/send.rs
@@ -34,6 +34,12 @@
         if let Err(wait) = self.hinted(now, no, route) {
             return self.over(now, no, attempt, wait);
         }
+        if !self.copy_may_start(now, no) {
+            self.over(now, no, attempt, 0.0);
+            // Nothing of it went out, and no try is spent.
+            self.calls.entry(no).and_modify(|c| c.attempts = attempt);
+            return self.stand_still(no);
+        }
         match self.charge(now, cell, route) {
             Ok(None) => {}
             Err(wait) => return self.over(now, no, attempt, wait),
--- a/src/dispatch/take_in.rs
+++ b/src/dispatch/take_in.rs
@@ -48,10 +48,15 @@
         }
         if let Some(k) = self.known.get(&s.identity) {
             self.counters.repeated += 1;
-            if self.asking.iter().any(|(no, _)| *no == k.no) {
-                self.asking.push((k.no, ticket));
+            let no = k.no;
+            if self.asking.iter().any(|a| a.0 == no) {
+                self.asking.push((no, ticket));
                 return;
             }
+            if self.copy_is_asked(no) && self.copy_asks(now, no, ticket) {
+                return;
+            }
+            let Some(k) = self.known.get(&s.identity) else { return };
             // The platform hears of an end once; a session asks again because it may have missed it.
             let told = k.ending.filter(|_| !s.identity.0.is_empty());
             let (no, verdict) = (k.no, k.verdict.clone());
@@ -65,6 +70,10 @@
             }
             return;
         }
+        if let Some(verdict) = self.copied_verdict(&s.identity) {
+            self.counters.repeated += 1;
+            return self.answer_now(&s.class, ticket, verdict);
+        }
         let class_name = s.class.clone();
         let verdict = match self.check(&s) {
             Err(why) => {
@@ -79,6 +88,8 @@
                 Verdict::Failed("it may have taken effect in a lost life, and is not sent again".into())
             }
             Ok(_) if self.is_elsewhere(&s.tenant) => self.elsewhere(&s.tenant),
+            // What it lost may be told it any moment: it says yes to nobody before.
+            Ok(_) if self.is_catching_up() => Verdict::Busy(NO_ROOM_ADVICE.min(self.settings.max_advice)),
             // Perhaps the client has heard of it first: it may come again. Taken on, the message could only wait.
             Ok(_) if !self.is_listed(s.dest) => Verdict::Busy(NO_ROOM_ADVICE.min(self.settings.max_advice)),
             Ok(class) => {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -4,6 +4,8 @@
 pub mod control;
 pub mod head;
 pub mod http;
+pub mod links;
+pub mod mates;
 pub mod mqtt;
 pub mod notice;
 pub mod peer;
@@ -24,7 +26,9 @@
 use crate::together::Together;
 use clock::Clock;
 use http::{Finding, Task, Workers};
+use lilacbank_replica::keeper::{Keeper, Spec};
 use lilacbank_settings::served::Served;
+use mates::Mates;
 use mio::net::TcpListener;
 use mio::unix::pipe;
 use mio::{Events, Interest, Poll, Token};
@@ -69,9 +73,11 @@
     Inward,
     Outward,
     Door,
+    MateIn,
+    MateOut,
 }
 
-const KINDS: [Kind; 11] = [
+const KINDS: [Kind; 13] = [
     Kind::Listener,
     Kind::Acceptor,
     Kind::Worker,
@@ -83,6 +89,8 @@
     Kind::Inward,
     Kind::Outward,
     Kind::Door,
+    Kind::MateIn,
+    Kind::MateOut,
 ];
 
 fn token(kind: Kind, number: usize) -> Token {
@@ -130,6 +138,9 @@
     brokers: Brokers,
     peer_listener: Option<TcpListener>,
     peers: Peers,
+    /// The dispatchers that keep copies for each other.
+    mate_listener: Option<TcpListener>,
+    mates: Mates,
     /// The operators' door, if the configuration names its address.
     door_listener: Option<TcpListener>,
     door: control::Door,
@@ -210,7 +221,9 @@
         let side = config.sidecar.clone().unwrap_or_default();
         let mesh =
             side.mesh.as_ref().map_or(0, |m| m.peers.len().min(peer::OUTWARD_MOST) + peer::INWARD_MOST);
-        let own = SOCKETS_OWN + mqtt.listen.map_or(0, |_| mqtt.sessions) + mesh;
+        let copies = &together.replication;
+        let mates = if copies.enabled { 3 * copies.peers.len() + mates::INWARD_MORE } else { 0 };
+        let own = SOCKETS_OWN + mqtt.listen.map_or(0, |_| mqtt.sessions) + mesh + mates;
         // Clients may have half of what is left, workers the other half; brokers count among them, up to a quarter.
         let sockets = config.limits.sockets.saturating_sub(own).max(16);
         let workers = Workers::new(&config.settings, sockets / 2);
@@ -242,6 +255,18 @@
             now,
             Past { recovery: together.recovery.clone(), former: hint.former, unproven, crashing },
         );
+        let mut mate_listener = copies.enabled.then(|| stream::listen(copies.listen)).transpose()?;
+        if let Some(l) = &mut mate_listener {
+            poll.registry().register(l, token(Kind::Listener, 4), Interest::READABLE)?;
+            let spec = keeper_spec(&config, copies, l.local_addr()?, draw, now);
+            log::info!(
+                "copies are kept with {} others; they reach this one on {}",
+                copies.peers.len(),
+                l.local_addr()?
+            );
+            core.copy_with(Keeper::new(now as u64, spec), copies.clone());
+        }
+        let mates = Mates::new(&copies.installation, copies.peers.len());
         core.figures.start = Start {
             stage: if config.registry.is_none() { "serving" } else { "recovering" },
             folder: life.name(),
@@ -290,6 +315,8 @@
             brokers,
             peer_listener,
             peers,
+            mate_listener,
+            mates,
             door_listener,
             door: control::Door::default(),
             bans_seen,
@@ -359,7 +386,7 @@
     fn next_due(&self, now: Ms) -> Ms {
         let wires = [self.workers.next_due(), self.brokers.next_due()];
         let wires = wires.into_iter().chain([self.acceptors.next_due(), self.sessions.next_due()]);
-        let wires = wires.chain([self.peers.next_due(), self.door.next_due()]);
+        let wires = wires.chain([self.peers.next_due(), self.door.next_due(), self.mates.next_due()]);
         let own = [Some(self.watch.next_due()), self.notices.next_due()];
         let found = (!self.found.is_empty()).then_some(0.0);
         let keep = self.together.recovery.enabled.then_some(self.keep_at);
@@ -384,6 +411,8 @@
             }
             (Some(Kind::Inward), at) => self.peers.inward_ready(now, at, &mut self.core),
             (Some(Kind::Outward), at) => self.peers.outward_ready(now, at, &mut self.core),
+            (Some(Kind::MateIn), at) => self.mates.inward_ready(now, at, &mut self.core),
+            (Some(Kind::MateOut), at) => self.mates.outward_ready(now, at, &mut self.core),
             (Some(Kind::Broker), at) => self.brokers.ready(now, at, &mut self.found),
             (Some(Kind::Watch), _) => {
                 let news = self.watch.ready(now, self.core.names());
@@ -405,7 +434,8 @@
             }
             (Some(Kind::Signal), at) => self.signal(now, at),
             (Some(Kind::Door), at) => {
-                let serving = self.leaving.is_none() && !self.acceptors.is_draining();
+                let serving =
+                    self.leaving.is_none() && !self.acceptors.is_draining() && !self.core.is_catching_up();
                 let mut effects = Vec::new();
                 self.door.ready(now, at, &mut self.core, serving, &mut effects);
                 effects.into_iter().for_each(|e| self.effect(now, e));
@@ -420,6 +450,7 @@
                 1 => self.mqtt_listener.as_ref(),
                 2 => self.peer_listener.as_ref(),
                 3 => self.door_listener.as_ref(),
+                4 => self.mate_listener.as_ref(),
                 _ => self.listener.as_ref(),
             };
             let Some(listener) = listener else { return };
@@ -427,6 +458,7 @@
                 1 => self.sessions.room(),
                 2 => self.peers.room(),
                 3 => true,
+                4 => self.mates.room(),
                 _ => self.acceptors.room(now, &mut self.core),
             };
             if !room {
@@ -436,6 +468,7 @@
             match listener.accept() {
                 Ok((tcp, _)) if which == 1 => self.sessions.accept(now, tcp, self.poll.registry()),
                 Ok((tcp, _)) if which == 2 => self.peers.accept(tcp, self.poll.registry()),
+                Ok((tcp, _)) if which == 4 => self.mates.accept(tcp, self.poll.registry()),
                 Ok((tcp, _)) if which == 3 => self.door.accept(now, tcp, self.poll.registry()),
                 Ok((tcp, _)) => self.acceptors.accept(now, tcp, self.poll.registry()),
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return,
@@ -633,12 +666,14 @@
             self.accept(now, 1);
             self.accept(now, 2);
             self.accept(now, 3);
+            self.accept(now, 4);
         }
         self.watch.tick(now, self.poll.registry());
         self.workers.tick(now, &mut self.found);
         self.brokers.tick(now, &mut self.found);
         self.acceptors.tick(now, &mut self.core);
         self.peers.tick(now, self.poll.registry());
+        self.mates.tick(now, self.poll.registry(), &self.core);
         self.door.tick(now);
         let heard = self.sessions.tick(now, &mut self.core);
         heard.into_iter().for_each(|no| self.core.confirmed(now, no));
@@ -708,11 +743,36 @@
             // The watch is always open or being opened: there is nothing to ask anew.
             Order::Watch => {}
             Order::Say { to, envelope } => self.peers.say(now, &to, &envelope),
+            Order::Mate { to, envelope } => self.mates.say(now, &to, &envelope, &mut self.core),
+            Order::KeepBans => self.effect(now, Effect::Bans),
             Order::Reply { conn, envelope } => self.peers.reply(conn, &envelope),
         }
     }
 }
 
+/// Who this dispatcher is among those that keep copies for each other.
+fn keeper_spec(
+    config: &Config,
+    copies: &crate::together::Replication,
+    at: std::net::SocketAddr,
+    draw: u64,
+    now: Ms,
+) -> Spec {
+    Spec {
+        me: config.name.clone(),
+        address: at.to_string(),
+        born: draw.max(1),
+        life: now as u64,
+        installation: copies.installation.clone(),
+        size: copies.peers.len() + 1,
+        seeds: copies.peers.iter().map(|p| (p.name.clone(), p.address.to_string())).collect(),
+        copies: copies.copies,
+        most_bytes: (copies.most_mb * 1e6) as usize,
+        seed: draw,
+        catch_up: copies.catch_up_ms as u64,
+    }
+}
+
 /// What the last life kept, as a hint with its age; a file that is none is set aside.
 fn read_hint(config: &Config, installation: u32, now: Ms) -> Hint {
     match Kept::newest(&disk::read_kept(&config.state), installation, now, &config.names) {
--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -3,6 +3,7 @@
 //! Words go out on a connection of this side, one to each dispatcher, and come in on those of the others; only a tool is
 //! answered where it asked. A word that cannot go out now is dropped: whoever needs it says it again.
 
+use super::links::{Change, Links, READ_MOST};
 use super::stream::{Fill, Stream};
 use super::{token, Kind};
 use crate::api::Ms;
@@ -11,20 +12,11 @@
 use mio::net::TcpStream;
 use mio::Registry;
 use slab::Slab;
-use std::net::SocketAddr;
 
 /// Connections that others may have open here.
 pub const INWARD_MOST: usize = 64;
 /// Dispatchers that it talks to: as many connections of its own at most.
 pub const OUTWARD_MOST: usize = 64;
-/// Read in one go, so that one peer does not keep all others waiting.
-const READ_MOST: usize = 256 * 1024;
-/// A connection that is not up by then is given up,
-const CONNECT_MOST: Ms = 1_000.0;
-/// and tried again after this,
-const AGAIN_FIRST: Ms = 50.0;
-/// and twice as long each time, up to this.
-const AGAIN_MOST: Ms = 1_000.0;
 /// Bytes that wait for a peer at most: two frames of the largest size.
 const WAITING_MOST: usize = 2 * FRAME_MOST;
 
@@ -34,29 +26,17 @@
     frames: Frames,
 }
 
-/// One dispatcher, and the connection to it.
-#[derive(Debug)]
-struct Outward {
-    name: String,
-    address: SocketAddr,
-    stream: Option<Stream>,
-    up: bool,
-    since: Ms,
-    open_at: Ms,
-    again: Ms,
-}
-
 /// All of them.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Peers {
     inward: Slab<Inward>,
-    outward: Vec<Outward>,
+    outward: Links,
 }
 
 impl Peers {
     /// None is open yet.
     pub fn new(spec: Option<&MeshSpec>) -> Peers {
-        let mut peers = Peers::default();
+        let mut peers = Peers { inward: Slab::new(), outward: Links::new(Kind::Outward, WAITING_MOST) };
         if let Some(spec) = spec {
             peers.redirect(spec);
         }
@@ -65,26 +45,11 @@
 
     /// Takes a changed map over; connections to dispatchers that stay where they are stay, too.
     pub fn redirect(&mut self, spec: &MeshSpec) {
-        for o in &mut self.outward {
-            let peer = spec.peer(&o.name);
-            if peer.is_none_or(|p| p.peer != o.address) {
-                (o.stream, o.up, o.open_at) = (None, false, if peer.is_some() { 0.0 } else { f64::MAX });
-                o.address = peer.map_or(o.address, |p| p.peer);
-            }
+        for name in self.outward.names() {
+            self.outward.set(&name, spec.peer(&name).map(|p| p.peer));
         }
         for p in spec.peers.iter().filter(|p| p.name != spec.me).take(OUTWARD_MOST) {
-            if !self.outward.iter().any(|o| o.name == p.name) {
-                let (name, address) = (p.name.clone(), p.peer);
-                self.outward.push(Outward {
-                    name,
-                    address,
-                    stream: None,
-                    up: false,
-                    since: 0.0,
-                    open_at: 0.0,
-                    again: AGAIN_FIRST,
-                });
-            }
+            self.outward.set(&p.name, Some(p.peer));
         }
     }
 
@@ -104,48 +69,18 @@
 
     /// When [`Peers::tick`] has something to do.
     pub fn next_due(&self) -> Option<Ms> {
-        let due = |o: &Outward| match o.stream {
-            None => o.open_at,
-            Some(_) if !o.up => o.since + CONNECT_MOST,
-            Some(_) => f64::MAX,
-        };
-        self.outward.iter().map(due).filter(|t| *t < f64::MAX).min_by(f64::total_cmp)
+        self.outward.next_due()
     }
 
     /// Opens connections that are due, and gives up those that do not come up.
     pub fn tick(&mut self, now: Ms, registry: &Registry) {
-        for (at, o) in self.outward.iter_mut().enumerate() {
-            if o.stream.is_some() && !o.up && o.since + CONNECT_MOST <= now {
-                o.lost(now);
-            }
-            if o.stream.is_none() && o.open_at <= now {
-                o.since = now;
-                match Stream::connect(o.address, registry, token(Kind::Outward, at)) {
-                    Ok(stream) => o.stream = Some(stream),
-                    Err(_) => o.lost(now),
-                }
-            }
-        }
+        self.outward.tick(now, registry);
     }
 
     /// Something happened on a connection of this side.
     pub fn outward_ready(&mut self, now: Ms, at: usize, core: &mut Core) {
-        let Some(o) = self.outward.get_mut(at) else { return };
-        let Some(stream) = &mut o.stream else { return };
-        let good = match stream.is_up() {
-            Ok(true) => {
-                if !std::mem::replace(&mut o.up, true) {
-                    o.again = AGAIN_FIRST;
-                    core.peer_up(&o.name);
-                }
-                // Nothing is answered on it: what comes is its end.
-                stream.flush().is_ok() && stream.fill(READ_MOST) == Fill::Blocked && stream.inbox.is_empty()
-            }
-            Ok(false) => true,
-            Err(_) => false,
-        };
-        if !good {
-            o.lost(now);
+        if let Change::Up(name) = self.outward.ready(now, at) {
+            core.peer_up(name);
         }
     }
 
@@ -180,16 +115,7 @@
 
     /// Tells a dispatcher something, if the connection to it is up.
     pub fn say(&mut self, now: Ms, to: &str, e: &Envelope) {
-        let Some(o) = self.outward.iter_mut().find(|o| o.name == to && o.up) else { return };
-        let Some(stream) = &mut o.stream else { return };
-        let frame = e.frame();
-        if stream.unwritten() + frame.len() > WAITING_MOST {
-            return;
-        }
-        stream.queue(&frame);
-        if stream.flush().is_err() {
-            o.lost(now);
-        }
+        self.outward.say(now, to, &e.frame());
     }
 
     /// Answers a tool.
@@ -201,11 +127,3 @@
         }
     }
 }
-
-impl Outward {
-    fn lost(&mut self, now: Ms) {
-        (self.stream, self.up) = (None, false);
-        self.open_at = now + self.again;
-        self.again = (2.0 * self.again).min(AGAIN_MOST);
-    }
-}
--- a/src/net/resp.rs
+++ b/src/net/resp.rs
@@ -347,6 +347,10 @@
                 c.stream.queue(b"-ERR draining\r\n");
                 c.ending = c.stream.inbox.is_empty();
             }
+            b"PING" if core.is_catching_up() => {
+                c.served = true;
+                c.stream.queue(b"-ERR catching up\r\n");
+            }
             b"PING" => {
                 c.served = true;
                 match parts.get(1) {
--- a/src/together.rs
+++ b/src/together.rs
@@ -4,9 +4,12 @@
 use crate::api::Ms;
 use crate::config::Lookup;
 use serde::Deserialize;
+use std::net::SocketAddr;
 
 /// The file that is read where `LILACBANK_TOGETHER` names none.
 const FILE: &str = "deploy/together.toml";
+/// Other dispatchers of an installation, at most.
+pub const MATES_MOST: usize = 32;
 
 /// What the file holds.
 #[derive(Debug, Clone, Default, PartialEq, Deserialize)]
@@ -14,6 +17,58 @@
 pub struct Together {
     /// Coming back after a restart.
     pub recovery: Recovery,
+    /// Copies of messages at other dispatchers.
+    pub replication: Replication,
+}
+
+/// How a dispatcher keeps copies with others of its installation.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Replication {
+    /// Nothing below holds without it.
+    pub enabled: bool,
+    /// Where the other dispatchers reach this one; a free port of the system's with port 0.
+    pub listen: SocketAddr,
+    /// The installation's name: what comes from another one is refused.
+    pub installation: String,
+    /// All dispatchers of the installation but this one.
+    pub peers: Vec<Mate>,
+    /// Copies of each message beside its own.
+    pub copies: usize,
+    /// A client hears yes only once another dispatcher has a copy,
+    pub ack: bool,
+    /// or after so many milliseconds without one.
+    pub ack_ms: Ms,
+    /// After a start it takes clients once it has heard what became of what it left, or after so many milliseconds.
+    pub catch_up_ms: Ms,
+    /// Megabytes of copies that it holds for others.
+    pub most_mb: f64,
+}
+
+/// Another dispatcher of the installation.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Mate {
+    /// Its name, as its `ROUTER_NAME`.
+    pub name: String,
+    /// Where it is reached: its `listen`.
+    pub address: SocketAddr,
+}
+
+impl Default for Replication {
+    fn default() -> Replication {
+        Replication {
+            enabled: false,
+            listen: SocketAddr::from(([127, 0, 0, 1], 7200)),
+            installation: String::new(),
+            peers: Vec::new(),
+            copies: 2,
+            ack: false,
+            ack_ms: 300.0,
+            catch_up_ms: 5_000.0,
+            most_mb: 8.0,
+        }
+    }
 }
 
 /// How a process comes back.
@@ -85,20 +140,48 @@
                 e.message().trim()
             )
         })?;
-        let r = &together.recovery;
+        let at = |key: &str| text.lines().position(|l| l.trim_start().starts_with(key)).map_or(1, |n| n + 1);
+        let (r, c) = (&together.recovery, &together.replication);
         let bounds = [
-            ("first_rate", r.first_rate, 0.1, 10_000.0, "calls a second"),
-            ("older_ms", r.older_ms, 0.0, 3_600_000.0, "milliseconds"),
-            ("keep_ms", r.keep_ms, 100.0, 60_000.0, "milliseconds"),
+            ("recovery.first_rate", r.first_rate, 0.1, 10_000.0, "calls a second"),
+            ("recovery.older_ms", r.older_ms, 0.0, 3_600_000.0, "milliseconds"),
+            ("recovery.keep_ms", r.keep_ms, 100.0, 60_000.0, "milliseconds"),
+            ("replication.copies", c.copies as f64, 1.0, 8.0, "copies"),
+            ("replication.ack_ms", c.ack_ms, 1.0, 10_000.0, "milliseconds"),
+            ("replication.catch_up_ms", c.catch_up_ms, 0.0, 60_000.0, "milliseconds"),
+            ("replication.most_mb", c.most_mb, 0.1, 4_096.0, "megabytes"),
         ];
         for (key, value, least, most, unit) in bounds {
             if !(least..=most).contains(&value) {
-                let line = text.lines().position(|l| l.trim_start().starts_with(key)).map_or(1, |n| n + 1);
+                let line = at(key.rsplit('.').next().unwrap_or(key));
                 return Err(format!(
-                    "{file}:{line}: key recovery.{key}: {value} is not from {least} to {most} {unit}; give a number in that range"
+                    "{file}:{line}: key {key}: {value} is not from {least} to {most} {unit}; give a number in that range"
                 ));
             }
         }
+        if c.enabled && c.installation.is_empty() {
+            return Err(format!(
+                "{file}:{}: key replication.installation: it is missing; give the installation's name, the same in all files",
+                at("[replication]")
+            ));
+        }
+        let twice = c.peers.iter().enumerate().find(|(n, p)| c.peers[..*n].iter().any(|q| q.name == p.name));
+        if let Some((_, p)) = twice {
+            let line =
+                text.lines().enumerate().filter(|(_, l)| l.contains(&format!("\"{}\"", p.name))).last();
+            return Err(format!(
+                "{file}:{}: key replication.peers: {} is named twice; name each other dispatcher once",
+                line.map_or(1, |l| l.0 + 1),
+                p.name
+            ));
+        }
+        if c.enabled && c.peers.len() > MATES_MOST {
+            return Err(format!(
+                "{file}:{}: key replication.peers: {} are named; {MATES_MOST} at most",
+                at("[replication]"),
+                c.peers.len()
+            ));
+        }
         Ok(together)
     }
 }
@@ -117,6 +200,14 @@
             ("[recovery]\n\nfirst_rate = 0\n", "f:3: key recovery.first_rate: 0 is not from 0.1"),
             ("[recovery]\nenabled = \"yes\"\n", "f:2: key enabled: invalid type"),
             ("[recovered]\n", "f:1: key : unknown field"),
+            ("[replication]\ncopies = 0\n", "f:2: key replication.copies: 0 is not from 1 to 8"),
+            ("[replication]\nenabled = true\n", "f:1: key replication.installation: it is missing"),
+            ("[replication]\nlisten = \"here\"\n", "f:2: key listen: invalid socket address"),
+            (
+                "[replication]\n[[replication.peers]]\nname = \"a\"\naddress = \"127.0.0.1:1\"\n\
+                 [[replication.peers]]\nname = \"a\"\naddress = \"127.0.0.1:2\"\n",
+                "f:6: key replication.peers: a is named twice",
+            ),
         ] {
             let e = Together::parse("f", text).unwrap_err();
             assert!(e.starts_with(said), "{e}");
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -430,3 +430,24 @@
     }
     bytes
 }
+
+/// Where its operators' door is.
+pub fn door(d: &Dispatcher) -> SocketAddr {
+    let (_, rest) = d.seen().split_once("the operators' door is on ").expect("a door");
+    rest.split_whitespace().next().unwrap().parse().unwrap()
+}
+
+/// What an operators' door answers to a line.
+pub fn control(door: SocketAddr, line: &str) -> String {
+    let mut s = TcpStream::connect(door).unwrap();
+    s.set_read_timeout(Some(PATIENCE)).unwrap();
+    s.write_all(format!("{line}\n").as_bytes()).unwrap();
+    let mut text = String::new();
+    s.read_to_string(&mut text).unwrap();
+    text
+}
+
+/// The figures of a dispatcher's door.
+pub fn vars(d: &Dispatcher) -> serde_json::Value {
+    serde_json::from_str(control(door(d), "vars").lines().next().unwrap()).unwrap()
+}
--- a/tests/together.rs
+++ b/tests/together.rs
@@ -82,8 +82,12 @@
     let ended = || {
         // The member keeps ids in the order of their effects; times beyond that order do not matter for keys of one.
         let now = std::time::Instant::now();
-        let effects: Vec<Effect> =
-            effects.lock().unwrap().iter().map(|id| Effect { id: id.clone(), began: now, at: now }).collect();
+        let effects: Vec<Effect> = effects
+            .lock()
+            .unwrap()
+            .iter()
+            .map(|id| Effect { id: id.clone(), began: now, at: now, left: None })
+            .collect();
         let told: Vec<String> =
             sites.iter().flat_map(|s| s.platform.notices.lock().unwrap().clone()).collect();
         audit(&sent, &effects, &told, |key| key % 2 == 1)
@@ -252,18 +256,6 @@
     }
 }
 
-/// The figures of a dispatcher's door.
-fn vars(d: &Dispatcher) -> serde_json::Value {
-    use std::io::{Read, Write};
-    let (_, rest) = d.seen().split_once("the operators' door is on ").expect("a door");
-    let mut s = std::net::TcpStream::connect(rest.split_whitespace().next().unwrap()).unwrap();
-    s.set_read_timeout(Some(PATIENCE)).unwrap();
-    s.write_all(b"vars\n").unwrap();
-    let mut text = String::new();
-    s.read_to_string(&mut text).unwrap();
-    serde_json::from_str(text.lines().next().unwrap()).unwrap()
-}
-
 /// All three SIGKILLed while the registry falls silent. Started again, each serves safe messages from the list that it
 /// kept, and holds a reimbursement back until the member is confirmed: by the answer to a safe message, or by the
 /// registry. Without the kept list (src/net/mod.rs, `read_hint`) nothing is served; without `is_unconfirmed`
