Ask the others about messages handed in again, share what was learnt of members, pass late words over

Need: with five dispatchers and two copies a message handed in again (again=1) came to one that knew nothing of it and was sent a second time; an outage learnt by one was unknown to one that came back; words that an old connection still held, of a life that is over, would have counted as a new life of their writer. Now all that are there are asked for up to 150 ms; the freshest evidence of each member goes to all and sets where a climb begins that has made no call yet (Ramp::told); lives that are over are remembered and their words counted; a message that was taken over in an earlier life is known as such after a restart; the log says how many open messages a dispatcher that is gone had, and how many of them have a copy here.

--- a/crates/limits/src/ramp.rs
+++ b/crates/limits/src/ramp.rs
@@ -78,6 +78,13 @@
         })
     }
 
+    /// The same with the time of the newest evidence of each.
+    pub fn learnt(&self, now: Ms) -> impl Iterator<Item = (&str, Health, Ms)> {
+        let newest =
+            move |member: &str| self.0.get(member).map_or(now, |(h, at, _)| h.away.unwrap_or(*at).max(*at));
+        self.all(now).map(move |(member, health)| (member, health, newest(member)))
+    }
+
     /// Forgets members that are gone.
     pub fn keep(&mut self, is_there: impl Fn(&str) -> bool) {
         self.0.retain(|member, _| is_there(member));
@@ -121,6 +128,8 @@
     trial: Option<bool>,
     /// When it last had no room.
     bound: Ms,
+    /// A call has gone to it in this life.
+    called: bool,
 }
 
 /// The climbs of one life.
@@ -160,10 +169,27 @@
             at: now,
             trial: away.then_some(false),
             bound: now,
+            called: false,
         };
         self.climbs.insert(member.to_string(), Some(climb));
     }
 
+    /// Another dispatcher says what it has learnt of the member. It counts where this one knows nothing fresher: before its own
+    /// first call of this life, and if its former life's memory is older.
+    pub fn told(&mut self, now: Ms, member: &str, told: Former) {
+        let age = |f: &Former| f.age.unwrap_or(f64::MAX);
+        if self.former.get(member).is_some_and(|f| age(f) + now - self.began <= age(&told)) {
+            return;
+        }
+        self.former.insert(member.to_string(), told);
+        if let Some(Some(c)) = self.climbs.get_mut(member).filter(|c| c.is_some_and(|c| !c.called)) {
+            let known = told.trust() * told.health.rate * HEADROOM;
+            (c.rate, c.new) = (known.max(self.first), known < self.first);
+            c.trial = told.health.away.map(|_| false);
+            c.tokens = c.tokens.min(1.0);
+        }
+    }
+
     /// Calls that may go to the member now, and when there is one more; none: as many as wanted.
     pub fn room(&mut self, now: Ms, member: &str) -> Option<(u32, Ms)> {
         let late = self.is_over(now);
@@ -190,6 +216,7 @@
     pub fn sent(&mut self, member: &str) {
         if let Some(Some(c)) = self.climbs.get_mut(member) {
             c.tokens -= 1.0;
+            c.called = true;
             c.trial = c.trial.map(|_| true);
         }
     }
@@ -309,6 +336,22 @@
         assert!(r.room(960.0, "m").is_some_and(|r| r.0 > 10), "it is there");
     }
 
+    /// Guards against a crowd at a member that another dispatcher knows to be away, and against an old word that wins.
+    #[test]
+    fn what_another_has_learnt_counts_where_nothing_fresher_is_known() {
+        let away = of(40.0, Some(0.0), 100.0).unwrap();
+        let mut r = ramp(None);
+        r.told(0.0, "m", away);
+        assert_eq!(r.room(900.0, "m").map(|r| r.0), Some(1), "one call tries it");
+        let mut r = ramp(of(20.0, None, 50.0));
+        r.told(0.0, "m", away);
+        assert!(r.room(900.0, "m").is_some_and(|r| r.0 > 10), "its own memory is fresher");
+        let mut r = ramp(None);
+        r.sent("m");
+        r.told(0.0, "m", away);
+        assert!(r.room(1_900.0, "m").is_some_and(|r| r.0 > 1), "it sees for itself");
+    }
+
     /// Guards against an old memory taken for a fresh one, and a new member that is never found out.
     #[test]
     fn what_is_old_counts_for_less_and_nothing_known_doubles() {
--- a/crates/replica/src/keeper.rs
+++ b/crates/replica/src/keeper.rs
@@ -17,7 +17,7 @@
 use crate::digest::{self, Tree, BUCKETS, DEPTH, FAN};
 use crate::owner::{Holes, Kind, Part, Step, Word};
 use crate::view::{Node, Standing, Todo, View};
-use crate::wire::{self, Buckets, Differ, Envelope, Hashes, HeldAt, Say, WireCopy, VERSION};
+use crate::wire::{self, Beat, Buckets, Differ, Envelope, Hashes, HeldAt, Say, WireCopy, VERSION};
 use crate::Ms;
 use prost::Message as _;
 use std::collections::{BTreeMap, BTreeSet};
@@ -43,6 +43,10 @@
 const WANT_MOST: usize = 64;
 /// A copy without a final answer is kept for so long after its time.
 const GRACE: Ms = 60_000;
+/// Others' answers about a message are awaited for so long.
+const LOOK_MOST: Ms = 150;
+/// Lives of a peer that are over and still known.
+const PAST_MOST: usize = 8;
 /// Most messages that are told a peer in one go when it is heard of again.
 const TOLD_AGAIN_MOST: usize = 50_000;
 
@@ -92,6 +96,21 @@
     Ban(String, bool),
     /// What was restored is settled, or the time for it is over.
     CaughtUp(bool),
+    /// All that were asked of this message have answered, or their time is over.
+    Looked(String),
+    /// Fresher evidence of a member than any that was here.
+    Health(String, Learnt),
+}
+
+/// What was learnt of a member.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Learnt {
+    /// Calls a second that it answered of late, at the one that says so.
+    pub rate: f64,
+    /// Since when it has been away, if it is.
+    pub away: Option<Ms>,
+    /// When that was learnt.
+    pub at: Ms,
 }
 
 /// What it has counted.
@@ -113,6 +132,10 @@
     pub no_room: u64,
     /// Words that cannot be meant.
     pub nonsense: u64,
+    /// Words of lives that are over, which came late.
+    pub stale: u64,
+    /// Messages of others asked about.
+    pub queries: u64,
     /// Copies sent to a peer that lacked them.
     pub caught_up: u64,
     /// Bytes of frames said.
@@ -131,6 +154,10 @@
     leased: Option<Ms>,
     /// It has answered since the connection to it was last lost.
     fresh: bool,
+    /// Lives of it that are over.
+    past: Vec<u64>,
+    /// Its own open messages, as it said last.
+    open: u64,
     beat_at: Ms,
     gone: bool,
     /// It has to hear of passed fences before its lease is renewed.
@@ -169,6 +196,10 @@
     settled_by: Option<Ms>,
     /// Since when it hears of most of the installation.
     majority_since: Option<Ms>,
+    /// Messages that others were asked about: who has not answered, and until when that is awaited.
+    looking: BTreeMap<String, (BTreeSet<String>, Ms)>,
+    /// Of each member: the freshest evidence, its own or another's.
+    health: BTreeMap<String, Learnt>,
     /// Of each endpoint: the newest wish.
     bans: BTreeMap<String, (crate::clock::Stamp, bool)>,
     clock: crate::clock::Clock,
@@ -207,6 +238,8 @@
             asked: BTreeSet::new(),
             unsettled: BTreeSet::new(),
             majority_since: None,
+            looking: BTreeMap::new(),
+            health: BTreeMap::new(),
             bans: BTreeMap::new(),
             out: Vec::new(),
             news: Vec::new(),
@@ -294,6 +327,13 @@
         all.filter(|n| **n != self.spec.me).cloned().collect()
     }
 
+    /// Does it lie here and with that peer?
+    fn lies_with(&self, part: &Part, peer: &str) -> bool {
+        let (taker, holders) = (&part.copy.content.taker, &part.copy.holders);
+        let has = |n: &str| taker == n || holders.iter().any(|h| h == n);
+        has(peer) && has(&self.spec.me)
+    }
+
     /// Says an own message as it is now to all others that have it.
     fn tell(&mut self, now: Ms, id: &str) {
         let Some(part) = self.parts.get(id) else { return };
@@ -427,6 +467,43 @@
         self.parts.get(id)
     }
 
+    /// Asks those that are there what they know of a message of which nothing is known here; false where there is nobody to
+    /// ask. [`News::Looked`] says when they have answered.
+    pub fn look_for(&mut self, now: Ms, id: &str) -> bool {
+        let asked: BTreeSet<String> =
+            self.peers.iter().filter(|(_, p)| p.fresh && p.leased_at(now)).map(|p| p.0.clone()).collect();
+        if asked.is_empty() {
+            return false;
+        }
+        self.counts.queries += 1;
+        asked.iter().for_each(|to| self.say(to, Say::Query(id.to_string())));
+        self.looking.insert(id.to_string(), (asked, now + LOOK_MOST));
+        true
+    }
+
+    fn looked(&mut self, id: String) {
+        if self.looking.remove(&id).is_some() {
+            self.news.push(News::Looked(id));
+        }
+    }
+
+    /// What was learnt of a member here; others hear of a change, and one that comes hears of all.
+    pub fn learnt(&mut self, member: &str, learnt: Learnt) {
+        let old = self.health.insert(member.to_string(), learnt);
+        if old.map(|o| o.away.is_some()).unwrap_or(false) != learnt.away.is_some() {
+            let to: Vec<String> = self.peers.keys().cloned().collect();
+            to.iter().for_each(|p| self.tell_health(learnt.at, p, member));
+        }
+    }
+
+    fn tell_health(&mut self, now: Ms, to: &str, member: &str) {
+        let Some(l) = self.health.get(member) else { return };
+        let age = now.saturating_sub(l.at);
+        let away = l.away.map(|a| now.saturating_sub(a));
+        let health = wire::Health { member: member.to_string(), rate: l.rate, away, age };
+        self.say(to, Say::Health(health));
+    }
+
     /// An operator set an endpoint down or up here.
     pub fn ban(&mut self, now: Ms, endpoint: &str, down: bool) {
         let stamp = self.clock.tick(now);
@@ -471,7 +548,7 @@
 
     /// When [`Keeper::tick`] has something to do.
     pub fn next_due(&self) -> Ms {
-        let beats = self.peers.values().map(|p| p.beat_at);
+        let beats = self.peers.values().map(|p| p.beat_at).chain(self.looking.values().map(|l| l.1));
         let own = [self.view.next_due(), self.look_at, self.fade_at];
         beats.chain(own).min().unwrap_or(self.look_at)
     }
@@ -482,10 +559,15 @@
             let todo = self.view.tick(now);
             self.todo(todo);
         }
+        let late: Vec<String> = self.looking.iter().filter(|l| l.1 .1 <= now).map(|l| l.0.clone()).collect();
+        late.into_iter().for_each(|id| self.looked(id));
+        let beats = self.peers.values().any(|p| p.beat_at <= now);
+        let is_open = |p: &&Part| p.owns() && !matches!(p.copy.stage, Stage::Ended(_));
+        let open = if beats { self.parts.values().filter(is_open).count() as u64 } else { 0 };
         for name in self.peers.keys().cloned().collect::<Vec<_>>() {
             if self.peers[&name].beat_at <= now {
                 self.peers.entry(name.clone()).and_modify(|p| p.beat_at = now + BEAT_EVERY);
-                self.say(&name, Say::Beat(now));
+                self.say(&name, Say::Beat(Beat { at: now, open }));
                 self.compare_if_due(now, &name);
             }
         }
@@ -517,15 +599,23 @@
         let since = self.majority_since.take().unwrap_or(now);
         self.majority_since = self.has_majority(now).then_some(since);
         let majority = self.majority_since.is_some_and(|t| t + GONE_AFTER <= now);
+        let mut lost = Vec::new();
         for (name, p) in &mut self.peers {
             let silent = p.heard.is_none_or(|t| t + GONE_AFTER <= now);
             let gone = majority && silent && p.born != 0 && !alive.contains(name);
             if gone && !p.gone {
                 p.gone = true;
                 p.behind = true;
-                self.news.push(News::View(format!("{name} counts as gone: its messages are taken over")));
+                lost.push((name.clone(), p.open));
             }
         }
+        for (name, open) in lost {
+            let here = |p: &&Part| p.copy.fence.owner == name && !matches!(p.copy.stage, Stage::Ended(_));
+            let here = self.parts.values().filter(here).count();
+            // Where all that have a copy are gone together, this is all that is left to say of it.
+            let text = format!("{name} counts as gone; it said last that {open} messages were open there, {here} have a copy here");
+            self.news.push(News::View(text));
+        }
     }
 
     fn is_gone(&self, name: &str) -> bool {
@@ -660,10 +750,17 @@
         }
         let from = e.from;
         let peer = self.peers.entry(from.clone()).or_default();
+        if peer.past.contains(&e.life) {
+            self.counts.stale += 1;
+            return;
+        }
         peer.heard = Some(now);
         if peer.born != e.life {
             // Another life: what it knew is gone, until it is told.
             let again = peer.born != 0;
+            let mut past = std::mem::take(&mut peer.past);
+            past.extend(again.then_some(peer.born));
+            past.drain(..past.len().saturating_sub(PAST_MOST));
             *peer = Peer {
                 address: peer.address.take(),
                 born: e.life,
@@ -671,20 +768,40 @@
                 beat_at: now,
                 ..Peer::default()
             };
-            peer.behind = true;
+            (peer.behind, peer.past) = (true, past);
             if again {
                 self.news.push(News::View(format!("{from} is there in a new life")));
             }
             self.bans.keys().cloned().collect::<Vec<_>>().iter().for_each(|b| self.tell_ban(&from, b));
+            let members: Vec<String> = self.health.keys().cloned().collect();
+            members.iter().for_each(|m| self.tell_health(now, &from, m));
         }
         match e.say {
             Some(Say::Swim(packet)) => {
                 let todo = self.view.heard(now, &packet);
                 self.todo(todo);
             }
-            Some(Say::Beat(at)) => {
+            Some(Say::Beat(b)) => {
                 self.renew(now, &from);
-                self.say(&from, Say::Beaten(at));
+                self.peers.entry(from.clone()).and_modify(|p| p.open = b.open);
+                self.say(&from, Say::Beaten(b.at));
+            }
+            Some(Say::Query(id)) => {
+                let known = self.parts.get(&id).map(|p| WireCopy { body: Vec::new(), ..self.write(now, p) });
+                self.say(&from, Say::Known(known.unwrap_or(WireCopy { id, ..WireCopy::default() })));
+            }
+            Some(Say::Known(wire)) => self.heard_known(now, &from, wire),
+            Some(Say::Health(h)) => {
+                let at = now.saturating_sub(h.age);
+                let fresher = self.health.get(&h.member).is_none_or(|l| l.at < at);
+                if h.member.is_empty() || !h.rate.is_finite() || h.rate < 0.0 {
+                    self.counts.nonsense += 1;
+                } else if fresher {
+                    let away = h.away.map(|a| now.saturating_sub(a));
+                    let learnt = Learnt { rate: h.rate, away, at };
+                    self.health.insert(h.member.clone(), learnt);
+                    self.news.push(News::Health(h.member, learnt));
+                }
             }
             Some(Say::Beaten(at)) if at <= now => {
                 self.peers.entry(from).and_modify(|p| {
@@ -785,6 +902,27 @@
         self.news.push(News::Leave(id.to_string()));
     }
 
+    /// A peer's answer about a message that was asked about: what it knows is kept, without the body, to answer from.
+    fn heard_known(&mut self, now: Ms, from: &str, wire: WireCopy) {
+        let id = wire.id.clone();
+        let Some((asked, _)) = self.looking.get_mut(&id) else { return };
+        asked.remove(from);
+        let all = asked.is_empty();
+        let kind = if wire.once { Kind::Unsafe } else { Kind::Safe };
+        let copy = Some(wire).filter(|w| !w.owner.is_empty()).and_then(WireCopy::read);
+        if let Some(mut copy) = copy.filter(|_| !self.parts.contains_key(&id)) {
+            copy.content.valid_until = copy.content.valid_until.saturating_add(now);
+            if self.bytes + copy.size() <= self.spec.most_bytes {
+                let me = self.spec.me.clone();
+                self.put(Part::taken(&me, copy, kind));
+                return self.looked(id);
+            }
+        }
+        if all {
+            self.looked(id);
+        }
+    }
+
     fn heard_hold(&mut self, now: Ms, from: &str, wire: WireCopy) {
         let once = wire.once;
         let Some(mut copy) = wire.read() else {
@@ -814,6 +952,15 @@
             self.held(from, &copy);
             return self.put(Part::taken(&me, copy, kind));
         };
+        if part.copy.content.taker != copy.content.taker && self.unsettled.contains(&id) {
+            // Taken over in an earlier life, and known to the folder as if it had been taken on here.
+            part.copy.content.taker = copy.content.taker.clone();
+            part.copy.content.arbiter_born = copy.content.arbiter_born;
+            (part.copy.holders, part.copy.fence) = (copy.holders.clone(), copy.fence.clone());
+            if copy.fence.owner != me {
+                return self.gone_from_here(&id);
+            }
+        }
         if part.copy.content.taker != copy.content.taker {
             // Handed in at two dispatchers: each has its own, and the arbiter's grant settles it.
             return self.held(from, &copy);
@@ -894,7 +1041,7 @@
         // What is forgotten soon, here or there, is no difference.
         let open =
             |p: &Part| !matches!(p.copy.stage, Stage::Ended(_)) || p.copy.content.valid_until > now + 2_000;
-        let both = |p: &&Part| open(p) && self.others(p).iter().any(|o| o == with);
+        let both = |p: &&Part| open(p) && self.lies_with(p, with);
         let tree = Tree::of(self.parts.values().filter(both).map(|p| &p.copy));
         self.peers.entry(with.to_string()).and_modify(|p| p.tree = Some((now, tree.clone())));
         tree
@@ -958,9 +1105,7 @@
     fn push_buckets(&mut self, now: Ms, to: &str, buckets: &[u32]) {
         let wanted: BTreeSet<usize> =
             buckets.iter().map(|b| *b as usize).filter(|b| *b < BUCKETS).take(WANT_MOST).collect();
-        let goes = |p: &&Part| {
-            wanted.contains(&digest::bucket(&p.copy.id)) && self.others(p).iter().any(|o| o == to)
-        };
+        let goes = |p: &&Part| wanted.contains(&digest::bucket(&p.copy.id)) && self.lies_with(p, to);
         let ids: Vec<String> = self.parts.values().filter(goes).map(|p| p.copy.id.clone()).collect();
         self.counts.caught_up += ids.len() as u64;
         ids.iter().for_each(|id| self.hold(now, to, id));
--- a/crates/replica/src/wire.rs
+++ b/crates/replica/src/wire.rs
@@ -104,9 +104,9 @@
     /// An endpoint was set down or up.
     #[prost(message, tag = "18")]
     Ban(Ban),
-    /// The writer is there; by its clock.
-    #[prost(uint64, tag = "19")]
-    Beat(u64),
+    /// The writer is there.
+    #[prost(message, tag = "19")]
+    Beat(Beat),
     /// That was heard.
     #[prost(uint64, tag = "20")]
     Beaten(u64),
@@ -116,6 +116,43 @@
     /// So many buckets that were asked for are sent.
     #[prost(uint32, tag = "22")]
     Done(u32),
+    /// What is known of the message of this id?
+    #[prost(string, tag = "23")]
+    Query(String),
+    /// This, without a body; a copy without an owner: nothing.
+    #[prost(message, tag = "24")]
+    Known(WireCopy),
+    /// What was learnt of a member.
+    #[prost(message, tag = "25")]
+    Health(Health),
+}
+
+/// The word that its writer is there.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Beat {
+    /// When it was said, by its writer's clock.
+    #[prost(uint64, tag = "1")]
+    pub at: u64,
+    /// Messages of its own that have no final answer yet.
+    #[prost(uint64, tag = "2")]
+    pub open: u64,
+}
+
+/// What its writer has learnt of a member.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Health {
+    /// The member.
+    #[prost(string, tag = "1")]
+    pub member: String,
+    /// Calls a second that it answered of late.
+    #[prost(double, tag = "2")]
+    pub rate: f64,
+    /// For how many milliseconds it has been away, if it is.
+    #[prost(uint64, optional, tag = "3")]
+    pub away: Option<u64>,
+    /// How old that evidence is, in milliseconds.
+    #[prost(uint64, tag = "4")]
+    pub age: u64,
 }
 
 /// A copy is held at this fence and stage.
@@ -201,7 +238,7 @@
     #[prost(uint64, tag = "4")]
     pub life: u64,
     /// What.
-    #[prost(oneof = "Say", tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22")]
+    #[prost(oneof = "Say", tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25")]
     pub say: Option<Say>,
 }
 
--- a/crates/replica/tests/keeper.rs
+++ b/crates/replica/tests/keeper.rs
@@ -213,6 +213,10 @@
             let at =
                 (now + slow + self.rng.random_range(1..5)).max(self.last.get(&(n, m)).copied().unwrap_or(0));
             self.last.insert((n, m), at);
+            // Late, as what an old connection still held: behind words that were said after it.
+            if self.rng.random_bool(self.loss / 2.0) {
+                self.mail.push((at + self.rng.random_range(10..3_000), n, m, e.clone()));
+            }
             self.mail.push((at, n, m, e));
         }
     }
--- a/src/dispatch/copying.rs
+++ b/src/dispatch/copying.rs
@@ -4,13 +4,14 @@
 //! A message that may not be started now stands still: the module does not have it, nor any later one of its key. All of it is the
 //! operators' choice (`[replication]`), off on the platform.
 
-use super::{Core, Order, Verdict};
+use super::{Core, Order, Submission, Verdict};
 use super::{Frozen, NO_ROOM_ADVICE};
 use crate::api::*;
 use crate::journal::{CallNo, Ending, Identity, Record, Sent, Taken};
 use crate::together::Replication;
+use lilacbank_limits::ramp::{Former, Health};
 use lilacbank_replica::copies::{Content, Copy, End, Stage};
-use lilacbank_replica::keeper::{Keeper, News};
+use lilacbank_replica::keeper::{Keeper, Learnt, News};
 use lilacbank_replica::owner::{Kind, Step};
 use lilacbank_replica::wire::Envelope;
 use serde_json::json;
@@ -20,6 +21,10 @@
 const LOOK_EVERY: Ms = 100.0;
 /// One that still stands still so long before its time is up gets its final answer.
 const END_BEFORE: Ms = 200.0;
+/// What was learnt of the members is looked at so often.
+const LEARNT_EVERY: Ms = 1_000.0;
+/// Messages that others are asked about at once, at most.
+const LOOKING_MOST: usize = 256;
 /// Divides a client's name and a message's id in the name of a copy.
 const DIVIDER: char = '\u{1f}';
 
@@ -32,6 +37,9 @@
     /// Messages that stand still.
     still: BTreeSet<CallNo>,
     look_at: Ms,
+    learnt_at: Ms,
+    /// Messages handed in again that others are asked about, and who asks.
+    looking: Vec<(super::Ticket, Submission)>,
     /// What was restored is not settled, and the time for it is not over.
     catching_up: bool,
     /// Messages answered from another's copy.
@@ -91,6 +99,8 @@
             acking: Vec::new(),
             still: BTreeSet::new(),
             look_at: 0.0,
+            learnt_at: 0.0,
+            looking: Vec::new(),
             catching_up: true,
             known: 0,
             unacked: 0,
@@ -242,6 +252,17 @@
         Some(verdict)
     }
 
+    /// Asks the others about a message that was handed in before and of which nothing is known here. Its client waits.
+    pub(super) fn look_elsewhere(&mut self, now: Ms, ticket: super::Ticket, s: &Submission) -> bool {
+        let Some(c) = self.copying.as_mut().filter(|c| s.again && !c.catching_up) else { return false };
+        let name = name_of(&s.identity);
+        if c.looking.len() >= LOOKING_MOST || !c.keeper.look_for(ms(now), &name) {
+            return false;
+        }
+        c.looking.push((ticket, s.clone()));
+        true
+    }
+
     /// An operator's wish is told the others.
     pub(super) fn copy_ban(&mut self, now: Ms, id: &str, down: bool) {
         if let Some(c) = &mut self.copying {
@@ -292,6 +313,18 @@
                     }
                     self.orders.push(Order::KeepBans);
                 }
+                News::Looked(id) => {
+                    let Some(c) = &mut self.copying else { return };
+                    let is = |l: &(super::Ticket, Submission)| name_of(&l.1.identity) == id;
+                    let (known, later): (Vec<_>, Vec<_>) = c.looking.drain(..).partition(is);
+                    c.looking = later;
+                    known.into_iter().for_each(|(ticket, s)| self.submit_looked_for(now, ticket, s));
+                }
+                News::Health(member, l) => {
+                    let health = Health { rate: l.rate, away: l.away.map(|a| a as Ms) };
+                    let age = Some((now - l.at as Ms).max(0.0));
+                    self.hints_told(now, &member, Former { health, age });
+                }
                 News::CaughtUp(settled) => {
                     let done = self.copying.as_mut().is_some_and(|c| std::mem::take(&mut c.catching_up));
                     if done {
@@ -307,6 +340,15 @@
         if !taken.is_empty() {
             self.take_copies(now, taken);
         }
+        if self.copying.as_ref().is_some_and(|c| c.learnt_at <= now) {
+            let learnt = self.hints_learnt(now);
+            let Some(c) = &mut self.copying else { return };
+            c.learnt_at = now + LEARNT_EVERY;
+            for (member, h, at) in learnt {
+                let learnt = Learnt { rate: h.rate, away: h.away.map(ms), at: ms(at) };
+                c.keeper.learnt(&member, learnt);
+            }
+        }
         let Some(c) = &mut self.copying else { return };
         if started || c.look_at <= now {
             c.look_at = now + LOOK_EVERY;
@@ -444,7 +486,7 @@
             "own": own, "copies": held, "bytes": bytes, "still": c.still.len(),
             "taken_in": n.taken_in, "taken_over": n.taken_over, "left": n.left, "alone": n.alone,
             "granted": n.granted, "denied": n.denied, "conflicts": n.conflicts, "no_room": n.no_room,
-            "caught_up": n.caught_up, "nonsense": n.nonsense, "said_bytes": n.bytes, "known": c.known, "unacked": c.unacked,
+            "caught_up": n.caught_up, "nonsense": n.nonsense, "stale": n.stale, "queries": n.queries, "said_bytes": n.bytes, "known": c.known, "unacked": c.unacked,
         })
     }
 }
--- a/src/dispatch/hints.rs
+++ b/src/dispatch/hints.rs
@@ -11,7 +11,7 @@
 use crate::kept::Kept;
 use crate::state::Random;
 use crate::together::Recovery;
-use lilacbank_limits::ramp::{Former, Memory, Ramp};
+use lilacbank_limits::ramp::{Former, Health, Memory, Ramp};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// While unsafe messages wait for a member, one of its endpoints is checked this often.
@@ -234,6 +234,24 @@
         self.touch(route);
     }
 
+    /// What was learnt of the members, with the time of the newest evidence.
+    pub(super) fn hints_learnt(&self, now: Ms) -> Vec<(String, Health, Ms)> {
+        if !self.hints.spec.enabled {
+            return Vec::new();
+        }
+        self.hints.memory.learnt(now).map(|(m, h, at)| (m.to_string(), h, at)).collect()
+    }
+
+    /// Another dispatcher has fresher evidence of a member.
+    pub(super) fn hints_told(&mut self, now: Ms, member: &str, told: Former) {
+        if let Some(ramp) = &mut self.hints.ramp {
+            ramp.told(now, member, told);
+        }
+        let of = |r: &RouteId| self.member_of(*r).as_deref() == Some(member);
+        let routes: Vec<RouteId> = self.workers.keys().copied().filter(of).collect();
+        routes.into_iter().for_each(|r| self.touch(r));
+    }
+
     /// Unsafe messages that wait: one endpoint of theirs is checked now and then, and what waits in vain is handed back.
     pub(super) fn hints_turn(&mut self, now: Ms) {
         if !self.hints.waits || now < self.hints.next_check {
--- a/src/dispatch/take_in.rs
+++ b/src/dispatch/take_in.rs
@@ -41,6 +41,15 @@
 impl Core {
     /// Takes a call in. The verdict comes as an [`Order::Answer`] of the next [`Core::turn`].
     pub fn submit(&mut self, now: Ms, ticket: Ticket, s: Submission) {
+        self.take_in(now, ticket, s, false);
+    }
+
+    /// The others have said what they know of a message that was handed in before.
+    pub(super) fn submit_looked_for(&mut self, now: Ms, ticket: Ticket, s: Submission) {
+        self.take_in(now, ticket, s, true);
+    }
+
+    fn take_in(&mut self, now: Ms, ticket: Ticket, s: Submission, looked: bool) {
         self.now = now;
         if let Some(verdict) = self.once_verdict(now, &s) {
             self.counters.repeated += 1;
@@ -74,6 +83,9 @@
             self.counters.repeated += 1;
             return self.answer_now(&s.class, ticket, verdict);
         }
+        if !looked && self.look_elsewhere(now, ticket, &s) {
+            return;
+        }
         let class_name = s.class.clone();
         let verdict = match self.check(&s) {
             Err(why) => {
