--- a/crates/replica/src/keeper.rs
+++ b/crates/replica/src/keeper.rs
@@ -283,6 +283,11 @@
         self.peers.iter().map(of).collect()
     }
 
+    /// Members that are away, by the freshest evidence of any dispatcher.
+    pub fn away(&self) -> Vec<&str> {
+        self.health.iter().filter(|h| h.1.away.is_some()).map(|h| h.0.as_str()).collect()
+    }
+
     /// Messages of its own, copies held for others, and their bytes.
     pub fn holds(&self) -> (usize, usize, usize) {
         let own = self.parts.values().filter(|p| p.owns()).count();
--- a/src/dispatch/copying.rs
+++ b/src/dispatch/copying.rs
@@ -483,7 +483,7 @@
             "dispatchers": c.keeper.standing().into_iter().collect::<std::collections::BTreeMap<_, _>>(),
             "majority": c.keeper.has_majority(ms(self.now)),
             "catching_up": c.catching_up,
-            "own": own, "copies": held, "bytes": bytes, "still": c.still.len(),
+            "own": own, "copies": held, "bytes": bytes, "still": c.still.len(), "away": c.keeper.away(),
             "taken_in": n.taken_in, "taken_over": n.taken_over, "left": n.left, "alone": n.alone,
             "granted": n.granted, "denied": n.denied, "conflicts": n.conflicts, "no_room": n.no_room,
             "caught_up": n.caught_up, "nonsense": n.nonsense, "stale": n.stale, "queries": n.queries, "said_bytes": n.bytes, "known": c.known, "unacked": c.unacked,
--- a/tests/replication.rs
+++ b/tests/replication.rs
@@ -3,8 +3,8 @@
 mod stand;
 use lilacbank_rig::{Fault, Proxy};
 use stand::*;
-use std::net::{SocketAddr, TcpListener};
-use std::sync::atomic::Ordering;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -15,7 +15,9 @@
     listens: Vec<SocketAddr>,
     /// By who connects to whom.
     paths: Vec<Vec<Proxy>>,
+    /// More keys of `[replication]`, and other tables of the operators' file.
     more: String,
+    file: String,
 }
 
 impl Mates {
@@ -23,19 +25,24 @@
         let list = [entry("w1", &worker.to_string(), "a", 1, "in_service")];
         let mut sites: Vec<Site> = (0..count).map(|_| Site::new(&list)).collect();
         sites.iter_mut().for_each(|s| s.balancers = count as u32);
-        // Held until all are known: the system gives none of them twice.
-        let held: Vec<TcpListener> = (0..count).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
-        let listens: Vec<SocketAddr> = held.iter().map(|l| l.local_addr().unwrap()).collect();
+        // Loopback addresses of their own: on the shared one the system gives the port of one that is down to anybody.
+        static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
+        let pid = std::process::id();
+        let at = |n: usize| {
+            let ip = [127, 128 + (pid >> 8 & 0x7f) as u8, (pid & 0xff) as u8, 1 + n as u8];
+            SocketAddr::from((ip, 20_000 + NEXT_PORT.fetch_add(1, Ordering::Relaxed)))
+        };
+        let listens: Vec<SocketAddr> = (0..count).map(at).collect();
         let path = |to: &SocketAddr| Proxy::start(*to).unwrap();
         let paths = (0..count).map(|_| listens.iter().map(path).collect()).collect();
-        Mates { sites, listens, paths, more: more.to_string() }
+        Mates { sites, listens, paths, more: more.to_string(), file: String::new() }
     }
 
     fn start(&self, n: usize) -> Dispatcher {
         let file = self.sites[n].dir.join("together.toml");
         let mut text = format!(
-            "[replication]\nenabled = true\ninstallation = \"test\"\nlisten = \"{}\"\n{}\n",
-            self.listens[n], self.more
+            "{}\n[replication]\nenabled = true\ninstallation = \"test\"\nlisten = \"{}\"\n{}\n",
+            self.file, self.listens[n], self.more
         );
         for m in (0..self.sites.len()).filter(|m| *m != n) {
             let at = self.paths[n][m].address;
@@ -227,6 +234,51 @@
     }
 }
 
+/// A reimbursement that ran, handed in again at each of four others of which two know nothing of it: all say that it is held, and it
+/// runs once. Without `look_elsewhere` (src/dispatch/take_in.rs) the two send it a second time.
+#[test]
+fn what_another_holds_is_found_wherever_it_is_handed_in_again() {
+    let (worker, _open, effects) = silent_for_pay();
+    let mates = Mates::of(5, worker.address, "ack = true");
+    let all = mates.start_all();
+    assert_eq!(all[0].client().submit("pay-0", "c=pay,t=acme,dest=1"), "+OK");
+    until("it has run", || effects.lock().unwrap().len() == 1);
+    until("two have copies", || all[1..].iter().filter(|d| figures(d)["copies"] == 1).count() == 2);
+    for d in &all[1..] {
+        assert_eq!(d.client().submit("pay-0", "c=pay,t=acme,dest=1,again=1"), "+OK");
+        assert_eq!(
+            d.client().submit("safe-0", "c=safe,t=acme,dest=1,again=1"),
+            "+OK",
+            "what nobody knows is new"
+        );
+    }
+    std::thread::sleep(Duration::from_millis(700));
+    assert_eq!(effects.lock().unwrap().iter().filter(|e| *e == "pay-0").count(), 1);
+    let asked: u64 = all[1..].iter().map(|d| figures(d)["queries"].as_u64().unwrap()).sum();
+    assert!(asked >= 2, "{asked}");
+}
+
+/// A member's outage that one dispatcher alone has learnt is known to the others, and to one that comes back with an empty folder.
+/// Without `tell_health` (crates/replica/src/keeper.rs) each knows its own alone.
+#[test]
+fn an_outage_learnt_by_one_is_known_to_all() {
+    let worker = Worker::start(|_, _| Reply::Break);
+    let mut mates = Mates::of(3, worker.address, "");
+    mates.file = "[recovery]\nenabled = true".into();
+    let mut all = mates.start_all();
+    let mut c = all[0].client();
+    for n in 0..6 {
+        c.submit(&format!("safe-{n}"), "c=safe,t=acme,dest=1");
+    }
+    let away = |d: &Dispatcher| figures(d)["away"].as_array().is_some_and(|a| a.len() == 1);
+    until("all know that it is away", || all.iter().all(away));
+    all.pop().unwrap().kill();
+    mates.wipe(2);
+    all.push(mates.start(2));
+    until("the one that came back knows it, too", || away(&all[2]));
+    assert_eq!(vars(&all[2])["upstream_requests"], 0, "without a call of its own");
+}
+
 /// Five dispatchers split into 3 and 2 under load with messages taken on both sides, then healed; three, of which one is
 /// killed with its folder. The audit of the rig: nothing lost, doubled or overlapping, one final answer each. Without the
 /// lease in `may_act` (crates/replica/src/keeper.rs) both sides act on one message (see also the keeper's histories).
