--- a/crates/replica/tests/keeper.rs
+++ b/crates/replica/tests/keeper.rs
@@ -4,7 +4,7 @@
 use lilacbank_replica::copies::{Content, End, Stage};
 use lilacbank_replica::keeper::{Keeper, News, Spec};
 use lilacbank_replica::owner::{Kind, Step};
-use lilacbank_replica::wire::Envelope;
+use lilacbank_replica::wire::{Beat, Envelope, Say, WireCopy};
 use lilacbank_replica::Ms;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -358,3 +358,63 @@
     println!("{seeds} seeds, {taken} messages, {taken_over} taken over, {alone} lay nowhere else");
     assert!(taken_over > 0);
 }
+
+/// A keeper of an installation of its own (so it hears most of it), which hears words of a dispatcher `o`.
+fn alone(born: u64) -> Keeper {
+    let (me, address, installation) = ("a".to_string(), String::new(), "i".to_string());
+    let (life, size, seeds, copies, most_bytes, seed, catch_up) = (1, 1, Vec::new(), 2, 1 << 20, 1, 0);
+    Keeper::new(
+        0,
+        Spec { me, address, born, life, installation, size, seeds, copies, most_bytes, seed, catch_up },
+    )
+}
+
+fn word(life: u64, say: Say) -> Envelope {
+    Envelope { version: 1, installation: "i".into(), from: "o".into(), life, say: Some(say) }
+}
+
+/// A copy of an unsafe message of `o`, whose arbiter is `a` in that life of it.
+fn unsafe_copy(arbiter_born: u64) -> WireCopy {
+    WireCopy {
+        id: "m".into(),
+        holders: vec!["a".into()],
+        owner: "o".into(),
+        taker: "o".into(),
+        once: true,
+        valid_until: 60_000,
+        arbiter_born,
+        ..WireCopy::default()
+    }
+}
+
+/// Guards against an arbiter that has forgotten what it granted, or started itself, and grants or starts it again.
+#[test]
+fn an_arbiter_grants_and_starts_only_what_its_own_life_was_told_of() {
+    for (born, granted) in [(7, true), (6, false)] {
+        let mut k = alone(7);
+        k.hear(10, word(1, Say::Ask(unsafe_copy(born))));
+        let said = k.take_out();
+        assert_eq!(said.iter().any(|s| matches!(s.1.say, Some(Say::Grant(_)))), granted, "{said:?}");
+        assert_eq!(said.iter().any(|s| matches!(s.1.say, Some(Say::Refuse(_)))), !granted, "{said:?}");
+        let mut k = alone(7);
+        k.hear(10, word(1, Say::Hold(unsafe_copy(born))));
+        (0..80).for_each(|n| k.tick(n * 100));
+        let steps: Vec<Step> = k
+            .take_news()
+            .into_iter()
+            .filter_map(|n| if let News::Take(_, s) = n { Some(s) } else { None })
+            .collect();
+        assert_eq!(steps, [if granted { Step::Start } else { Step::GiveUp }]);
+    }
+}
+
+/// Guards against a word of an old life, late on an old connection, that makes its writer a new one for all.
+#[test]
+fn words_of_lives_that_are_over_change_nothing() {
+    let mut k = alone(7);
+    let beat = || Say::Beat(Beat { at: 1, open: 0 });
+    [(1, 5), (2, 6), (3, 5), (4, 6)].into_iter().for_each(|(now, life)| k.hear(now, word(life, beat())));
+    let lives =
+        k.take_news().into_iter().filter(|n| matches!(n, News::View(t) if t.contains("new life"))).count();
+    assert_eq!((k.counts.stale, lives), (1, 1));
+}
--- a/tests/replication.rs
+++ b/tests/replication.rs
@@ -106,11 +106,10 @@
     (worker, open, effects)
 }
 
-/// The owner is SIGKILLed in the middle of a call with a reimbursement that took effect, with approval orders and safe messages
-/// waiting, and its folder is lost. The others deliver what never ran, give the reimbursement its final answer without a
-/// call, and answer all of it handed in again there. Without `look` and `take_over` (crates/replica/src/keeper.rs) nothing
-/// is delivered; without the given-up step in `take_copies` (src/dispatch/copying.rs) the reimbursement goes again; without
-/// `copied_verdict` (src/dispatch/take_in.rs) it is sent a second time by the one it is handed in to.
+/// The owner is SIGKILLed in the middle of a call with a reimbursement that took effect, with approval orders of one key waiting, and
+/// its folder is lost. The others deliver what never ran, in its order, give the reimbursement its final answer without a
+/// call, and answer what is handed in again there. Without `look` (crates/replica/src/keeper.rs) nothing has an end; without the
+/// given-up step in `take_copies` (src/dispatch/copying.rs) the reimbursement goes again.
 #[test]
 fn a_killed_owner_s_messages_are_delivered_or_answered_by_the_others() {
     let (worker, open, effects) = silent_for_pay();
@@ -175,7 +174,7 @@
 }
 
 /// One whose paths to the others are slowed by 500 ms either way for 8 s is never counted as gone; one that is cut off is.
-/// Without the indirect probes and the suspicion's time (crates/replica/src/view.rs, `SUSPECT_FOR`) the slow one is, too.
+/// With `GONE_AFTER` (crates/replica/src/keeper.rs) and `SUSPECT_FOR` (view.rs) at a tenth the slow one is, too.
 #[test]
 fn a_peer_slowed_by_half_a_second_stays_and_one_cut_off_counts_as_gone_and_comes_back() {
     let worker = Worker::start(|_, _| Reply::Answer("200 OK"));
@@ -235,7 +234,8 @@
 }
 
 /// A reimbursement that ran, handed in again at each of four others of which two know nothing of it: all say that it is held, and it
-/// runs once. Without `look_elsewhere` (src/dispatch/take_in.rs) the two send it a second time.
+/// runs once. Without `copied_verdict` the two that have copies, without `look_elsewhere` (src/dispatch/take_in.rs) the other two
+/// take it on as new.
 #[test]
 fn what_another_holds_is_found_wherever_it_is_handed_in_again() {
     let (worker, _open, effects) = silent_for_pay();
