--- a/crates/replica/src/keeper.rs
+++ b/crates/replica/src/keeper.rs
@@ -1006,6 +1006,12 @@
             // Handed in at two dispatchers: each has its own, and the arbiter's grant settles it.
             return self.held(from, &copy);
         }
+        // An older copy of its folder came back: what it had begun since may have run.
+        let begun = part.kind == Kind::Unsafe
+            && part.copy.stage == Stage::Taken
+            && copy.stage == Stage::Started
+            && part.copy.fence.owner == me
+            && self.unsettled.contains(&id);
         let (owned, was_ended) = (part.owns(), matches!(part.copy.stage, Stage::Ended(_)));
         let before = part.copy.size();
         // After a start it may not have known who has copies.
@@ -1026,7 +1032,9 @@
             self.news.push(News::View(format!("{id} has two final answers; {:?} stays", after.stage)));
         }
         self.held(from, &after);
-        if owned && (!owns || !was_ended && matches!(after.stage, Stage::Ended(_))) {
+        if begun && owns {
+            self.news.push(News::GiveUp(id));
+        } else if owned && (!owns || !was_ended && matches!(after.stage, Stage::Ended(_))) {
             self.gone_from_here(&id);
         } else if (after.fence, after.stage) > (copy.fence, copy.stage) {
             // The one that says so has not heard of a later stage, or that it was passed.
--- a/crates/replica/tests/keeper.rs
+++ b/crates/replica/tests/keeper.rs
@@ -23,8 +23,9 @@
 struct Site {
     keeper: Option<Keeper>,
     life: u64,
-    /// What a folder keeps.
+    /// What a folder keeps, and what an old copy of it does.
     own: BTreeMap<String, Own>,
+    old: Option<BTreeMap<String, Own>>,
 }
 
 #[derive(Default)]
@@ -58,7 +59,9 @@
 impl World {
     fn new(count: usize, seed: u64) -> World {
         let mut w = World {
-            sites: (0..count).map(|_| Site { keeper: None, life: 0, own: BTreeMap::new() }).collect(),
+            sites: (0..count)
+                .map(|_| Site { keeper: None, life: 0, own: BTreeMap::new(), old: None })
+                .collect(),
             mail: Vec::new(),
             cut: BTreeSet::new(),
             delay: BTreeMap::new(),
@@ -302,7 +305,7 @@
 fn history(seed: u64, count: usize) -> World {
     let mut w = World::new(count, seed);
     w.loss = [0.0, 0.02, 0.1][(seed % 3) as usize];
-    let what = seed / 3 % 8;
+    let what = seed / 3 % 9;
     let second = (victim_of(seed, count) + 1) % count;
     let victim = victim_of(seed, count);
     let (from, until) = (4_000, 4_000 + w.rng.random_range(500..12_000));
@@ -333,6 +336,14 @@
             6 | 7 if now == from => w.kill(now, victim),
             6 | 7 if now == from + 150 => w.start(now, victim, what == 7),
             6 | 7 if now == from + 900 => w.kill(now, second),
+            // It comes back with an older copy of its folder.
+            8 if now == from - 400 => w.sites[victim].old = Some(w.sites[victim].own.clone()),
+            8 if now == from + 1_000 => w.kill(now, victim),
+            8 if now == until + 1_500 => {
+                let old = w.sites[victim].old.take().unwrap_or_default();
+                w.sites[victim].own = old;
+                w.start(now, victim, true);
+            }
             7 if now == until + 8_000 => w.start(now, second, true),
             _ => {}
         }
@@ -344,7 +355,7 @@
 /// `SEEDS=1000 cargo test --release -p lilacbank-replica --test keeper`.
 #[test]
 fn no_message_is_acted_on_by_two_none_unsafe_is_sent_twice_and_each_has_an_end() {
-    let seeds = std::env::var("SEEDS").ok().and_then(|s| s.parse().ok()).unwrap_or(24u64);
+    let seeds = std::env::var("SEEDS").ok().and_then(|s| s.parse().ok()).unwrap_or(27u64);
     let first = std::env::var("FIRST").ok().and_then(|s| s.parse().ok()).unwrap_or(0u64);
     let (mut taken_over, mut taken, mut alone) = (0, 0, 0);
     for seed in first..first + seeds {
@@ -409,6 +420,20 @@
     }
 }
 
+/// Guards against a folder that is older than what went out of it: its reimbursement would go a second time.
+#[test]
+fn what_an_older_folder_does_not_know_to_have_begun_is_given_up() {
+    for (stage, wanted) in [(1, true), (0, false)] {
+        let mut k = alone(7);
+        let content = Content { valid_until: 60_000, ..Content::default() };
+        k.restored("m", content, Kind::Unsafe, Stage::Taken);
+        let (holders, owner, taker) = (vec!["o".to_string()], "a".to_string(), "a".to_string());
+        k.hear(10, word(1, Say::Hold(WireCopy { holders, owner, taker, stage, ..unsafe_copy(1) })));
+        assert_eq!(k.take_news().contains(&News::GiveUp("m".into())), wanted);
+        assert!(!k.may_act(20, "m"), "it is not settled yet, or over");
+    }
+}
+
 /// Guards against a word of an old life, late on an old connection, that makes its writer a new one for all.
 #[test]
 fn words_of_lives_that_are_over_change_nothing() {
