--- a/crates/replica/src/copies.rs
+++ b/crates/replica/src/copies.rs
@@ -4,8 +4,6 @@
 //! same one whichever is merged into which, in any order and however often: a join. Two different final answers are a
 //! defect that is counted; the one that says more of the effect stays, the same one everywhere.
 
-use std::collections::BTreeMap;
-
 /// Who may act on a message: the higher fence. One epoch has one fence for each owner, and the name orders them.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
 pub struct Fence {
@@ -115,94 +113,3 @@
         texts + holders + c.reply.len() + c.body.len() + 256
     }
 }
-
-/// All copies that a dispatcher holds for others, within a bound of bytes.
-#[derive(Debug, Clone, Default)]
-pub struct Copies {
-    all: BTreeMap<String, Copy>,
-    bytes: usize,
-    most: usize,
-    /// Merges that met two different final answers.
-    pub conflicts: u64,
-    /// Copies that found no room.
-    pub refused: u64,
-}
-
-impl Copies {
-    /// Holds so many bytes at most.
-    pub fn new(most: usize) -> Copies {
-        Copies { most, ..Copies::default() }
-    }
-
-    /// Takes a copy in; None where there is no room for a new one.
-    pub fn take(&mut self, copy: &Copy) -> Option<Merged> {
-        if let Some(held) = self.all.get_mut(&copy.id) {
-            let merged = held.merge(copy);
-            self.conflicts += u64::from(merged == Merged::Conflict);
-            return Some(merged);
-        }
-        // What has ended is small beside what waits: its body is of no more use.
-        let mut copy = copy.clone();
-        if matches!(copy.stage, Stage::Ended(_)) {
-            copy.content.body.clear();
-        }
-        if self.bytes + copy.size() > self.most {
-            self.refused += 1;
-            return None;
-        }
-        self.bytes += copy.size();
-        self.all.insert(copy.id.clone(), copy);
-        Some(Merged::Newer)
-    }
-
-    /// The copy of a message.
-    pub fn get(&self, id: &str) -> Option<&Copy> {
-        self.all.get(id)
-    }
-
-    /// Changes a copy; its bytes are counted anew.
-    pub fn change(&mut self, id: &str, change: impl FnOnce(&mut Copy)) {
-        if let Some(c) = self.all.get_mut(id) {
-            self.bytes -= c.size();
-            change(c);
-            self.bytes += c.size();
-        }
-    }
-
-    /// Forgets a copy.
-    pub fn forget(&mut self, id: &str) -> Option<Copy> {
-        let copy = self.all.remove(id)?;
-        self.bytes -= copy.size();
-        Some(copy)
-    }
-
-    /// Forgets what was over by then; what has no final answer yet stays for `grace` longer.
-    pub fn fade(&mut self, now: u64, grace: u64) {
-        let gone = |c: &Copy| match c.stage {
-            Stage::Ended(_) => c.content.valid_until < now,
-            _ => c.content.valid_until + grace < now,
-        };
-        let due: Vec<String> = self.all.iter().filter(|(_, c)| gone(c)).map(|(id, _)| id.clone()).collect();
-        due.iter().for_each(|id| drop(self.forget(id)));
-    }
-
-    /// All copies, by id.
-    pub fn iter(&self) -> impl Iterator<Item = &Copy> {
-        self.all.values()
-    }
-
-    /// How many.
-    pub fn len(&self) -> usize {
-        self.all.len()
-    }
-
-    /// None at all?
-    pub fn is_empty(&self) -> bool {
-        self.all.is_empty()
-    }
-
-    /// Bytes that they take, about.
-    pub fn bytes(&self) -> usize {
-        self.bytes
-    }
-}
--- a/crates/replica/src/keeper.rs
+++ b/crates/replica/src/keeper.rs
@@ -13,7 +13,7 @@
 //! **Catch-up.** Two dispatchers compare what lies with both of them by [`crate::digest`], at first contact and now and then,
 //! and send what differs, a few buckets at a time.
 
-use crate::copies::{Content, Copy, End, Fence, Stage};
+use crate::copies::{Content, Copy, End, Fence, Merged, Stage};
 use crate::digest::{self, Tree, DEPTH, FAN};
 use crate::owner::{Holes, Kind, Part, Step, Word};
 use crate::view::{Node, Standing, Todo, View};
@@ -1019,8 +1019,7 @@
             part.copy.holders = copy.holders.clone();
             part.copy.content.arbiter_born = copy.content.arbiter_born;
         }
-        let differ = matches!((part.copy.stage, copy.stage), (Stage::Ended(a), Stage::Ended(b)) if a != b);
-        part.heard(&copy, false, Holes::default());
+        let differ = part.heard(&copy, false, Holes::default()) == Merged::Conflict;
         if matches!(part.copy.stage, Stage::Ended(_)) {
             part.copy.content.body = Vec::new();
         }
--- a/crates/replica/src/owner.rs
+++ b/crates/replica/src/owner.rs
@@ -13,7 +13,7 @@
 //! the owner as gone, so attempts of two owners do not overlap. One whose lease ran out counts nobody as gone, and whoever
 //! renews its lease tells it their copies with that, so that it does not act under a fence that has been passed.
 
-use crate::copies::{Copy, End, Fence, Stage};
+use crate::copies::{Copy, End, Fence, Merged, Stage};
 
 /// What a dispatcher says to another of one message.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -178,17 +178,18 @@
     }
 
     /// Another's copy has come. `later`: it was written later by the wall clock, which only a hole heeds.
-    pub fn heard(&mut self, copy: &Copy, later: bool, holes: Holes) {
+    pub fn heard(&mut self, copy: &Copy, later: bool, holes: Holes) -> Merged {
         if holes.last_writer {
             if later {
                 (self.copy.stage, self.copy.fence) = (copy.stage, copy.fence.clone());
             }
-            return;
+            return Merged::Newer;
         }
         let was = self.copy.fence.clone();
-        self.copy.merge(copy);
+        let merged = self.copy.merge(copy);
         if self.copy.fence != was {
             self.has_grant = false;
         }
+        merged
     }
 }
--- a/crates/replica/tests/copies.rs
+++ b/crates/replica/tests/copies.rs
@@ -1,9 +1,10 @@
 //! The rule for copies that differ, the digest and the wire.
 
-use lilacbank_replica::copies::{Content, Copies, Copy, End, Fence, Merged, Stage};
+use lilacbank_replica::copies::{Content, Copy, End, Fence, Merged, Stage};
 use lilacbank_replica::digest::{Tree, BUCKETS, DEPTH};
 use lilacbank_replica::wire::{Envelope, Frames, Refused, Say, WireCopy, FRAME_MOST, VERSION};
 use proptest::prelude::*;
+use std::collections::BTreeMap;
 
 fn stage() -> impl Strategy<Value = Stage> {
     prop_oneof![
@@ -51,38 +52,22 @@
 
 #[test]
 fn two_final_answers_are_counted_and_settled_the_same_way_everywhere() {
-    let (mut a, mut b) = (Copies::new(10_000), Copies::new(10_000));
     let (given_up, delivered) =
         (copy("m", Stage::Ended(End::GivenUp), 1, "x"), copy("m", Stage::Ended(End::Delivered), 0, "y"));
-    assert_eq!((a.take(&given_up), a.take(&delivered)), (Some(Merged::Newer), Some(Merged::Conflict)));
-    assert_eq!((b.take(&delivered), b.take(&given_up)), (Some(Merged::Newer), Some(Merged::Conflict)));
-    assert_eq!((a.conflicts, a.get("m").map(|c| c.stage)), (1, Some(Stage::Ended(End::Delivered))));
-    assert_eq!(a.get("m").map(|c| (c.stage, &c.fence)), b.get("m").map(|c| (c.stage, &c.fence)));
-}
-
-#[test]
-fn a_store_keeps_within_its_bytes_and_forgets_what_is_over() {
-    let mut store = Copies::new(3_000);
-    let taken =
-        (0..20).filter(|n| store.take(&copy(&format!("m{n}"), Stage::Taken, 0, "x")).is_some()).count();
-    assert!(taken < 12 && store.refused as usize == 20 - taken && store.bytes() <= 3_000, "{taken}");
-    store.change("m0", |c| c.stage = Stage::Ended(End::Delivered));
-    store.fade(1_001, 5_000);
-    assert_eq!(store.len(), taken - 1, "what has no answer yet stays for its grace");
-    store.fade(6_001, 5_000);
-    assert_eq!((store.len(), store.bytes()), (0, 0));
+    let (mut a, mut b) = (given_up.clone(), delivered.clone());
+    assert_eq!((a.merge(&delivered), b.merge(&given_up)), (Merged::Conflict, Merged::Conflict));
+    assert_eq!((a.stage, &a.fence), (Stage::Ended(End::Delivered), &given_up.fence));
+    assert_eq!((a.stage, a.fence), (b.stage, b.fence));
 }
 
 /// Guards against a digest that misses a difference, and one whose cost grows with what is held.
 #[test]
 fn a_digest_finds_what_differs_at_a_cost_that_grows_with_it_alone() {
-    let mut mine = Copies::new(usize::MAX);
-    for n in 0..20_000 {
-        mine.take(&copy(&format!("m{n}"), Stage::Taken, 0, "x"));
-    }
+    let one = |n: usize| (format!("m{n}"), copy(&format!("m{n}"), Stage::Taken, 0, "x"));
+    let mine: BTreeMap<String, Copy> = (0..20_000).map(one).collect();
     let mut theirs = mine.clone();
-    let differ = |mine: &Copies, theirs: &Copies| {
-        let (a, b) = (Tree::of(mine.iter()), Tree::of(theirs.iter()));
+    let differ = |mine: &BTreeMap<String, Copy>, theirs: &BTreeMap<String, Copy>| {
+        let (a, b) = (Tree::of(mine.values()), Tree::of(theirs.values()));
         let (mut nodes, mut sent) = (vec![0], 0);
         for level in 0..DEPTH {
             nodes = nodes
@@ -97,9 +82,9 @@
     };
     assert_eq!(differ(&mine, &theirs), (vec![], 1), "alike: one look");
     for n in [5, 77, 4_000] {
-        theirs.change(&format!("m{n}"), |c| c.stage = Stage::Started);
+        theirs.entry(format!("m{n}")).and_modify(|c| c.stage = Stage::Started);
     }
-    theirs.forget("m9");
+    theirs.remove("m9");
     let (buckets, sent) = differ(&mine, &theirs);
     assert_eq!(buckets.len(), 4);
     assert!(sent <= 1 + 4 + 4, "{sent} nodes of {} buckets", BUCKETS);
--- a/crates/replica/tests/keeper.rs
+++ b/crates/replica/tests/keeper.rs
@@ -434,6 +434,24 @@
     }
 }
 
+/// Guards against copies for others beyond the bytes that the operators allow.
+#[test]
+fn copies_for_others_keep_within_their_bytes_and_are_forgotten() {
+    let mut k = alone(7);
+    for n in 0..20 {
+        let (id, body) = (format!("m{n}"), vec![1; 100_000]);
+        k.hear(10, word(1, Say::Hold(WireCopy { id, body, ..unsafe_copy(7) })));
+    }
+    assert_eq!((k.holds().1, k.counts.no_room), (10, 10));
+    assert!(k.holds().2 <= 1 << 20);
+    let ended =
+        (0..10).map(|n| word(1, Say::Hold(WireCopy { id: format!("m{n}"), stage: 4, ..unsafe_copy(7) })));
+    ended.for_each(|e| k.hear(20, e));
+    assert!(k.holds().2 < 10_000, "what has ended keeps no body: {}", k.holds().2);
+    (0..70).for_each(|n| k.tick(n * 1_000));
+    assert_eq!((k.holds().1, k.holds().2), (0, 0));
+}
+
 /// Guards against a word of an old life, late on an old connection, that makes its writer a new one for all.
 #[test]
 fn words_of_lives_that_are_over_change_nothing() {
