Refuse operators' files and scenarios on copies that cannot be meant

Tried as a newcomer: a file that names its own dispatcher among the others counted the majority wrong; one that names nobody, a rig's fault on the path between dispatchers or an ack without replication did nothing, without a word. Each is a fault with its line and remedy now.

--- a/crates/rig/src/scenario.rs
+++ b/crates/rig/src/scenario.rs
@@ -39,6 +39,9 @@
 path = "member"
 "#;
 
+/// Dispatchers that keep copies for each other, at most: as many as their file may name, and one.
+const MATES_MOST: usize = 33;
+
 /// What a scenario holds.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -279,6 +282,17 @@
                 "1 to 128 processes; give a number in that range",
             );
         }
+        if scenario.replication && scenario.dispatchers > MATES_MOST {
+            let what = format!("with `replication` {MATES_MOST} at most; give fewer, or leave it out");
+            return fault(top("dispatchers"), "dispatchers", &what);
+        }
+        if scenario.ack && !scenario.replication {
+            return fault(
+                top("ack"),
+                "ack",
+                "it says nothing without `replication = true`; add that, or leave it out",
+            );
+        }
         if !(0.05..=1_000.0).contains(&scenario.disk_mb) {
             return fault(top("disk_mb"), "disk_mb", "0.05 to 1000 megabytes; give a number in that range");
         }
@@ -353,6 +367,10 @@
                     format!("dispatchers are numbered 0 to {}; name one of them", scenario.dispatchers - 1);
                 return fault(line(key), &format!("at.{key}"), &what);
             }
+            if s.path == Some(PathName::Mate) && !scenario.replication {
+                let what = "dispatchers talk to each other only with `replication = true`; add that, or name another path";
+                return fault(line("path"), "at.path", what);
+            }
             if s.fault.is_some() != s.path.is_some() {
                 return fault(
                     line(if s.fault.is_some() { "fault" } else { "path" }),
@@ -437,6 +455,9 @@
             ("start = [0, 1]", "start = [0, 1]\nmember = \"down\"", "f.toml:28: key `at.member`"),
             ("start = [0, 1]", "start = [0, 1]\nmembers = [1]", "f.toml:28: key `at.members`"),
             ("start = [0, 1]", "start = [0, 1]\nregistry = \"gone\"", "f.toml:28: key `registry`"),
+            ("path = \"member\"", "path = \"mate\"", "f.toml:18: key `at.path`"),
+            ("run_ms = 8000", "run_ms = 8000\nack = true", "f.toml:5: key `ack`"),
+            ("dispatchers = 3", "dispatchers = 34\nreplication = true", "f.toml:3: key `dispatchers`"),
         ] {
             let e = Scenario::parse("f.toml", &DEFAULT.replacen(from, to, 1)).unwrap_err();
             assert!(e.starts_with(key), "{e}");
--- a/src/main.rs
+++ b/src/main.rs
@@ -34,6 +34,7 @@
         check_sidecar(&config, &text)?;
         let mqtt = Mqtt::read(&environment, config.sidecar.as_ref()).map_err(one)?;
         let together = Together::read(&environment).map_err(|e| vec![e])?;
+        together.fits(&config.name).map_err(|e| vec![e])?;
         Ok((config, mqtt, together))
     };
     let read = read();
--- a/src/together.rs
+++ b/src/together.rs
@@ -124,6 +124,21 @@
         }
     }
 
+    /// Does it name this dispatcher among the others? Then most of the installation would be counted wrong.
+    ///
+    /// # Errors
+    ///
+    /// The key, what is wrong and what to do.
+    pub fn fits(&self, name: &str) -> Result<(), String> {
+        let c = &self.replication;
+        if c.enabled && c.peers.iter().any(|p| p.name == name) {
+            return Err(format!(
+                "key replication.peers: {name} is this dispatcher itself; name only the others in its own file"
+            ));
+        }
+        Ok(())
+    }
+
     /// The same from the file's text; `file` names it in faults.
     ///
     /// # Errors
@@ -165,6 +180,12 @@
                 at("[replication]")
             ));
         }
+        if c.enabled && c.peers.is_empty() {
+            return Err(format!(
+                "{file}:{}: key replication.peers: none is named; name each other dispatcher, or set enabled = false",
+                at("[replication]")
+            ));
+        }
         let twice = c.peers.iter().enumerate().find(|(n, p)| c.peers[..*n].iter().any(|q| q.name == p.name));
         if let Some((_, p)) = twice {
             let line =
@@ -203,6 +224,10 @@
             ("[replication]\ncopies = 0\n", "f:2: key replication.copies: 0 is not from 1 to 8"),
             ("[replication]\nenabled = true\n", "f:1: key replication.installation: it is missing"),
             ("[replication]\nlisten = \"here\"\n", "f:2: key listen: invalid socket address"),
+            (
+                "[replication]\nenabled = true\ninstallation = \"i\"\n",
+                "f:1: key replication.peers: none is named",
+            ),
             (
                 "[replication]\n[[replication.peers]]\nname = \"a\"\naddress = \"127.0.0.1:1\"\n\
                  [[replication.peers]]\nname = \"a\"\naddress = \"127.0.0.1:2\"\n",
@@ -212,5 +237,9 @@
             let e = Together::parse("f", text).unwrap_err();
             assert!(e.starts_with(said), "{e}");
         }
+        let one = "[replication]\nenabled = true\ninstallation = \"i\"\n\
+                   [[replication.peers]]\nname = \"a\"\naddress = \"127.0.0.1:1\"\n";
+        let one = Together::parse("f", one).unwrap();
+        assert!(one.fits("b").is_ok() && one.fits("a").is_err());
     }
 }
