Settle what a process beside leaves after the start, too

Found by reading for upgrades with copies on: calls taken over from a process that served beside this one came after all had been settled, and stood still until they were given up.

--- a/crates/replica/src/keeper.rs
+++ b/crates/replica/src/keeper.rs
@@ -401,6 +401,11 @@
         let me = self.spec.me.clone();
         self.put(Part::taken(&me, copy, kind));
         self.unsettled.insert(id.to_string());
+        if self.settled_by.is_none() {
+            // Left by a process that served beside this one: the others are asked anew.
+            self.settled_by = Some(0);
+            self.peers.values_mut().for_each(|p| (p.met, p.round, p.round_at) = (false, None, 0));
+        }
     }
 
     /// Asks for a grant where one is needed; true where none is.
--- a/crates/replica/tests/keeper.rs
+++ b/crates/replica/tests/keeper.rs
@@ -521,3 +521,16 @@
         );
     }
 }
+
+/// Guards against calls of a process that served beside this one, during an upgrade, that stand still for ever: they come when all
+/// else has long been settled.
+#[test]
+fn what_is_left_after_the_start_is_settled_too() {
+    let mut k = alone(7);
+    (0..20).for_each(|n| k.tick(n * 100));
+    assert!(k.take_news().contains(&News::CaughtUp(true)));
+    k.restored("m", Content { valid_until: 60_000, ..Content::default() }, Kind::Safe, Stage::Taken);
+    assert!(!k.may_act(2_000, "m"));
+    (20..40).for_each(|n| k.tick(n * 100));
+    assert!(k.may_act(4_000, "m") && k.take_news().contains(&News::Start("m".into())));
+}
