--- a/src/main.rs
+++ b/src/main.rs
@@ -34,7 +34,8 @@
         check_sidecar(&config, &text)?;
         let mqtt = Mqtt::read(&environment, config.sidecar.as_ref()).map_err(one)?;
         let together = Together::read(&environment).map_err(|e| vec![e])?;
-        together.fits(&config.name).map_err(|e| vec![e])?;
+        let moves = config.sidecar.as_ref().is_some_and(|s| s.mesh.is_some());
+        together.fits(&config.name, moves).map_err(|e| vec![e])?;
         Ok((config, mqtt, together))
     };
     let read = read();
--- a/src/together.rs
+++ b/src/together.rs
@@ -124,13 +124,18 @@
         }
     }
 
-    /// Does it name this dispatcher among the others? Then most of the installation would be counted wrong.
+    /// Does it fit the dispatcher of this name? One that is named among the others would count the majority wrong, and where
+    /// tenants move (`moves`) a message that went with its tenant would be taken over from its copies besides.
     ///
     /// # Errors
     ///
     /// The key, what is wrong and what to do.
-    pub fn fits(&self, name: &str) -> Result<(), String> {
+    pub fn fits(&self, name: &str, moves: bool) -> Result<(), String> {
         let c = &self.replication;
+        if c.enabled && moves {
+            let why = "tenants move between these dispatchers ([mesh]), and a copy does not move with them";
+            return Err(format!("key replication.enabled: {why}; leave one of the two out"));
+        }
         if c.enabled && c.peers.iter().any(|p| p.name == name) {
             return Err(format!(
                 "key replication.peers: {name} is this dispatcher itself; name only the others in its own file"
@@ -240,6 +245,8 @@
         let one = "[replication]\nenabled = true\ninstallation = \"i\"\n\
                    [[replication.peers]]\nname = \"a\"\naddress = \"127.0.0.1:1\"\n";
         let one = Together::parse("f", one).unwrap();
-        assert!(one.fits("b").is_ok() && one.fits("a").is_err());
+        assert!(
+            one.fits("b", false).is_ok() && one.fits("a", false).is_err() && one.fits("b", true).is_err()
+        );
     }
 }
