Give tests that restart on fixed addresses a loopback address of their own

Ports are the system's still, on an address of this process's own, none given twice; the new tests of copies share it. Ruled out: the program's own sockets (nothing else was logged).

--- a/tests/moves.rs
+++ b/tests/moves.rs
@@ -10,9 +10,9 @@
 use lilacbank_load::member::{Endpoint, Manner, Notices};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use stand::{until, Client, Dispatcher, Reply, Worker, PATIENCE};
+use stand::{addresses, until, Client, Dispatcher, Reply, Worker, PATIENCE};
 use stand_mqtt::MqttClient;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Command, Output};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -40,12 +40,6 @@
     }
 }
 
-/// Addresses from the system, all different.
-fn free(n: usize) -> Vec<SocketAddr> {
-    let held: Vec<TcpListener> = (0..n).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
-    held.iter().map(|l| l.local_addr().unwrap()).collect()
-}
-
 impl Mesh {
     /// All tenants live at the first dispatcher.
     fn start(dispatchers: usize, tenants: &[&str], members: &[SocketAddr]) -> Mesh {
@@ -54,7 +48,7 @@
         let dir = std::env::temp_dir().join(format!("lilacbank-moves-{}-{n}", std::process::id()));
         let _ = std::fs::remove_dir_all(&dir);
         std::fs::create_dir_all(&dir).unwrap();
-        let ports: Vec<_> = free(3 * dispatchers).chunks(3).map(|p| [p[0], p[1], p[2]]).collect();
+        let ports: Vec<_> = addresses(3 * dispatchers).chunks(3).map(|p| [p[0], p[1], p[2]]).collect();
         let notices = Notices::start().unwrap();
         let mut map = "map = \"m\"\nversion = 1\n".to_string();
         for (d, [resp, peer, mqtt]) in ports.iter().enumerate() {
--- a/tests/replication.rs
+++ b/tests/replication.rs
@@ -4,7 +4,7 @@
 use lilacbank_rig::{Fault, Proxy};
 use stand::*;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU16, Ordering};
+use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -25,14 +25,7 @@
         let list = [entry("w1", &worker.to_string(), "a", 1, "in_service")];
         let mut sites: Vec<Site> = (0..count).map(|_| Site::new(&list)).collect();
         sites.iter_mut().for_each(|s| s.balancers = count as u32);
-        // Loopback addresses of their own: on the shared one the system gives the port of one that is down to anybody.
-        static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
-        let pid = std::process::id();
-        let at = |n: usize| {
-            let ip = [127, 128 + (pid >> 8 & 0x7f) as u8, (pid & 0xff) as u8, 1 + n as u8];
-            SocketAddr::from((ip, 20_000 + NEXT_PORT.fetch_add(1, Ordering::Relaxed)))
-        };
-        let listens: Vec<SocketAddr> = (0..count).map(at).collect();
+        let listens = addresses(count);
         let path = |to: &SocketAddr| Proxy::start(*to).unwrap();
         let paths = (0..count).map(|_| listens.iter().map(path).collect()).collect();
         Mates { sites, listens, paths, more: more.to_string(), file: String::new() }
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -451,3 +451,17 @@
 pub fn vars(d: &Dispatcher) -> serde_json::Value {
     serde_json::from_str(control(door(d), "vars").lines().next().unwrap()).unwrap()
 }
+
+/// Addresses to listen on, again and again: ports from the system, on a loopback address of this process's own, none given twice.
+/// On the shared one a port on which nobody listens at the moment is given to any connection that goes out.
+pub fn addresses(count: usize) -> Vec<SocketAddr> {
+    static GIVEN: Mutex<std::collections::BTreeSet<SocketAddr>> =
+        Mutex::new(std::collections::BTreeSet::new());
+    let pid = std::process::id();
+    let ip = [127, 128 + (pid >> 8 & 0x7f) as u8, (pid & 0xff) as u8, 1];
+    let mut given = GIVEN.lock().unwrap();
+    let fresh = std::iter::repeat_with(|| {
+        TcpListener::bind(SocketAddr::from((ip, 0))).unwrap().local_addr().unwrap()
+    });
+    fresh.filter(|at| given.insert(*at)).take(count).collect()
+}
