Tell the end of what was delivered as its time was up; write no repeat after its window

Its answer came 0.56 ms after its time; the platform, whose clock for it starts at the request's last byte, had timed it out and waited for its end, which never came, and the next message of its key went out ( "while request was not over"). An answer in the last 100 ms is now told as an end too (harmless where the platform has it for delivered), and the module hears of it, with key and slot, once that is confirmed.

A repeat now carries the moment after which no byte of it is written. Read from there: a delegation that waits for its connection while its endpoint begins to drain, is taken out by hand or goes from the list is held back too.

--- a/src/dispatch/admit.rs
+++ b/src/dispatch/admit.rs
@@ -91,7 +91,17 @@
         let tenant = self.movable(&taken.tenant);
         let known = Known { no, verdict: Verdict::Taken, ending: None, until, tenant };
         self.remember(taken.identity.clone(), known);
-        let call = Call { taken, attempts: 0, ran: None, out: None, ending: None, cell, size, frozen };
+        let call = Call {
+            taken,
+            attempts: 0,
+            ran: None,
+            out: None,
+            ending: None,
+            cell,
+            size,
+            frozen,
+            unheard: None,
+        };
         if call.frozen == Some(Frozen::Queued) {
             self.backlog.push(no, call.taken.valid_until);
         }
@@ -172,7 +182,8 @@
                     let size = Record::Taken(taken.clone()).size() + MARGIN;
                     let cell = self.cells.of(&taken.tenant);
                     let (ran, out, ending, frozen) = (None, None, None, None);
-                    let call = Call { taken, attempts: 0, ran, out, ending, cell, size, frozen };
+                    let call =
+                        Call { taken, attempts: 0, ran, out, ending, cell, size, frozen, unheard: None };
                     left.insert(call.taken.no, (call, false));
                 }
                 Record::State { no, attempts, ran, out } => {
--- a/src/dispatch/book.rs
+++ b/src/dispatch/book.rs
@@ -59,6 +59,7 @@
         self.ceilings.unqueue(dest);
         self.cells.over(now, c, ending == Ending::Delivered);
         let platform = identity.0.is_empty();
+        let doubtful = c.unheard.is_some();
         self.note(&Record::Ended { no, ending });
         self.copy_answered(no);
         self.copy_ended(now, no, &identity, ending);
@@ -78,7 +79,7 @@
             Ending::HandedBack(_) => self.counters.handed_back += 1,
         }
         // The platform's client of a delivered call hears of it by itself.
-        if asking || (platform && ending == Ending::Delivered) {
+        if asking || (platform && ending == Ending::Delivered && !doubtful) {
             if let Some(k) = self.known.get(&identity).filter(|_| asking) {
                 self.answers.insert(no, k.verdict.clone());
             }
@@ -148,6 +149,7 @@
                 self.note(&Record::Once { name, ending, until, tenant });
             }
         }
+        c.unheard.into_iter().for_each(|ended| self.ended_in(c.cell, ended));
         self.cells.post(c.cell, Event::Heard(no));
         let until = now + memory;
         if memory <= 0.0 {
--- a/src/dispatch/control.rs
+++ b/src/dispatch/control.rs
@@ -111,7 +111,9 @@
         let row = self.row_of(route, &w.worker);
         if row.listing != Listing::Ready {
             let address = w.worker.address.clone();
+            let dest = w.worker.dest;
             self.orders.push(Order::CloseIdle { route, address });
+            self.orders.push(Order::Hold { dest, route: Some(route) });
         }
         self.cells.post_all(&Event::List { rows: vec![row], whole: false, cached: false });
     }
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -93,6 +93,8 @@
     pub body: Vec<u8>,
     /// How long the dispatcher waits for the answer.
     pub patience: Ms,
+    /// Later than this no byte of it may be written, however late its connection comes up: nobody drops a repeat any more.
+    pub write_by: Ms,
 }
 
 /// How a delegation or a probe ended.
@@ -248,6 +250,9 @@
     /// Bytes that it needs in a compacted journal.
     size: u64,
     frozen: Option<Frozen>,
+    /// It was delivered as its time was up, and the platform may not have taken it for delivered: the module hears of it,
+    /// and its key and slot come free, once the platform has confirmed the end.
+    unheard: Option<Ended>,
 }
 
 /// What is remembered of an identity: the call that it named, or how that call ended.
--- a/src/dispatch/relay.rs
+++ b/src/dispatch/relay.rs
@@ -4,6 +4,10 @@
 use crate::api::*;
 use crate::journal::{CallNo, Ending, Sent};
 
+/// An answer that came so shortly before a call's time was up, by this side's clock, may have come after it by the
+/// platform's, which counts from the request's last byte: on its way and in the socket the request took a while.
+const DOUBT: Ms = 100.0;
+
 impl Core {
     /// A delegation ended. Exactly one outcome counts for each; later ones are passed over.
     pub fn outcome(&mut self, now: Ms, no: CallNo, attempt: u32, end: End) {
@@ -36,8 +40,13 @@
             report,
             heard,
         };
+        let doubtful = delivered && self.is_doubtful(now, no);
         self.cells.back(cell);
-        self.ended_in(cell, ended);
+        if doubtful {
+            self.calls.entry(no).and_modify(|c| c.unheard = Some(ended));
+        } else {
+            self.ended_in(cell, ended);
+        }
         if !outcome.never_ran() {
             let sent = Sent { at: out.sent, zone: self.zone(out.route) };
             self.calls.entry(no).and_modify(|c| {
@@ -61,6 +70,13 @@
         }
     }
 
+    /// Was it delivered so late that the platform may still wait for its end? Then it is told one, which does no harm where
+    /// the platform has taken it for delivered.
+    fn is_doubtful(&self, now: Ms, no: CallNo) -> bool {
+        let late = |c: &super::Call| c.taken.identity.0.is_empty() && now + DOUBT >= c.taken.valid_until;
+        self.calls.get(&no).is_some_and(late)
+    }
+
     /// A worker told a wait otherwise than by the outcome of a delegation; 0 is none.
     pub fn told_wait(&mut self, route: RouteId, wait: Ms) {
         if wait > 0.0 && self.worker(route).is_some() {
--- a/src/dispatch/route.rs
+++ b/src/dispatch/route.rs
@@ -115,8 +115,10 @@
                 let same = (o.worker.dest, o.worker.kind) == (worker.dest, worker.kind);
                 // Nothing new goes there, or it is elsewhere now: idle connections are of no more use.
                 if !same || worker.listing != Listing::Ready || o.worker.address != worker.address {
-                    let address = o.worker.address.clone();
+                    let (address, dest) = (o.worker.address.clone(), o.worker.dest);
                     self.orders.push(Order::CloseIdle { route, address });
+                    // Nor does what was decided before and waits for its connection, which may come up after the grace.
+                    self.orders.push(Order::Hold { dest, route: Some(route) });
                 }
                 if same {
                     number = Some(route);
@@ -135,6 +137,9 @@
             let gone = (worker.listing == Listing::Gone).then_some(now);
             self.workers.insert(route, Listed { worker, gone });
         }
+        for (route, w) in self.workers.iter().filter(|(_, w)| list.whole && w.gone == Some(now)) {
+            self.orders.push(Order::Hold { dest: w.worker.dest, route: Some(*route) });
+        }
         self.cells.post_all(&Event::List { rows, whole: list.whole, cached });
         self.prune(now);
         self.index();
--- a/src/dispatch/seats.rs
+++ b/src/dispatch/seats.rs
@@ -846,6 +846,7 @@
                 cell,
                 size,
                 frozen,
+                unheard: None,
             });
         }
         if !self.append_seat(&settled) {
--- a/src/dispatch/send.rs
+++ b/src/dispatch/send.rs
@@ -2,6 +2,7 @@
 
 use super::{Call, Core, Delegation, End, Order, Out};
 use crate::api::*;
+use crate::config::place;
 use crate::journal::{CallNo, Record, Sent};
 
 impl Core {
@@ -15,6 +16,8 @@
         let patience = cap.map_or(left, |cap| cap.min(left)).max(0.0);
         c.attempts += 1;
         c.out = Some(Out { attempt, route, sent: now, until: now + patience, written: false, charge: None });
+        let write_by = self.write_by(no);
+        let Some(c) = self.calls.get(&no) else { return };
         let delegation = Delegation {
             no,
             attempt,
@@ -25,6 +28,7 @@
             idempotency: c.taken.idempotency.clone(),
             body: c.taken.body.clone(),
             patience,
+            write_by,
         };
         // Its place is given back with its outcome, whatever that is.
         if !self.cells.sent(now, cell) {
@@ -59,6 +63,17 @@
         self.orders.push(Order::Delegate(delegation));
     }
 
+    /// When the last moment is at which an attempt may be written: a repeat is dropped by who got the first one only within
+    /// the window, and a connection may come up late.
+    fn write_by(&self, no: CallNo) -> Ms {
+        let window = |c: &Call| {
+            let class = &self.settings.classes[place(&self.names.classes, &c.taken.class)?];
+            let sent = c.ran.as_ref().filter(|_| matches!(class.effect, Effect::Keyed { .. }))?;
+            Some(sent.at + class.window - 2.0 * self.settings.round)
+        };
+        self.calls.get(&no).and_then(window).unwrap_or(f64::MAX)
+    }
+
     /// The last byte of a delegation has been written.
     pub fn written(&mut self, now: Ms, no: CallNo, attempt: u32) {
         let out = self.calls.get_mut(&no).and_then(|c| c.out.as_mut()).filter(|o| o.attempt == attempt);
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -65,6 +65,8 @@
     up: bool,
     opened: Ms,
     task: Option<(Task, Ms)>,
+    /// Later than this its request is not written.
+    write_by: Ms,
     written: bool,
     /// When the first byte of the answer came.
     heard: Option<Ms>,
@@ -121,7 +123,7 @@
         let mut bytes = text.into_bytes();
         bytes.extend_from_slice(&d.body);
         let task = Task::Delegation(d.no, d.attempt);
-        self.start(now, task, &d.address, (d.dest, d.route), &bytes, registry, found);
+        self.start(now, task, &d.address, (d.dest, d.route), (&bytes, d.write_by), registry, found);
     }
 
     /// Starts a probe.
@@ -136,7 +138,7 @@
         let text = format!("GET /health HTTP/1.1\r\nHost: {address}\r\n\r\n");
         let task = Task::Probe(unit.1);
         if !self.busy.contains_key(&task) {
-            self.start(now, task, address, unit, text.as_bytes(), registry, found);
+            self.start(now, task, address, unit, (text.as_bytes(), f64::MAX), registry, found);
         }
     }
 
@@ -147,7 +149,7 @@
         task: Task,
         address: &str,
         unit: (DestId, RouteId),
-        bytes: &[u8],
+        (bytes, write_by): (&[u8], Ms),
         registry: &Registry,
         found: &mut Vec<Finding>,
     ) {
@@ -160,6 +162,7 @@
         };
         let Some(c) = self.conns.get_mut(at) else { return };
         (c.task, c.written, c.heard, c.interim) = (Some((task, now)), false, None, 0);
+        c.write_by = write_by;
         c.stream.queue(bytes);
         self.busy.insert(task, at);
         if self.conns[at].up {
@@ -211,6 +214,7 @@
             up: false,
             opened: now,
             task: None,
+            write_by: f64::MAX,
             written: false,
             heard: None,
             interim: 0,
@@ -297,6 +301,9 @@
     /// Writes and reads what can be.
     fn push(&mut self, now: Ms, at: usize, found: &mut Vec<Finding>) {
         let Some(c) = self.conns.get_mut(at) else { return };
+        if c.task.is_some() && !c.written && now > c.write_by {
+            return self.end(now, at, Outcome::NotSent, found);
+        }
         let flushed = c.stream.flush();
         if let (Ok(true), Some((task, _)), false) = (&flushed, c.task, c.written) {
             c.written = true;
@@ -410,7 +417,8 @@
     fn due(&self, c: &Conn) -> Option<Ms> {
         let heard = c.heard.map(|t| t + ANSWER_PATIENCE);
         match c.task {
-            Some(_) if !c.up => Some(c.opened + self.connect_timeout),
+            Some(_) if !c.up => Some((c.opened + self.connect_timeout).min(c.write_by)),
+            Some((Task::Delegation(..), _)) if !c.written => Some(c.write_by).filter(|t| *t < f64::MAX),
             Some((Task::Probe(_), started)) => {
                 Some((started + PROBE_PATIENCE).min(heard.unwrap_or(f64::MAX)))
             }
@@ -428,6 +436,9 @@
         for at in due {
             match &self.conns[at] {
                 c if c.given_up.is_some() => self.close(at),
+                c if c.task.is_some() && !c.written && c.write_by <= now => {
+                    self.end(now, at, Outcome::NotSent, found);
+                }
                 c if c.heard.is_some() => self.broke(now, at, found),
                 c if c.up => self.end(now, at, Outcome::Late, found),
                 _ => self.end(now, at, Outcome::NoConnection, found),
--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -2,7 +2,11 @@
 //! forced by stand-ins that wait for a sign, and by halting the process; `docs/design/endings.md` lists them.
 
 mod stand;
+use lilacbank::api::{Listing, Ms, Outcome};
+use lilacbank::config::{Config, Worker as Listed, WorkerList};
+use lilacbank::dispatch::{Core, Delegation, End, Order, Parts, Submission};
 use lilacbank::journal::{Journal, Record};
+use lilacbank::net::http::{Finding, Workers};
 use stand::*;
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
@@ -179,3 +183,144 @@
     assert_eq!((young.line(), half.line()), ("+OK".to_string(), "+OK".to_string()));
     until("both are delivered", || worker.of("young") == 1 && worker.of("half") == 1);
 }
+
+/// Guards against an answer that came after the call's time was up, by the platform's clock, and is taken for the end of it:
+/// the platform waits for a notice, and the next message of the key for the platform. The process stands still while the
+/// answer comes and the time passes.
+#[test]
+fn a_delivery_as_its_time_is_up_is_told_and_its_key_waits_for_that() {
+    let (worker, registry) = (Puppet::start(), Puppet::start());
+    let entry = entry("w1", &worker.address.to_string(), "a", 1, "in_service");
+    let site = Site::new(&[]);
+    let d = site.start_with("127.0.0.1:0", &[("ROUTER_DISCOVERY", &registry.address.to_string())]);
+    let mut watch = registry.next("watch=1");
+    watch.begin_watch();
+    watch.chunk(&format!("{{\"rev\":7,\"all\":true,\"targets\":[{entry}]}}\n"));
+    let (mut c, start) = (d.client(), Instant::now());
+    until("the list is known", || c.keyed("5", "first", "c=order,d=900,k=a,dest=1") == "+OK");
+    let mut call = worker.next("POST");
+    assert_eq!(call.request.header("x-txn"), "first");
+    assert_eq!(c.keyed("5", "second", "c=order,k=b,dest=1"), "+OK");
+    d.halt();
+    call.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    std::thread::sleep(Duration::from_millis(950).saturating_sub(start.elapsed()));
+    d.signal("-CONT");
+    let mut notice = registry.next("POST");
+    assert!(String::from_utf8_lossy(&notice.request.body).contains("first"));
+    assert!(worker.waiting().is_none(), "the key waits for the platform");
+    notice.write(b"HTTP/1.1 204 Done\r\n\r\n");
+    assert_eq!(worker.next("POST").request.header("x-txn"), "second");
+}
+
+fn core() -> Core {
+    let text = lilacbank_rig::config::platform("n0", "0a", 3.0, 1, 1_000, "\"127.0.0.1:1\"");
+    let env = |key: &str| match key {
+        "ROUTER_STATE" => Some("unused".to_string()),
+        "ROUTER_LISTEN" => Some("127.0.0.1:0".to_string()),
+        _ => None,
+    };
+    let Config { settings, names, .. } = Config::reread(&text, &env).unwrap();
+    let dir = Site::new(&[]);
+    let (journal, _) = Journal::open(&dir.dir.join("state"), 1 << 20).unwrap();
+    let (promises, once, cells) = (Vec::new(), Vec::new(), Vec::new());
+    Core::new(Parts { settings, names, journal, promises, once, cells, mesh: None })
+}
+
+fn tell(core: &mut Core, now: Ms, listing: Listing, whole: bool) -> Vec<Order> {
+    let address = "127.0.0.1:1".to_string();
+    let w = Listed { uid: "w1".into(), address, zone: 0, kind: 0, dest: 1, listing, weight: 1.0 };
+    let workers = if whole { vec![] } else { vec![w] };
+    core.list(now, WorkerList { rev: 1, whole, workers }, false);
+    core.turn(now)
+}
+
+/// The next delegation that the core orders, within so many milliseconds.
+fn next_delegation(core: &mut Core, from: Ms, within: usize) -> Option<(Ms, Delegation)> {
+    (0..within).map(|n| from + n as Ms).find_map(|now| {
+        core.turn(now)
+            .into_iter()
+            .find_map(|o| if let Order::Delegate(d) = o { Some((now, d)) } else { None })
+    })
+}
+
+fn submit(core: &mut Core, now: Ms, id: &str, class: &str) {
+    let identity = (String::new(), id.to_string());
+    let (class, idempotency) = (class.to_string(), "k".to_string());
+    core.submit(now, 2, Submission { identity, class, idempotency, dest: 1, ..Submission::default() });
+}
+
+/// Guards against a repeat that is decided within the window in which repeats are dropped and written after it: its
+/// connection came up late. A first attempt may be written whenever it comes up.
+#[test]
+fn a_repeat_may_be_written_within_its_window_only() {
+    let mut core = core();
+    tell(&mut core, 0.0, Listing::Ready, false);
+    submit(&mut core, 10.0, "a", "order");
+    let (first, d) = next_delegation(&mut core, 10.0, 5).unwrap();
+    assert_eq!(d.write_by, f64::MAX);
+    core.outcome(first + 50.0, d.no, d.attempt, End::of(Outcome::Reset));
+    let (_, again) = next_delegation(&mut core, first + 50.0, 3_000).unwrap();
+    assert_eq!((again.attempt, again.write_by), (1, first + 20_000.0 - 2.0));
+}
+
+/// The same on the wire: not a byte of it is written once the time is past, and the call is told to be unsent.
+#[test]
+fn a_connection_that_comes_up_after_the_window_carries_nothing() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let mut poll = mio::Poll::new().unwrap();
+    let mut workers = Workers::new(core().settings(), 8);
+    let delegation = |no, write_by| Delegation {
+        no,
+        attempt: 1,
+        route: 0,
+        address: address.clone(),
+        dest: 1,
+        id: "a".into(),
+        idempotency: "k".into(),
+        body: b"x".to_vec(),
+        patience: 5_000.0,
+        write_by,
+    };
+    let mut found = Vec::new();
+    let mut events = mio::Events::with_capacity(8);
+    // By the timer while it is not up, and by its coming up.
+    workers.delegate(0.0, &delegation(1, 40.0), poll.registry(), &mut found);
+    assert_eq!(workers.next_due(), Some(40.0));
+    workers.tick(40.0, &mut found);
+    workers.delegate(0.0, &delegation(2, 40.0), poll.registry(), &mut found);
+    poll.poll(&mut events, Some(Duration::from_secs(5))).unwrap();
+    workers.ready(41.0, 0, &mut found);
+    let ends: Vec<Outcome> = found
+        .iter()
+        .filter_map(|f| if let Finding::Ended { end, .. } = f { Some(end.outcome) } else { None })
+        .collect();
+    assert_eq!(ends, [Outcome::NotSent, Outcome::NotSent]);
+    assert!(!found.iter().any(|f| matches!(f, Finding::Written(_))));
+    for _ in 0..2 {
+        let mut text = String::new();
+        let (mut c, _) = listener.accept().unwrap();
+        let _ = std::io::Read::read_to_string(&mut c, &mut text);
+        assert_eq!(text, "");
+    }
+    // In time it is written.
+    workers.delegate(50.0, &delegation(3, 90.0), poll.registry(), &mut found);
+    poll.poll(&mut events, Some(Duration::from_secs(5))).unwrap();
+    workers.ready(60.0, 0, &mut found);
+    assert!(found.iter().any(|f| matches!(f, Finding::Written(_))));
+}
+
+/// Guards against a call that was decided before its endpoint began to drain, or went from the list, and is written after the
+/// grace: its connection came up late.
+#[test]
+fn what_waits_for_its_connection_is_held_back_once_its_endpoint_drains_or_goes() {
+    for whole in [false, true] {
+        let mut core = core();
+        tell(&mut core, 0.0, Listing::Ready, false);
+        submit(&mut core, 10.0, "a", "safe");
+        let (_, d) = next_delegation(&mut core, 10.0, 5).unwrap();
+        let orders = tell(&mut core, 20.0, Listing::Draining, whole);
+        let hold = Order::Hold { dest: 1, route: Some(d.route) };
+        assert!(orders.contains(&hold), "whole: {whole}: {orders:?}");
+    }
+}
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -222,6 +222,11 @@
         Puppet { address, arrivals }
     }
 
+    /// A request that has come and was not looked at yet.
+    pub fn waiting(&self) -> Option<Arrival> {
+        self.arrivals.try_recv().ok()
+    }
+
     /// The next request whose line holds this text; others are dropped unanswered, their connections stay open.
     pub fn next(&self, text: &str) -> Arrival {
         let start = Instant::now();
