--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -303,17 +303,38 @@
         std::fs::write(self.dir.join("config.json"), text).unwrap();
     }
 
+    /// The configuration with a text of it changed, as the value of `ROUTER_CONFIG`.
+    pub fn changed(&self, from: &str, to: &str) -> String {
+        self.configure("null");
+        let text = std::fs::read_to_string(self.dir.join("config.json")).unwrap();
+        assert!(text.contains(from), "{from} in {text}");
+        let path = self.dir.join("changed.json");
+        std::fs::write(&path, text.replace(from, to)).unwrap();
+        path.to_string_lossy().into_owned()
+    }
+
     pub fn start(&self) -> Dispatcher {
         self.start_with("127.0.0.1:0", &[])
     }
 
     /// Starts one on this address for clients, with more variables.
     pub fn start_with(&self, listen: &str, more: &[(&str, &str)]) -> Dispatcher {
+        self.start_as(Command::new(env!("CARGO_BIN_EXE_lilacbank")), listen, more)
+    }
+
+    /// Starts one that may hold so many descriptors.
+    pub fn start_limited(&self, descriptors: usize, more: &[(&str, &str)]) -> Dispatcher {
+        let mut shell = Command::new("sh");
+        let script = format!("ulimit -n {descriptors} && exec \"$0\"");
+        shell.args(["-c", &script, env!("CARGO_BIN_EXE_lilacbank")]);
+        self.start_as(shell, "127.0.0.1:0", more)
+    }
+
+    fn start_as(&self, mut command: Command, listen: &str, more: &[(&str, &str)]) -> Dispatcher {
         let (config, mqtt) = (self.dir.join("config.json"), self.dir.join("mqtt.toml"));
         self.configure("null");
         let on = self.mqtt;
         std::fs::write(&mqtt, format!("[acceptor]\nenabled = {on}\nlisten = \"127.0.0.1:0\"\n")).unwrap();
-        let mut command = Command::new(env!("CARGO_BIN_EXE_lilacbank"));
         command
             .env("ROUTER_CONFIG", config)
             .env("ROUTER_LISTEN", listen)
