--- a/crates/load/src/member.rs
+++ b/crates/load/src/member.rs
@@ -29,7 +29,7 @@
     pub cold: Duration,
     /// from this part of it on.
     pub cold_from: f64,
-    /// While it is cold it falls over again when the calls of `over` are more than N + 3 x root of N + 3, N being
+    /// While it is cold it falls over again when the calls of `over` are more than N + 2 x root of N + 2, N being
     /// what it may take then times `factor`.
     pub factor: f64,
     /// See `factor`.
@@ -48,7 +48,7 @@
     /// Calls within `over` that are too many for one that may take this part.
     pub fn fall_at(&self, part: f64) -> f64 {
         let n = f64::from(self.per_second) * part * self.factor * self.over.as_secs_f64();
-        n + 3.0 * n.sqrt() + 3.0
+        n + 2.0 * n.sqrt() + 2.0
     }
 }
 
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -194,6 +194,7 @@
                             // A start with a list of its own asks within this: the list may be old, and an endpoint that drains since is not to be
                             // sent to 2 s after the registry would have told of it.
 const ASK_START_MOST: Ms = 800.0;
+const ASK_START_GRACE: f64 = 0.4; // and within this part of the grace that a draining endpoint has, where that is less
 
 /// How an asking, or the watch that came of it, ended.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -211,14 +212,20 @@
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Asking {
     senders: usize,
+    /// The first asking of a start comes within this.
+    start_most: Ms,
     /// Failures in a row, and of these the ones that were silence.
     failed: u32,
     silent: u32,
 }
 
 impl Asking {
-    pub(crate) fn new(senders: usize) -> Asking {
-        Asking { senders, failed: 0, silent: 0 }
+    /// For one of so many senders; `drain_grace`: for how long a draining endpoint may still be sent to once that is told.
+    pub(crate) fn new(senders: usize, drain_grace: Ms) -> Asking {
+        // 0: none is told.
+        let grace = if drain_grace > 0.0 { ASK_START_GRACE * drain_grace } else { ASK_START_MOST };
+        let start_most = ASK_START_MOST.min(grace);
+        Asking { senders, start_most, failed: 0, silent: 0 }
     }
 
     /// How long an asking may be without an answer.
@@ -234,13 +241,13 @@
 
     /// How long to wait before the first asking of a process that starts with a list it kept: a turn, within a bound.
     pub(crate) fn start(&self, draw: f64) -> Ms {
-        draw * (ASK_TURN * (self.senders.max(1) - 1) as f64).min(ASK_START_MOST)
+        draw * (ASK_TURN * (self.senders.max(1) - 1) as f64).min(self.start_most)
     }
 
     /// How long to wait before the first asking of a process that starts with no list: it serves nothing until it asks,
     /// so only the registry's time for the senders that may start with it, and half the bound of a start with a list.
     pub(crate) fn empty(&self, draw: f64) -> Ms {
-        draw * (ASK_QUEUE * (self.senders.max(1) - 1) as f64).min(ASK_START_MOST / 2.0)
+        draw * (ASK_QUEUE * (self.senders.max(1) - 1) as f64).min(self.start_most / 2.0)
     }
 
     /// An asking failed; returns after how long to ask again. What the registry has counts as told 6 s after it can be
@@ -282,10 +289,15 @@
     fn a_start_with_a_kept_list_asks_within_the_bound_however_many_senders() {
         let mut random = Random::new(5);
         for senders in [1, 10, 100, 300, 3_000] {
-            let a = Asking::new(senders);
+            let a = Asking::new(senders, 2_000.0);
             let most = (0..1_000).map(|_| a.start(random.next())).fold(0.0, f64::max);
             assert!(most <= ASK_START_MOST, "{senders}: {most}");
             assert!(senders < 10 || most > ASK_START_MOST / 2.0, "still spread: {senders}: {most}");
+            // Another customer's endpoints have a grace of half a second, and what the registry has counts as told from the
+            // first moment of a new process.
+            let a = Asking::new(senders, 500.0);
+            let most = (0..1_000).map(|_| a.start(random.next())).fold(0.0, f64::max);
+            assert!(most <= 200.0, "{senders}: {most}");
         }
     }
 
@@ -293,7 +305,7 @@
     /// Returns when the last of the senders has its watch.
     fn all_watch(senders: usize, seed: u64) -> Option<Ms> {
         let mut random = Random::new(seed);
-        let mut askers: Vec<Asking> = vec![Asking::new(senders); senders];
+        let mut askers: Vec<Asking> = vec![Asking::new(senders, 2_000.0); senders];
         // When each asks next, or until when it waits for the answer.
         let mut at: Vec<(Ms, bool)> = askers.iter().map(|a| (a.first(random.next()), false)).collect();
         let mut has = vec![false; senders];
@@ -330,13 +342,13 @@
     #[test]
     fn starts_with_no_list_are_spread_within_a_bound() {
         let mut random = Random::new(7);
-        let a = Asking::new(100);
+        let a = Asking::new(100, 2_000.0);
         let mut at: Vec<Ms> = (0..100).map(|_| a.empty(random.next())).collect();
         at.sort_by(f64::total_cmp);
         let busiest = at.iter().map(|t| at.iter().filter(|u| **u >= *t && **u < t + 10.0).count()).max();
         assert!(busiest.is_some_and(|b| b <= 8), "{busiest:?}");
         assert!(at[99] <= ASK_START_MOST / 2.0);
-        assert_eq!(Asking::new(1).empty(0.9), 0.0);
+        assert_eq!(Asking::new(1, 2_000.0).empty(0.9), 0.0);
     }
 
     /// Guards against a change that is told 6 s after the registry is back and found nobody asking: however many askings were
@@ -346,7 +358,7 @@
         let mut random = Random::new(11);
         for senders in [1, 3, 25, 100, 300, 3_000] {
             for silent in [true, false] {
-                let mut a = Asking::new(senders);
+                let mut a = Asking::new(senders, 2_000.0);
                 for n in 0..12 {
                     let patience = if silent { a.patience() } else { 0.0 };
                     let why = if silent { Unanswered::Silent } else { Unanswered::Broken };
@@ -355,7 +367,7 @@
                 }
             }
         }
-        let mut few = Asking::new(ASK_CROWD);
+        let mut few = Asking::new(ASK_CROWD, 2_000.0);
         for _ in 0..12 {
             let wait = Unanswered::Refused(60_000.0);
             assert!(few.patience() + few.failed(wait, random.next()) < 5_500.0);
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -242,7 +242,7 @@
         let (settings, names) = (config.settings.clone(), config.names.clone());
         let (promises, once, cells) = (side.promises, side.once, side.cells);
         let older = if recovery.enabled { recovery.older_ms } else { 0.0 };
-        let watch = Watch::new(now, config.registry, rev, settings.senders, settings.seed, older);
+        let watch = Watch::new(now, config.registry, rev, &settings, older);
         let peers = Peers::new(side.mesh.as_ref());
         let peer_at = side.mesh.as_ref().and_then(|m| m.peer(&m.me)).map(|p| p.peer);
         let mut left = match journal.other() {
--- a/src/net/registry.rs
+++ b/src/net/registry.rs
@@ -3,7 +3,7 @@
 use super::head::{head, HEAD_MOST};
 use super::stream::{Fill, Stream};
 use super::{token, Kind};
-use crate::api::Ms;
+use crate::api::{Ms, Settings};
 use crate::config::{self, Names, Node, WorkerList};
 use crate::fleet::{Asking, Unanswered};
 use crate::logging::Complaint;
@@ -74,18 +74,12 @@
 }
 
 impl Watch {
-    /// A watch that goes on from a version, for one of so many senders; it is opened in its turn.
+    /// A watch that goes on from a version, for one of the senders of these settings; it is opened in its turn.
     ///
     /// `older`: milliseconds for which older lists are refused.
-    pub fn new(
-        now: Ms,
-        address: Option<SocketAddr>,
-        rev: u64,
-        senders: usize,
-        seed: u64,
-        older: Ms,
-    ) -> Watch {
-        let (asking, mut random) = (Asking::new(senders), Random::new(seed));
+    pub fn new(now: Ms, address: Option<SocketAddr>, rev: u64, settings: &Settings, older: Ms) -> Watch {
+        let asking = Asking::new(settings.senders, settings.drain_grace);
+        let mut random = Random::new(settings.seed);
         // With no list there is nothing to serve from, and a short turn among those who may start with it.
         let turn = if rev > 0 { asking.start(random.next()) } else { asking.empty(random.next()) };
         Watch {
