Drop an older wish that was heard once a newer one is said here

tests/replication.rs, an_operator_s_wish_holds_on_all_dispatchers, failed in the whole suite and in 2 of 14 runs alone, on a busy machine: "never came true: all agree". Cause: another dispatcher's wish was heard and waited for the core's turn, an operator said otherwise here meanwhile, with the newer stamp, and the turn then carried out the older one here only (News::Ban in src/dispatch/copying.rs after Command::SetDown in control.rs). The keeper now drops wishes not yet taken that a newer one of the same endpoint replaces. A test of the keeper orders the two words and fails without it.

--- a/crates/replica/src/keeper.rs
+++ b/crates/replica/src/keeper.rs
@@ -532,6 +532,8 @@
     pub fn ban(&mut self, now: Ms, endpoint: &str, down: bool) {
         let stamp = self.clock.tick(now);
         self.bans.insert(endpoint.to_string(), (stamp, down));
+        // Guards against an older wish that was heard and not yet taken from here: it would be carried out after this one.
+        self.news.retain(|n| !matches!(n, News::Ban(id, _) if id == endpoint));
         let to: Vec<String> = self.peers.keys().cloned().collect();
         to.iter().for_each(|p| self.tell_ban(p, endpoint));
     }
--- a/crates/replica/tests/keeper.rs
+++ b/crates/replica/tests/keeper.rs
@@ -4,7 +4,7 @@
 use lilacbank_replica::copies::{Content, End, Stage};
 use lilacbank_replica::keeper::{Keeper, News, Spec};
 use lilacbank_replica::owner::{Kind, Step};
-use lilacbank_replica::wire::{Beat, Envelope, Say, WireCopy};
+use lilacbank_replica::wire::{Ban, Beat, Envelope, Say, WireCopy};
 use lilacbank_replica::Ms;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -534,3 +534,25 @@
     (20..40).for_each(|n| k.tick(n * 100));
     assert!(k.may_act(4_000, "m") && k.take_news().contains(&News::Start("m".into())));
 }
+
+/// Guards against an older wish carried out after a newer one: it was heard, and an operator said otherwise here before the
+/// dispatcher took the news. Then this dispatcher does what nobody wishes any more, and the others do the other.
+#[test]
+fn a_wish_that_was_heard_gives_way_to_one_said_here_before_it_was_taken() {
+    let mut a = alone(1);
+    a.hear(
+        10,
+        word(5, Say::Ban(Ban { id: "w1".into(), down: false, wall: 10, count: 0, writer: "o".into() })),
+    );
+    a.ban(11, "w1", true);
+    let bans: Vec<News> = a.take_news().into_iter().filter(|n| matches!(n, News::Ban(..))).collect();
+    assert!(bans.is_empty(), "{bans:?}");
+    // Another endpoint's wish is kept, and so is a newer one.
+    for (id, wall) in [("w2", 12), ("w1", 13)] {
+        let ban = Ban { id: id.into(), down: true, wall, count: 0, writer: "o".into() };
+        a.hear(wall, word(5, Say::Ban(ban)));
+    }
+    a.ban(14, "w3", true);
+    let bans = a.take_news().into_iter().filter(|n| matches!(n, News::Ban(..))).count();
+    assert_eq!(bans, 2);
+}
