--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -418,7 +418,9 @@
         let heard = c.heard.map(|t| t + ANSWER_PATIENCE);
         match c.task {
             Some(_) if !c.up => Some((c.opened + self.connect_timeout).min(c.write_by)),
-            Some((Task::Delegation(..), _)) if !c.written => Some(c.write_by).filter(|t| *t < f64::MAX),
+            Some((Task::Delegation(..), _)) if !c.written => {
+                Some(c.write_by.min(heard.unwrap_or(f64::MAX))).filter(|t| *t < f64::MAX)
+            }
             Some((Task::Probe(_), started)) => {
                 Some((started + PROBE_PATIENCE).min(heard.unwrap_or(f64::MAX)))
             }
