--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -76,6 +76,39 @@
     assert!(unanswered.is_empty(), "taken on and not answered: {unanswered:?} of {}", late.len());
 }
 
+/// The same where nothing is held, and the process leaves sooner: each request that it counted as refused was answered so.
+#[test]
+fn what_was_refused_before_the_end_is_answered_when_nothing_is_held() {
+    let worker = Worker::start(|_, _| OK);
+    let site = one(&worker);
+    let mut d = site.start();
+    assert_eq!(d.client().submit("a", "c=safe,dest=1"), "+OK");
+    until("it is delivered", || worker.of("a") == 1);
+    let address = d.address();
+    d.signal("-TERM");
+    let crowd: Vec<_> = (0..6)
+        .map(|who| {
+            std::thread::spawn(move || {
+                let (mut refused, mut n) = (0, 0);
+                while let Ok(mut c) = Client::try_connect(address) {
+                    // Of a destination that the list does not name.
+                    refused += usize::from(
+                        c.try_submit(&format!("{who}-{n}"), "c=safe,dest=9").starts_with("-BUSY"),
+                    );
+                    n += 1;
+                }
+                refused
+            })
+        })
+        .collect();
+    let left = d.logged("leaves with 0 calls in the journal; taken in: ");
+    d.ended();
+    let answered: usize = crowd.into_iter().map(|c| c.join().unwrap()).sum();
+    let counted = left.split(", ").find_map(|part| part.strip_suffix(" busy")).unwrap();
+    assert!(answered > 50, "clients came up to the end: {answered}");
+    assert_eq!(answered.to_string(), counted);
+}
+
 /// Guards against a watch that has fallen silent for longer than what it misses may stay unknown: 6 s.
 #[test]
 fn a_silent_watch_is_opened_anew_before_what_it_misses_counts_as_told() {
