--- a/tests/restarts.rs
+++ b/tests/restarts.rs
@@ -75,12 +75,11 @@
     assert_eq!(worker.of("a"), 1);
 }
 
-/// The same window of 1 s, and a process that is back within it: then it is repeated.
+/// A process that is back within the window (12 s here: any machine starts one in that) repeats it.
 #[test]
 fn within_a_short_window_what_may_have_run_is_repeated_after_a_restart() {
     let worker = Worker::start(|_, nth| if nth == 0 { Reply::Silence } else { OK });
     let site = site_of(&worker);
-    // Long enough for any machine to start a process in.
     let config = site.changed("\"window\":20000", "\"window\":12000");
     let start = || site.start_with("127.0.0.1:0", &[("ROUTER_CONFIG", &config)]);
     let d = start();
