--- a/src/dispatch/send.rs
+++ b/src/dispatch/send.rs
@@ -67,7 +67,7 @@
     /// the window, and a connection may come up late.
     fn write_by(&self, no: CallNo) -> Ms {
         let window = |c: &Call| {
-            let class = &self.settings.classes[place(&self.names.classes, &c.taken.class)?];
+            let class = self.settings.classes.get(place(&self.names.classes, &c.taken.class)?)?;
             let sent = c.ran.as_ref().filter(|_| matches!(class.effect, Effect::Keyed { .. }))?;
             Some(sent.at + class.window - 2.0 * self.settings.round)
         };
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -524,7 +524,11 @@
             Ending::HandedBack(wait) => {
                 log::warn!(id = id, outcome = "handed_back", wait_ms = wait.ceil(); "{id} is handed back, to come again");
             }
-            Ending::GivenUp | Ending::Delivered => {
+            // Told since nobody else may have taken it for delivered; whoever reads the log is told what is true.
+            Ending::Delivered => {
+                log::info!(id = id, outcome = "delivered"; "{id} is delivered as its time was up")
+            }
+            Ending::GivenUp => {
                 log::warn!(id = id, outcome = "given_up"; "{id} is given up");
             }
         }
