--- /dev/null
+++ b/crates/faults/src/lib.rs
@@ -0,0 +1,277 @@
+//! Fault injection for one process: a shared library that is loaded by `LD_PRELOAD` and takes the place of some functions of
+//! the C library. Tests load it into the processes that they start; nothing else is touched.
+//!
+//! `LILACBANK_FAULTS` holds a schedule: faults separated by `;`, each `KIND FROM UNTIL [ARGUMENT]`. Times are milliseconds of
+//! `CLOCK_MONOTONIC` since `LILACBANK_FAULTS_EPOCH`, or since the start of the process without it.
+//!
+//! | kind | effect | argument |
+//! | --- | --- | --- |
+//! | `clock` | `CLOCK_REALTIME` is off by so much | milliseconds, may be negative |
+//! | `enospc` | writes to files of the folder fail with `ENOSPC` | 1: half of the bytes are written first |
+//! | `eio` | writes, opens, truncations and renames in the folder fail with `EIO` | 1: half of the bytes are written first |
+//! | `accept` | `accept4` fails with `EMFILE` | - |
+//! | `connect` | `connect` fails with `ENETUNREACH` | - |
+//! | `eintr` | one in so many reads, writes and polls fails with `EINTR` | 3 if absent |
+//! | `short` | reads and writes on sockets move so many bytes at most | 7 if absent |
+//! | `halt` | the thread sleeps before one in 64 writes on a socket | milliseconds, 150 if absent |
+//!
+//! The folder is `LILACBANK_FAULTS_FOLDER`, a prefix of paths.
+
+mod schedule;
+
+use libc::{c_char, c_int, c_void, mode_t, off_t, size_t, sockaddr, socklen_t, ssize_t, timespec};
+use schedule::{Kind, Schedule};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::OnceLock;
+
+/// One in so many socket writes is held up by a `halt`.
+const HALT_EACH: u64 = 64;
+
+static SCHEDULE: OnceLock<Schedule> = OnceLock::new();
+/// Calls so far, to pick every nth of them.
+static CALLS: AtomicU64 = AtomicU64::new(0);
+
+fn monotonic_ms() -> f64 {
+    let mut now = timespec { tv_sec: 0, tv_nsec: 0 };
+    // SAFETY: the structure outlives the call.
+    unsafe { libc::syscall(libc::SYS_clock_gettime, libc::CLOCK_MONOTONIC, &mut now) };
+    now.tv_sec as f64 * 1e3 + now.tv_nsec as f64 / 1e6
+}
+
+fn schedule() -> &'static Schedule {
+    SCHEDULE.get_or_init(|| {
+        let variable = |name: &str| std::env::var(name).unwrap_or_default();
+        let epoch = variable("LILACBANK_FAULTS_EPOCH").parse().unwrap_or_else(|_| monotonic_ms());
+        Schedule::parse(&variable("LILACBANK_FAULTS"), epoch, variable("LILACBANK_FAULTS_FOLDER"))
+    })
+}
+
+/// The argument of a fault of this kind that is on now.
+fn active(kind: Kind) -> Option<f64> {
+    schedule().active(kind, monotonic_ms())
+}
+
+fn fail(errno: c_int) -> c_int {
+    // SAFETY: the C library's own location of this thread's errno.
+    unsafe { *libc::__errno_location() = errno };
+    -1
+}
+
+fn nth_call(each: u64) -> bool {
+    CALLS.fetch_add(1, Ordering::Relaxed).is_multiple_of(each.max(1))
+}
+
+/// Does an interruption by a signal end this call?
+fn interrupted() -> bool {
+    active(Kind::Interrupt).is_some_and(|each| nth_call(if each > 0.0 { each as u64 } else { 3 }))
+}
+
+fn path_of(fd: c_int) -> Option<String> {
+    std::fs::read_link(format!("/proc/self/fd/{fd}")).ok().map(|p| p.to_string_lossy().into_owned())
+}
+
+fn in_folder(path: &str) -> bool {
+    let folder = &schedule().folder;
+    !folder.is_empty() && path.starts_with(folder.as_str())
+}
+
+fn is_socket(fd: c_int) -> bool {
+    path_of(fd).is_some_and(|p| p.starts_with("socket:"))
+}
+
+/// The error that a write to a file of the folder gets now, and whether half of it is written first.
+fn disk_fault(fd: c_int) -> Option<(c_int, bool)> {
+    let fault = active(Kind::NoSpace).map(|half| (libc::ENOSPC, half > 0.0));
+    let fault = fault.or_else(|| active(Kind::Io).map(|half| (libc::EIO, half > 0.0)))?;
+    path_of(fd).is_some_and(|p| in_folder(&p)).then_some(fault)
+}
+
+fn path_fault(path: *const c_char) -> bool {
+    if active(Kind::Io).is_none() || path.is_null() {
+        return false;
+    }
+    // SAFETY: the caller passes a path, which ends with a zero.
+    in_folder(&unsafe { std::ffi::CStr::from_ptr(path) }.to_string_lossy())
+}
+
+/// # Safety
+/// As the C library's function.
+#[no_mangle]
+pub unsafe extern "C" fn clock_gettime(clock: libc::clockid_t, out: *mut timespec) -> c_int {
+    let done = libc::syscall(libc::SYS_clock_gettime, clock, out) as c_int;
+    if done == 0 && clock == libc::CLOCK_REALTIME {
+        if let Some(step) = active(Kind::Clock) {
+            let nanos = (*out).tv_sec as i128 * 1_000_000_000 + (*out).tv_nsec as i128 + (step * 1e6) as i128;
+            (*out).tv_sec = nanos.div_euclid(1_000_000_000) as _;
+            (*out).tv_nsec = nanos.rem_euclid(1_000_000_000) as _;
+        }
+    }
+    done
+}
+
+/// # Safety
+/// As the C library's function.
+#[no_mangle]
+pub unsafe extern "C" fn write(fd: c_int, bytes: *const c_void, mut count: size_t) -> ssize_t {
+    // Standard error carries the schedule's own complaints; one byte is a signal handler's, where nothing may be allocated.
+    if fd == 2 || count == 1 || schedule().is_empty() {
+        return libc::syscall(libc::SYS_write, fd, bytes, count) as ssize_t;
+    }
+    if let Some((errno, half)) = disk_fault(fd) {
+        if half && count > 1 && count.is_multiple_of(2) {
+            return libc::syscall(libc::SYS_write, fd, bytes, count / 2) as ssize_t;
+        }
+        return fail(errno) as ssize_t;
+    }
+    let socket = is_socket(fd);
+    if socket && interrupted() {
+        return fail(libc::EINTR) as ssize_t;
+    }
+    if socket {
+        count = shortened(count);
+        halt();
+    }
+    libc::syscall(libc::SYS_write, fd, bytes, count) as ssize_t
+}
+
+fn shortened(count: size_t) -> size_t {
+    let most = |n: f64| if n > 0.0 { n as size_t } else { 7 };
+    active(Kind::Short).map_or(count, |n| count.min(most(n)))
+}
+
+fn halt() {
+    if let Some(span) = active(Kind::Halt).filter(|_| nth_call(HALT_EACH)) {
+        let span = if span > 0.0 { span } else { 150.0 };
+        let span = timespec { tv_sec: 0, tv_nsec: (span * 1e6) as _ };
+        // SAFETY: the structure outlives the call.
+        unsafe { libc::syscall(libc::SYS_nanosleep, &span, std::ptr::null_mut::<timespec>()) };
+    }
+}
+
+/// # Safety
+/// As the C library's function.
+#[no_mangle]
+pub unsafe extern "C" fn pwrite64(fd: c_int, bytes: *const c_void, count: size_t, at: off_t) -> ssize_t {
+    match disk_fault(fd) {
+        Some((errno, _)) => fail(errno) as ssize_t,
+        None => libc::syscall(libc::SYS_pwrite64, fd, bytes, count, at) as ssize_t,
+    }
+}
+
+/// # Safety
+/// As the C library's function.
+#[no_mangle]
+pub unsafe extern "C" fn read(fd: c_int, bytes: *mut c_void, mut count: size_t) -> ssize_t {
+    if !schedule().is_empty() {
+        if active(Kind::Io).is_some() && path_of(fd).is_some_and(|p| in_folder(&p)) {
+            return fail(libc::EIO) as ssize_t;
+        }
+        if is_socket(fd) {
+            if interrupted() {
+                return fail(libc::EINTR) as ssize_t;
+            }
+            count = shortened(count);
+        }
+    }
+    libc::syscall(libc::SYS_read, fd, bytes, count) as ssize_t
+}
+
+/// # Safety
+/// As the C library's function.
+#[no_mangle]
+pub unsafe extern "C" fn recv(fd: c_int, bytes: *mut c_void, mut count: size_t, flags: c_int) -> ssize_t {
+    if !schedule().is_empty() {
+        if interrupted() {
+            return fail(libc::EINTR) as ssize_t;
+        }
+        count = shortened(count);
+    }
+    let none = std::ptr::null_mut::<sockaddr>();
+    libc::syscall(libc::SYS_recvfrom, fd, bytes, count, flags, none, none) as ssize_t
+}
+
+/// # Safety
+/// As the C library's function.
+#[no_mangle]
+pub unsafe extern "C" fn send(fd: c_int, bytes: *const c_void, mut count: size_t, flags: c_int) -> ssize_t {
+    if !schedule().is_empty() {
+        if interrupted() {
+            return fail(libc::EINTR) as ssize_t;
+        }
+        count = shortened(count);
+        halt();
+    }
+    let none = std::ptr::null_mut::<sockaddr>();
+    libc::syscall(libc::SYS_sendto, fd, bytes, count, flags, none, 0) as ssize_t
+}
+
+/// # Safety
+/// As the C library's function.
+#[no_mangle]
+pub unsafe extern "C" fn open64(path: *const c_char, flags: c_int, mode: mode_t) -> c_int {
+    if path_fault(path) {
+        return fail(libc::EIO);
+    }
+    libc::syscall(libc::SYS_openat, libc::AT_FDCWD, path, flags, mode) as c_int
+}
+
+/// # Safety
+/// As the C library's function.
+#[no_mangle]
+pub unsafe extern "C" fn ftruncate64(fd: c_int, length: off_t) -> c_int {
+    if active(Kind::Io).is_some() && path_of(fd).is_some_and(|p| in_folder(&p)) {
+        return fail(libc::EIO);
+    }
+    libc::syscall(libc::SYS_ftruncate, fd, length) as c_int
+}
+
+/// # Safety
+/// As the C library's function.
+#[no_mangle]
+pub unsafe extern "C" fn rename(from: *const c_char, to: *const c_char) -> c_int {
+    if path_fault(from) {
+        return fail(libc::EIO);
+    }
+    libc::syscall(libc::SYS_renameat2, libc::AT_FDCWD, from, libc::AT_FDCWD, to, 0) as c_int
+}
+
+/// # Safety
+/// As the C library's function.
+#[no_mangle]
+pub unsafe extern "C" fn accept4(
+    fd: c_int,
+    address: *mut sockaddr,
+    length: *mut socklen_t,
+    flags: c_int,
+) -> c_int {
+    if active(Kind::Accept).is_some() {
+        return fail(libc::EMFILE);
+    }
+    libc::syscall(libc::SYS_accept4, fd, address, length, flags) as c_int
+}
+
+/// # Safety
+/// As the C library's function.
+#[no_mangle]
+pub unsafe extern "C" fn connect(fd: c_int, address: *const sockaddr, length: socklen_t) -> c_int {
+    if active(Kind::Connect).is_some() {
+        return fail(libc::ENETUNREACH);
+    }
+    libc::syscall(libc::SYS_connect, fd, address, length) as c_int
+}
+
+/// # Safety
+/// As the C library's function.
+#[no_mangle]
+pub unsafe extern "C" fn epoll_wait(
+    poll: c_int,
+    events: *mut libc::epoll_event,
+    most: c_int,
+    timeout: c_int,
+) -> c_int {
+    if !schedule().is_empty() && interrupted() {
+        return fail(libc::EINTR);
+    }
+    let none = std::ptr::null::<c_void>();
+    libc::syscall(libc::SYS_epoll_pwait, poll, events, most, timeout, none, 8usize) as c_int
+}
--- /dev/null
+++ b/tests/stand/faults.rs
@@ -0,0 +1,43 @@
+//! The library of `crates/faults`, built on demand, and the variables that load it into a dispatcher that a test starts.
+
+use super::Site;
+use std::path::PathBuf;
+use std::process::Command;
+use std::sync::OnceLock;
+
+/// Where the library is; built once for each test program.
+fn library() -> &'static str {
+    static PATH: OnceLock<String> = OnceLock::new();
+    PATH.get_or_init(|| {
+        let done = Command::new(env!("CARGO"))
+            .args(["build", "--quiet", "--locked", "-p", "lilacbank-faults"])
+            .current_dir(env!("CARGO_MANIFEST_DIR"))
+            .status()
+            .unwrap();
+        assert!(done.success(), "the library of crates/faults is not built");
+        // This program is TARGET/PROFILE/deps/NAME.
+        let target: PathBuf = std::env::current_exe().unwrap().ancestors().nth(3).unwrap().into();
+        let path = target.join("debug/liblilacbank_faults.so");
+        assert!(path.exists(), "{}", path.display());
+        path.to_str().unwrap().to_string()
+    })
+}
+
+/// Variables of a dispatcher of this site whose system calls fail as the schedule says (`crates/faults`).
+pub fn schedule(site: &Site, text: &str) -> Vec<(&'static str, String)> {
+    vec![
+        ("LD_PRELOAD", library().to_string()),
+        ("LILACBANK_FAULTS", text.to_string()),
+        ("LILACBANK_FAULTS_FOLDER", site.dir.join("state").to_str().unwrap().to_string()),
+    ]
+}
+
+impl Site {
+    /// Starts a dispatcher under a schedule of faults.
+    pub fn start_under(&self, text: &str, more: &[(&str, &str)]) -> super::Dispatcher {
+        let faults = schedule(self, text);
+        let all: Vec<(&str, &str)> =
+            faults.iter().map(|(n, v)| (*n, v.as_str())).chain(more.iter().copied()).collect();
+        self.start_with("127.0.0.1:0", &all)
+    }
+}
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -1,6 +1,8 @@
 //! Stand-ins for the outside of a dispatcher: workers, the platform's registry, clients. The program itself is real.
 #![allow(dead_code)]
 
+pub mod faults;
+
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
