Count real time across lives and between two processes; keep an upgrade's waits

Cause: every time in the folder was wall time of the writer (`Clock::now`), compared by the next life with its own wall clock: deadlines, the window and memory of `Sent.at`, `Known`, `Once`, `Over` and `Spent`, the starts of the life record, the age of the kept list. Class: any wall time that is kept. Bans hold no time, but were told apart by the file's time alone: now by its inode, too.

Waits lived in one process. Now they are journalled (`Record::Wait`) and each of the two reads what the other was told, every 20 ms (src/dispatch/waits.rs). Ruled out: the module (its `pause_until` held in the process that was told).

--- a/src/dispatch/admit.rs
+++ b/src/dispatch/admit.rs
@@ -211,7 +211,8 @@
                 Record::Once { name, ending, until, tenant } if until > now => {
                     self.once.remember(name, ending, until, tenant)
                 }
-                Record::Once { .. } => {}
+                // A restart ends all waits, and the clocks have been read with the file.
+                Record::Once { .. } | Record::Wait { .. } | Record::Clock(_) => {}
                 Record::Seat(bytes) => {
                     if let Some((tenant, from)) = seats.take(&bytes) {
                         left.retain(|no, (c, _)| *no < from || c.taken.tenant != tenant);
@@ -287,6 +288,7 @@
         let calls = records.iter().filter(|r| matches!(r, Record::Taken(_))).count();
         self.restore(now, records.clone());
         self.write_down(&records);
+        self.heed_waits(now, records);
         calls
     }
 
@@ -424,6 +426,7 @@
         };
         records.extend(self.once.ends().map(once));
         records.extend(self.seat_records());
+        records.extend(self.waits.records(self.now));
         if let Err(e) = self.journal.compact(records.into_iter()) {
             log::error!(cause:% = e; "the journal cannot be compacted: {e}");
         }
--- a/src/dispatch/hints.rs
+++ b/src/dispatch/hints.rs
@@ -296,7 +296,7 @@
         let workers = self.workers.values().filter(|w| w.gone.is_none()).map(|w| w.worker.clone()).collect();
         let list = WorkerList { rev, whole: true, workers };
         let health = self.hints.memory.all(now).map(|(m, h)| (m.to_string(), h));
-        Some(Kept::new(installation, now, &list, &self.names, health))
+        Some(Kept::new(installation, (now, self.journal.clocks()), &list, &self.names, health))
     }
 }
 
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -23,6 +23,7 @@
 mod seats;
 mod send;
 mod take_in;
+mod waits;
 
 use crate::api::*;
 use crate::config::{Names, Worker};
@@ -332,6 +333,8 @@
     backlog: backlog::Backlog,
     /// Another process on the folder, during an upgrade.
     beside: beside::Beside,
+    /// Waits that endpoints told this dispatcher.
+    waits: waits::Waits,
     live_bytes: u64,
     known_bytes: u64,
     /// How calls ended whose clients wait for the verdict of this turn.
@@ -385,6 +388,7 @@
             next_no: 1,
             first_no: 1,
             beside: beside::Beside::default(),
+            waits: waits::Waits::default(),
             live_bytes: 0,
             known_bytes: 0,
             answers: HashMap::new(),
--- a/src/dispatch/pace.rs
+++ b/src/dispatch/pace.rs
@@ -168,7 +168,7 @@
     }
 
     /// All cells hear of a wait that no delegation of theirs was told.
-    pub(super) fn waits(&mut self, route: RouteId, wait: Ms) {
+    pub(super) fn post_wait(&mut self, route: RouteId, wait: Ms) {
         let (outcome, report) = (Outcome::Refused, Report::default());
         let (attempt, took, over, heard) = (0, 0.0, false, true);
         self.cells.post_all(&Event::Ended(Ended {
--- a/src/dispatch/relay.rs
+++ b/src/dispatch/relay.rs
@@ -57,6 +57,7 @@
         self.note_rest(now, no, outcome);
         // What was kept back here, for a climb or a promise, was told no wait: what has its place goes out.
         if wait > 0.0 && outcome != Outcome::NotSent {
+            self.note_wait(now, out.route, wait);
             self.hold(out.route);
         }
         if delivered {
@@ -78,16 +79,17 @@
     }
 
     /// A worker told a wait otherwise than by the outcome of a delegation; 0 is none.
-    pub fn told_wait(&mut self, route: RouteId, wait: Ms) {
+    pub fn told_wait(&mut self, now: Ms, route: RouteId, wait: Ms) {
         if wait > 0.0 && self.worker(route).is_some() {
             log::debug!(wait_ms = wait; "worker {route} told a wait beside the calls");
-            self.waits(route, wait);
+            self.post_wait(route, wait);
+            self.note_wait(now, route, wait);
             self.hold(route);
         }
     }
 
     /// Guards against a call that was decided before a wait was told and is written after it has begun.
-    fn hold(&mut self, route: RouteId) {
+    pub(super) fn hold(&mut self, route: RouteId) {
         let Some(w) = self.worker(route) else { return };
         let apart = self.settings.kind(w.kind).apart;
         let (dest, route) = (w.dest, apart.then_some(route));
--- a/src/dispatch/route.rs
+++ b/src/dispatch/route.rs
@@ -38,6 +38,7 @@
         }
         self.fade(now);
         self.once.fade(now);
+        self.waits.fade(now);
         self.copying_out();
         std::mem::take(&mut self.orders)
     }
@@ -144,6 +145,7 @@
         self.prune(now);
         self.index();
         self.hints_listed(now, &routes, cached);
+        self.apply_unknown_waits(now);
     }
 
     /// The routes of each destination; the module is to hear of their room.
--- /dev/null
+++ b/src/dispatch/waits.rs
@@ -0,0 +1,110 @@
+//! Waits that endpoints told this dispatcher, by whichever of its processes; no I/O, no clock.
+//!
+//! During an upgrade two processes serve on one folder. A wait was told to the dispatcher, so it binds both: each writes the
+//! waits that it is told to its journal and reads those that the other one wrote. A restart ends all waits.
+
+use super::Core;
+use crate::api::{Ms, RouteId};
+use crate::journal::Record;
+use std::collections::BTreeMap;
+
+/// A wait that ends this much later than the one that is known already is the same one, told again.
+const SAME: Ms = 1.0;
+
+/// Until when each endpoint, by its id, wants no call.
+#[derive(Debug, Clone, Default)]
+pub struct Waits {
+    until: BTreeMap<String, Ms>,
+    /// Told to the other process by endpoints that this one's list does not name yet.
+    unknown: Vec<String>,
+}
+
+impl Waits {
+    /// An endpoint told a wait; true if it ends later than what is known.
+    fn told(&mut self, worker: &str, until: Ms) -> bool {
+        if self.until.get(worker).is_some_and(|known| until <= known + SAME) {
+            return false;
+        }
+        self.until.insert(worker.to_string(), until);
+        true
+    }
+
+    /// Until when this endpoint wants no call, if a wait of its own is on.
+    pub fn until(&self, now: Ms, worker: &str) -> Option<Ms> {
+        self.until.get(worker).copied().filter(|until| *until > now)
+    }
+
+    /// Forgets those that are over.
+    pub fn fade(&mut self, now: Ms) {
+        self.until.retain(|_, until| *until > now);
+    }
+
+    /// Records of those that are on, for a journal that is written anew.
+    pub fn records(&self, now: Ms) -> impl Iterator<Item = Record> + '_ {
+        let on = self.until.iter().filter(move |(_, until)| **until > now);
+        on.map(|(worker, until)| Record::Wait { worker: worker.clone(), until: *until })
+    }
+}
+
+impl Core {
+    /// An endpoint told this process a wait: the other one, if there is one or comes one, is to keep it too.
+    pub(super) fn note_wait(&mut self, now: Ms, route: RouteId, wait: Ms) {
+        let Some(worker) = self.worker(route).map(|w| w.uid.clone()) else { return };
+        if wait > 0.0 && self.waits.told(&worker, now + wait) {
+            self.note(&Record::Wait { worker, until: now + wait });
+        }
+    }
+
+    /// Waits that were told to the process beside this one, or to one that has ended and left its journal.
+    pub fn heed_waits(&mut self, now: Ms, records: Vec<Record>) {
+        for record in records {
+            let Record::Wait { worker, until } = record else { continue };
+            if until > now && self.waits.told(&worker, until) {
+                log::debug!(worker = worker.as_str(), wait_ms = until - now; "the process beside was told a wait");
+                self.apply_wait(now, worker, until);
+            }
+        }
+    }
+
+    fn apply_wait(&mut self, now: Ms, worker: String, until: Ms) {
+        match self.worker_of.get(&worker).copied() {
+            Some(route) => {
+                self.post_wait(route, until - now);
+                self.hold(route);
+            }
+            None => self.waits.unknown.push(worker),
+        }
+    }
+
+    /// The list names endpoints that it did not name before.
+    pub(super) fn apply_unknown_waits(&mut self, now: Ms) {
+        for worker in std::mem::take(&mut self.waits.unknown) {
+            if let Some(until) = self.waits.until(now, &worker) {
+                self.apply_wait(now, worker, until);
+            }
+        }
+    }
+
+    /// Reads what the process beside this one was told since the last look.
+    pub fn heed_process_beside(&mut self, now: Ms) {
+        let records = self.journal.other_waits();
+        self.heed_waits(now, records);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_longest_wait_of_an_endpoint_counts_and_ends() {
+        let mut waits = Waits::default();
+        assert!(waits.told("w", 500.0));
+        assert!(!waits.told("w", 300.0) && !waits.told("w", 500.5), "shorter, or told again");
+        assert!(waits.told("w", 900.0));
+        assert_eq!((waits.until(0.0, "w"), waits.until(0.0, "x")), (Some(900.0), None));
+        assert_eq!(waits.records(899.0).count(), 1);
+        waits.fade(900.0);
+        assert_eq!((waits.until(0.0, "w"), waits.records(0.0).count()), (None, 0));
+    }
+}
--- a/src/journal.rs
+++ b/src/journal.rs
@@ -4,340 +4,15 @@
 //! nothing is synced. A torn tail is cut off. When the file has grown, the records that still matter are written to
 //! a second file, which then takes the first one's name; both together stay within the folder's limit.
 
-use crate::api::Ms;
-use lilacbank_limits::{Spent, Step};
+mod record;
+
+use crate::timeline::{self, Reading};
+pub use record::{CallNo, Ending, Identity, Record, Sent, Taken};
 use std::fs::{File, OpenOptions};
 use std::io::{self, Read, Write};
-use std::os::unix::fs::FileExt;
+use std::os::unix::fs::{FileExt, MetadataExt};
 use std::path::{Path, PathBuf};
 
-/// Number of a call in the journal; grows with each call taken.
-pub type CallNo = u64;
-
-/// Where and when a delegation was sent.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Sent {
-    /// Wall-clock time.
-    pub at: Ms,
-    /// The worker's zone, by name.
-    pub zone: String,
-}
-
-/// How a call ended.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub enum Ending {
-    /// A worker took it.
-    Delivered,
-    /// Given up, with no promise about its effect.
-    GivenUp,
-    /// Never ran, or may be repeated: the client may come again after so many milliseconds; 0 tells nothing.
-    HandedBack(Ms),
-}
-
-/// What a call is known by: who handed it in, and under which id.
-pub type Identity = (String, String);
-
-/// A call as it was handed in.
-#[derive(Debug, Clone, Default, PartialEq)]
-pub struct Taken {
-    /// Its number.
-    pub no: CallNo,
-    /// Who handed it in and under which id; the platform's clients have no name.
-    pub identity: Identity,
-    /// Class, by name.
-    pub class: String,
-    /// Tenant, by name; may be empty.
-    pub tenant: String,
-    /// The key of its order.
-    pub key: Option<u64>,
-    /// Passed on to workers.
-    pub idempotency: String,
-    /// Its destination.
-    pub dest: u64,
-    /// It may be delivered until then, by the wall clock.
-    pub valid_until: Ms,
-    /// Where its final answer goes; only its front reads this.
-    pub reply: Vec<u8>,
-    /// The body.
-    pub body: Vec<u8>,
-}
-
-/// One record.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Record {
-    /// A call was taken on.
-    Taken(Taken),
-    /// The state of its delegations from now on.
-    State {
-        /// The call.
-        no: CallNo,
-        /// How many were started.
-        attempts: u32,
-        /// The first one that may have run.
-        ran: Option<Sent>,
-        /// The one that is out.
-        out: Option<Sent>,
-    },
-    /// Its end was decided; the client may not have heard.
-    Ended {
-        /// The call.
-        no: CallNo,
-        /// How.
-        ending: Ending,
-    },
-    /// Nothing is owed any more; its identity is remembered.
-    Over {
-        /// The call.
-        no: CallNo,
-        /// Until when.
-        until: Ms,
-    },
-    /// Calls that count against what was promised of a member.
-    Spent(Spent),
-    /// A message that is never to be repeated has ended and may have run.
-    Once {
-        /// Under which name it is known.
-        name: String,
-        /// How it ended.
-        ending: Ending,
-        /// Until when it is remembered.
-        until: Ms,
-        /// Its tenant, where tenants may move.
-        tenant: String,
-    },
-    /// A call that is over, for the memory of identities.
-    Known {
-        /// Who and which.
-        identity: Identity,
-        /// How it ended.
-        ending: Ending,
-        /// Until when it is remembered.
-        until: Ms,
-        /// Its tenant, where tenants may move.
-        tenant: String,
-    },
-    /// A tenant's seat, as `lilacbank_cells::wire` writes it.
-    Seat(Vec<u8>),
-}
-
-#[derive(Default)]
-struct Out(Vec<u8>);
-
-impl Out {
-    fn u64(&mut self, n: u64) {
-        self.0.extend_from_slice(&n.to_le_bytes());
-    }
-    fn ms(&mut self, t: Ms) {
-        self.u64(t.to_bits());
-    }
-    fn bytes(&mut self, b: &[u8]) {
-        self.u64(b.len() as u64);
-        self.0.extend_from_slice(b);
-    }
-    fn sent(&mut self, s: &Option<Sent>) {
-        self.0.push(u8::from(s.is_some()));
-        if let Some(s) = s {
-            self.ms(s.at);
-            self.bytes(s.zone.as_bytes());
-        }
-    }
-    fn ending(&mut self, e: Ending) {
-        let (code, wait) = match e {
-            Ending::Delivered => (0, 0.0),
-            Ending::GivenUp => (1, 0.0),
-            Ending::HandedBack(wait) => (2, wait),
-        };
-        self.0.push(code);
-        self.ms(wait);
-    }
-    /// Left out where there is none: the mark of the record says so.
-    fn tenant(&mut self, t: &str) {
-        if !t.is_empty() {
-            self.bytes(t.as_bytes());
-        }
-    }
-    fn identity(&mut self, i: &Identity) {
-        self.bytes(i.0.as_bytes());
-        self.bytes(i.1.as_bytes());
-    }
-}
-
-struct In<'a>(&'a [u8]);
-
-impl<'a> In<'a> {
-    fn take(&mut self, n: usize) -> Option<&'a [u8]> {
-        let (head, rest) = self.0.split_at_checked(n)?;
-        self.0 = rest;
-        Some(head)
-    }
-    fn u8(&mut self) -> Option<u8> {
-        Some(self.take(1)?[0])
-    }
-    fn u64(&mut self) -> Option<u64> {
-        Some(u64::from_le_bytes(self.take(8)?.try_into().ok()?))
-    }
-    fn ms(&mut self) -> Option<Ms> {
-        self.u64().map(f64::from_bits).filter(|t| t.is_finite())
-    }
-    fn bytes(&mut self) -> Option<Vec<u8>> {
-        let n = usize::try_from(self.u64()?).ok()?;
-        Some(self.take(n)?.to_vec())
-    }
-    fn text(&mut self) -> Option<String> {
-        String::from_utf8(self.bytes()?).ok()
-    }
-    fn sent(&mut self) -> Option<Option<Sent>> {
-        Some(if self.u8()? == 0 { None } else { Some(Sent { at: self.ms()?, zone: self.text()? }) })
-    }
-    fn ending(&mut self) -> Option<Ending> {
-        let (code, wait) = (self.u8()?, self.ms()?);
-        Some(match code {
-            0 => Ending::Delivered,
-            1 => Ending::GivenUp,
-            2 => Ending::HandedBack(wait),
-            _ => return None,
-        })
-    }
-    fn identity(&mut self) -> Option<Identity> {
-        Some((self.text()?, self.text()?))
-    }
-}
-
-impl Record {
-    fn encode(&self) -> Vec<u8> {
-        let mut o = Out(vec![0; 8]);
-        match self {
-            Record::Taken(t) => {
-                o.0.push(b'T');
-                o.u64(t.no);
-                o.identity(&t.identity);
-                o.bytes(t.class.as_bytes());
-                o.bytes(t.tenant.as_bytes());
-                o.0.push(u8::from(t.key.is_some()));
-                o.u64(t.key.unwrap_or(0));
-                o.bytes(t.idempotency.as_bytes());
-                o.u64(t.dest);
-                o.ms(t.valid_until);
-                o.bytes(&t.reply);
-                o.bytes(&t.body);
-            }
-            Record::State { no, attempts, ran, out } => {
-                o.0.push(b'S');
-                o.u64(*no);
-                o.u64(u64::from(*attempts));
-                o.sent(ran);
-                o.sent(out);
-            }
-            Record::Ended { no, ending } => {
-                o.0.push(b'E');
-                o.u64(*no);
-                o.ending(*ending);
-            }
-            Record::Over { no, until } => {
-                o.0.push(b'O');
-                o.u64(*no);
-                o.ms(*until);
-            }
-            Record::Spent(s) => {
-                o.0.push(b'P');
-                o.u64(s.dest);
-                o.bytes(s.endpoint.as_bytes());
-                o.ms(s.at);
-                o.u64(u64::from(s.calls));
-                o.0.push(match s.step {
-                    Step::Started => 0,
-                    Step::Written => 1,
-                    Step::GivenBack => 2,
-                });
-            }
-            Record::Once { name, ending, until, tenant } => {
-                o.0.push(if tenant.is_empty() { b'N' } else { b'n' });
-                o.bytes(name.as_bytes());
-                o.ending(*ending);
-                o.ms(*until);
-                o.tenant(tenant);
-            }
-            Record::Known { identity, ending, until, tenant } => {
-                o.0.push(if tenant.is_empty() { b'K' } else { b'k' });
-                o.identity(identity);
-                o.ending(*ending);
-                o.ms(*until);
-                o.tenant(tenant);
-            }
-            Record::Seat(bytes) => {
-                o.0.push(b'M');
-                o.bytes(bytes);
-            }
-        }
-        let len = (o.0.len() - 8) as u32;
-        let sum = crc32fast::hash(&o.0[8..]);
-        o.0[..4].copy_from_slice(&len.to_le_bytes());
-        o.0[4..8].copy_from_slice(&sum.to_le_bytes());
-        o.0
-    }
-
-    fn decode(body: &[u8]) -> Option<Record> {
-        let mut i = In(body);
-        let record = match i.u8()? {
-            b'T' => Record::Taken(Taken {
-                no: i.u64()?,
-                identity: i.identity()?,
-                class: i.text()?,
-                tenant: i.text()?,
-                key: match (i.u8()?, i.u64()?) {
-                    (0, _) => None,
-                    (_, k) => Some(k),
-                },
-                idempotency: i.text()?,
-                dest: i.u64()?,
-                valid_until: i.ms()?,
-                reply: i.bytes()?,
-                body: i.bytes()?,
-            }),
-            b'S' => Record::State {
-                no: i.u64()?,
-                attempts: u32::try_from(i.u64()?).ok()?,
-                ran: i.sent()?,
-                out: i.sent()?,
-            },
-            b'E' => Record::Ended { no: i.u64()?, ending: i.ending()? },
-            b'O' => Record::Over { no: i.u64()?, until: i.ms()? },
-            b'P' => Record::Spent(Spent {
-                dest: i.u64()?,
-                endpoint: i.text()?,
-                at: i.ms()?,
-                calls: u32::try_from(i.u64()?).ok()?,
-                step: match i.u8()? {
-                    0 => Step::Started,
-                    1 => Step::Written,
-                    2 => Step::GivenBack,
-                    _ => return None,
-                },
-            }),
-            mark @ (b'N' | b'n') => Record::Once {
-                name: i.text()?,
-                ending: i.ending()?,
-                until: i.ms()?,
-                tenant: if mark == b'n' { i.text()? } else { String::new() },
-            },
-            mark @ (b'K' | b'k') => Record::Known {
-                identity: i.identity()?,
-                ending: i.ending()?,
-                until: i.ms()?,
-                tenant: if mark == b'k' { i.text()? } else { String::new() },
-            },
-            b'M' => Record::Seat(i.bytes()?),
-            _ => return None,
-        };
-        i.0.is_empty().then_some(record)
-    }
-
-    /// Bytes that the record takes in the file.
-    pub fn size(&self) -> u64 {
-        self.encode().len() as u64
-    }
-}
-
 /// Share of the limit that live records may fill before nothing more is taken in,
 const LIVE_SHARE: f64 = 0.36;
 /// that identities of calls that are over may fill before the oldest are forgotten,
@@ -368,6 +43,43 @@
     damaged: usize,
     /// Its start found the last record cut short.
     cut: bool,
+    /// The clocks at the start of this process; none for those who only look at a folder.
+    clocks: Option<Reading>,
+    /// The reading stands in the file before the records of this process.
+    dated: bool,
+    /// How far the other file has been read for news, while the process that writes it lives.
+    other_read: Tail,
+}
+
+/// How far a file that another process writes has been read.
+#[derive(Debug, Default)]
+struct Tail {
+    /// Which file it is: a compaction puts another one in its place.
+    inode: u64,
+    read: u64,
+    /// The reading of the clocks before the records that come next.
+    clocks: Option<Reading>,
+}
+
+impl Tail {
+    /// The records behind those of the last look, with the reading of the clocks before them.
+    fn news(&mut self, path: &Path) -> io::Result<Vec<Record>> {
+        let file = File::open(path)?;
+        let about = file.metadata()?;
+        if about.ino() != self.inode || about.len() < self.read {
+            *self = Tail { inode: about.ino(), ..Tail::default() };
+        }
+        let mut bytes = vec![0; (about.len() - self.read) as usize];
+        file.read_exact_at(&mut bytes, self.read)?;
+        let found = scan(&bytes);
+        self.read += found.good as u64;
+        let mut records: Vec<Record> = self.clocks.map(Record::Clock).into_iter().collect();
+        records.extend(found.records);
+        let clocks =
+            records.iter().rev().find_map(|r| if let Record::Clock(c) = r { Some(*c) } else { None });
+        self.clocks = clocks.or(self.clocks);
+        Ok(records)
+    }
 }
 
 /// The file of a process that has ended, taken over by this one: its records, and its lock until it is emptied.
@@ -573,6 +285,16 @@
     ///
     /// The folder or a file cannot be made or read, or both files are held by processes that live.
     pub fn open(folder: &Path, limit: u64) -> io::Result<(Journal, Vec<Record>)> {
+        Journal::open_at(folder, limit, None)
+    }
+
+    /// The same for a process that started with this reading of the clocks: all times are on its timeline, those read and
+    /// those that it writes.
+    ///
+    /// # Errors
+    ///
+    /// See [`Journal::open`].
+    pub fn open_at(folder: &Path, limit: u64, clocks: Option<Reading>) -> io::Result<(Journal, Vec<Record>)> {
         std::fs::create_dir_all(folder)?;
         let mut held = None;
         // The other process looks at a file's lock now and then, and holds it for that instant.
@@ -599,6 +321,7 @@
         let mut bytes = Vec::new();
         file.read_to_end(&mut bytes)?;
         let Scan { records, good, damaged } = scan(&bytes);
+        let records = clocks.map_or_else(|| records.clone(), |c| timeline::translated(records.clone(), &c));
         if good < bytes.len() {
             log::warn!("the journal's tail of {} bytes is torn and cut off", bytes.len() - good);
             file.set_len(good as u64)?;
@@ -617,8 +340,14 @@
             slot,
             damaged: damaged.len(),
             cut,
+            clocks,
+            dated: false,
+            other_read: Tail::default(),
             _lock: lock,
         };
+        if let Err(e) = journal.date() {
+            log::warn!(cause:% = e; "the journal takes no record yet: {e}");
+        }
         if !damaged.is_empty() {
             let bytes = set_aside(folder, SLOTS[slot], &bytes, &damaged);
             log::warn!(
@@ -632,6 +361,11 @@
         Ok((journal, records))
     }
 
+    /// The clocks at the start of this process.
+    pub fn clocks(&self) -> Option<Reading> {
+        self.clocks
+    }
+
     /// Damaged stretches that the start found between good records and set aside in the folder's file `damaged`.
     pub fn damaged(&self) -> usize {
         self.damaged
@@ -683,12 +417,30 @@
                 }
                 let cut = good < bytes.len() || (good as u64) < read_mark(&lock);
                 let damaged = damaged.len() + usize::from(cut);
+                let records = self.own_timeline(records);
                 return Ok(Other::Left(Orphan { path, _lock: lock, records, damaged }));
             }
         }
         Ok(found)
     }
 
+    fn own_timeline(&self, records: Vec<Record>) -> Vec<Record> {
+        match &self.clocks {
+            Some(clocks) => timeline::translated(records, clocks),
+            None => records,
+        }
+    }
+
+    /// Waits that were written to the folder's other file since the last look: the process that writes it lives, and what
+    /// endpoints told it was told to this one, too.
+    pub fn other_waits(&mut self) -> Vec<Record> {
+        let folder = self.path.parent().unwrap_or(Path::new("."));
+        let Some(other) = (0..SLOTS.len()).find(|s| *s != self.slot) else { return Vec::new() };
+        let news = self.other_read.news(&folder.join(SLOTS[other])).unwrap_or_default();
+        let waits = self.own_timeline(news).into_iter();
+        waits.filter(|r| matches!(r, Record::Wait { .. })).collect()
+    }
+
     /// What [`Journal::other`] finds, if it is left by a process that has ended.
     ///
     /// # Errors
@@ -701,8 +453,22 @@
         })
     }
 
+    /// Writes the reading of the clocks before the first record of this process.
+    fn date(&mut self) -> io::Result<()> {
+        if let (Some(clocks), false) = (self.clocks, self.dated) {
+            self.write(&Record::Clock(clocks))?;
+            self.dated = true;
+        }
+        Ok(())
+    }
+
     /// Writes a record; after a failure the file is as it was before.
     pub fn append(&mut self, record: &Record) -> io::Result<()> {
+        self.date()?;
+        self.write(record)
+    }
+
+    fn write(&mut self, record: &Record) -> io::Result<()> {
         let bytes = record.encode();
         // Half a record would hide all that follow it.
         if self.torn {
@@ -751,7 +517,7 @@
         }
         let (file, size) = done?;
         (self.file, self.size) = (file, size);
-        self.torn = false;
+        (self.torn, self.dated) = (false, true);
         write_mark(&self._lock, self.size)
     }
 
@@ -761,7 +527,8 @@
     fn write_fresh(&self, records: impl Iterator<Item = Record>) -> io::Result<(File, u64)> {
         let new = fresh(&self.path);
         let mut bytes = Vec::new();
-        records.for_each(|r| bytes.extend(r.encode()));
+        let clocks = self.clocks.map(Record::Clock);
+        clocks.into_iter().chain(records).for_each(|r| bytes.extend(r.encode()));
         let _ = std::fs::remove_file(&new);
         let mut file = OpenOptions::new().append(true).create_new(true).open(&new)?;
         file.write_all(&bytes)?;
--- a/src/kept.rs
+++ b/src/kept.rs
@@ -5,6 +5,7 @@
 
 use crate::api::{Listing, Ms};
 use crate::config::{self, Names, Node, WorkerList};
+use crate::timeline::Reading;
 use lilacbank_limits::ramp::{Former, Health};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -20,8 +21,11 @@
     form: u32,
     /// Whose it is: see [`installation`].
     installation: u32,
-    /// When it was written, in wall-clock milliseconds.
+    /// When it was written, in wall-clock milliseconds on the timeline of its writer,
     at: Ms,
+    /// which begins with this reading; none in files of earlier programs.
+    #[serde(default)]
+    clocks: Option<Reading>,
     /// Revision of the list.
     rev: u64,
     targets: Vec<Target>,
@@ -74,7 +78,7 @@
     /// What is to be written now.
     pub fn new(
         installation: u32,
-        now: Ms,
+        (now, clocks): (Ms, Option<Reading>),
         list: &WorkerList,
         names: &Names,
         health: impl Iterator<Item = (String, Health)>,
@@ -98,6 +102,7 @@
             form: FORM,
             installation,
             at: now,
+            clocks,
             rev: list.rev,
             targets: list.workers.iter().map(target).collect(),
             health: health.map(|(member, h)| (member, h.rate, h.away)).collect(),
@@ -120,7 +125,7 @@
         serde_json::from_slice(body).ok()
     }
 
-    /// The newest of these writings that is whole, as a hint for a start at `now`; none where there is no file.
+    /// The newest of these writings that is whole, as a hint for a start with this reading of the clocks; none where there is no file.
     ///
     /// # Errors
     ///
@@ -128,11 +133,11 @@
     pub fn newest(
         files: &[Vec<u8>],
         installation: u32,
-        now: Ms,
+        clocks: &Reading,
         names: &Names,
     ) -> Result<Option<Hint>, Refused> {
         let read: Vec<Result<(Ms, Hint), Refused>> =
-            files.iter().map(|f| Kept::hint(f, installation, now, names)).collect();
+            files.iter().map(|f| Kept::hint(f, installation, clocks, names)).collect();
         let good = read.iter().filter_map(|r| r.as_ref().ok()).max_by(|a, b| a.0.total_cmp(&b.0));
         match (good, read.first()) {
             (Some((_, hint)), _) => Ok(Some(hint.clone())),
@@ -141,12 +146,12 @@
         }
     }
 
-    /// Reads [`Kept::encode`]'s lines as a hint for a start at `now`, with the time of its writing.
+    /// Reads [`Kept::encode`]'s lines as a hint for a start with this reading, with the time of its writing.
     ///
     /// # Errors
     ///
     /// It is damaged, or of another installation.
-    fn hint(text: &[u8], installation: u32, now: Ms, names: &Names) -> Result<(Ms, Hint), Refused> {
+    fn hint(text: &[u8], installation: u32, clocks: &Reading, names: &Names) -> Result<(Ms, Hint), Refused> {
         let kept = Kept::decode(text).ok_or(Refused::Damaged)?;
         if kept.installation != installation || kept.form != FORM {
             return Err(Refused::Foreign);
@@ -154,12 +159,13 @@
         let list = serde_json::json!({ "rev": kept.rev, "all": true, "targets": kept.targets }).to_string();
         let list =
             config::json("kept", &list).and_then(|v| config::worker_list(&Node::root("kept", &v), names));
-        let age = Some(now - kept.at).filter(|age| *age >= -AHEAD).map(|age| age.max(0.0));
+        let at = kept.clocks.map_or(kept.at, |from| clocks.translate(&from, kept.at));
+        let age = Some(clocks.wall - at).filter(|age| *age >= -AHEAD).map(|age| age.max(0.0));
         let good = |h: &(String, f64, Option<Ms>)| h.1.is_finite() && h.1 >= 0.0;
         let former = kept.health.into_iter().filter(good);
         let former =
             former.map(|(member, rate, away)| (member, Former { health: Health { rate, away }, age }));
-        Ok((kept.at, Hint { list: list.map_err(|_| Refused::Foreign)?, former: former.collect(), age }))
+        Ok((at, Hint { list: list.map_err(|_| Refused::Foreign)?, former: former.collect(), age }))
     }
 }
 
@@ -183,14 +189,16 @@
         };
         let list = WorkerList { rev: 9, whole: true, workers: vec![worker] };
         let health = [("w1".to_string(), Health { rate: 7.5, away: Some(3.0) })];
-        Kept::new(installation("n0", &names()), now, &list, &names(), health.into_iter())
+        Kept::new(installation("n0", &names()), (now, None), &list, &names(), health.into_iter())
     }
 
     /// Guards against a hint of another installation, of the future, or with a flipped bit, taken for one's own.
     #[test]
     fn a_hint_is_read_whole_with_its_age_or_not_at_all() {
         let (me, text) = (installation("n0", &names()), kept(1_000.0).encode());
-        let read = |bytes: &[u8], whose: u32, now: Ms| Kept::hint(bytes, whose, now, &names()).map(|h| h.1);
+        let at = |wall: Ms| Reading { wall, ..Reading::default() };
+        let read =
+            |bytes: &[u8], whose: u32, now: Ms| Kept::hint(bytes, whose, &at(now), &names()).map(|h| h.1);
         let hint = read(text.as_bytes(), me, 61_000.0).unwrap();
         assert_eq!((hint.list.rev, hint.list.workers[0].zone, hint.age), (9, 1, Some(60_000.0)));
         assert_eq!(hint.list.workers[0].listing, Listing::Draining);
@@ -200,10 +208,19 @@
         assert_eq!(read(text.as_bytes(), installation("n1", &names()), 0.0), Err(Refused::Foreign));
         let longer = text.clone() + "of an earlier writing, which was longer";
         assert_eq!(read(longer.as_bytes(), me, 61_000.0), Ok(hint.clone()));
+        // Whatever the wall clock was set to meanwhile, its age is the time that went by.
+        let from = Reading { boot: 3, since_boot: 100.0, wall: 1_000.0 };
+        let dated = Kept { clocks: Some(from), ..kept(1_500.0) }.encode();
+        for wall in [-3_600_000.0, 3_600_000.0] {
+            let later = Reading { since_boot: 2_600.0, wall, ..from };
+            let hint = Kept::hint(dated.as_bytes(), me, &later, &names()).unwrap().1;
+            assert_eq!(hint.age, Some(2_000.0));
+        }
         // Of two files the newer; of one whole and one torn the whole one.
         let (older, torn) = (kept(500.0).encode().into_bytes(), text.as_bytes()[..90].to_vec());
-        let newest =
-            |files: &[Vec<u8>]| Kept::newest(files, me, 61_000.0, &names()).map(|h| h.and_then(|h| h.age));
+        let newest = |files: &[Vec<u8>]| {
+            Kept::newest(files, me, &at(61_000.0), &names()).map(|h| h.and_then(|h| h.age))
+        };
         assert_eq!(newest(&[older.clone(), text.clone().into_bytes()]), Ok(Some(60_000.0)));
         assert_eq!(newest(&[older, torn.clone()]), Ok(Some(60_500.0)));
         assert_eq!((newest(&[torn]), newest(&[])), (Err(Refused::Damaged), Ok(None)));
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod net;
 pub mod recovery;
 mod state;
+pub mod timeline;
 pub mod together;
 pub mod tool;
 pub mod wire;
--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -12,6 +12,7 @@
 use slab::Slab;
 use std::collections::BTreeSet;
 use std::io;
+use std::os::unix::fs::MetadataExt;
 use std::path::Path;
 
 /// Callers at once; the one that has waited longest goes to make room for one more.
@@ -139,7 +140,12 @@
     std::fs::rename(&fresh, folder.join(BANS))
 }
 
-/// When the file was written last, to tell whether it is to be read again.
-pub fn bans_changed(folder: &Path) -> Option<std::time::SystemTime> {
-    std::fs::metadata(folder.join(BANS)).and_then(|m| m.modified()).ok()
+/// Which writing of the file is there, to tell whether it is to be read again: each one is a file of its own, and the time
+/// alone may be the same after a step of the clock.
+pub type BansSeen = Option<(u64, std::time::SystemTime)>;
+
+/// See [`BansSeen`]; none where there is no file.
+pub fn bans_changed(folder: &Path) -> BansSeen {
+    let about = std::fs::metadata(folder.join(BANS)).ok()?;
+    Some((about.ino(), about.modified().ok()?))
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -23,6 +23,7 @@
 use crate::kept::{self, Hint, Kept, Refused};
 use crate::logging::Complaint;
 use crate::recovery;
+use crate::timeline::Reading;
 use crate::together::Together;
 use clock::Clock;
 use http::{Finding, Task, Workers};
@@ -50,6 +51,9 @@
 const ACCEPT_AGAIN: Ms = 25.0;
 /// How often the journal of a process that served beside this one is looked for, once that one has ended.
 const ADOPT_EVERY: Ms = 100.0;
+/// How often the journal of a process that serves beside this one is looked at for waits that it was told: calls that come
+/// 100 ms after a wait was told break it.
+const BESIDE_EVERY: Ms = 20.0;
 /// Descriptors for the listener, the journal, the poll, signals, watch, notices and a margin.
 const SOCKETS_OWN: usize = 40;
 
@@ -148,7 +152,7 @@
     door_listener: Option<TcpListener>,
     door: control::Door,
     /// When the folder's file of endpoints out by hand was last read.
-    bans_seen: Option<std::time::SystemTime>,
+    bans_seen: control::BansSeen,
     workers: Workers,
     /// Connections to workers and brokers together.
     outward: usize,
@@ -164,6 +168,8 @@
     accept_at: Option<Ms>,
     /// When the folder is next looked at for the journal of a process that has ended.
     adopt_at: Ms,
+    /// When the journal of a process that serves beside this one is next looked at for waits.
+    beside_at: Ms,
 }
 
 impl Server {
@@ -191,11 +197,12 @@
             disk::claim(&config.state, &config.name)?;
         }
         let (record, others) = disk::look_at_life(&config.state);
-        let (journal, mut records) = Journal::open(&config.state, config.limits.disk)?;
+        let (journal, mut records) =
+            Journal::open_at(&config.state, config.limits.disk, Some(clock.reading()))?;
         let found = recovery::Found { record, others, damaged: usize::from(journal.may_lack_records()) };
         let life = recovery::judge(&found);
         let draw = config.settings.seed ^ (now as u64).rotate_left(17) ^ u64::from(std::process::id());
-        let this = recovery::next(life, draw, now);
+        let this = recovery::next(life, draw, &clock.reading());
         match life {
             recovery::Life::Again(_) => {
                 log::info!(life = this.life, epoch:% = format!("{:016x}", this.epoch);
@@ -233,7 +240,11 @@
         let brokers = Brokers::new(&config.settings, sockets / 4, format!("{}-{}", config.name, now as u64));
         let recovery = together.recovery.clone();
         let installation = kept::installation(&config.name, &config.names);
-        let hint = if recovery.enabled { read_hint(&config, installation, now) } else { Hint::default() };
+        let hint = if recovery.enabled {
+            read_hint(&config, installation, &clock.reading())
+        } else {
+            Hint::default()
+        };
         // Of two lists the newer one is nearer to what holds now.
         let listed =
             if hint.list.rev > config.known.rev { hint.list } else { std::mem::take(&mut config.known) };
@@ -334,6 +345,7 @@
             leaving: None,
             accept_at: None,
             adopt_at: now + ADOPT_EVERY,
+            beside_at: now,
             started: now,
             life: this,
             keep_at: now + together.recovery.keep_ms,
@@ -399,6 +411,7 @@
             self.leave_due(now),
             self.accept_at,
             Some(self.adopt_at),
+            self.core.has_company().then_some(self.beside_at),
             keep,
         ]);
         all.flatten().chain(core).fold(f64::MAX, f64::min)
@@ -630,7 +643,10 @@
         self.reread_bans(now);
         let orphan = match self.core.other() {
             Ok(Other::Left(orphan)) => orphan,
-            Ok(Other::Lives) => return self.core.beside(now, true),
+            Ok(Other::Lives) => {
+                self.core.beside(now, true);
+                return self.core.heed_process_beside(now);
+            }
             Ok(Other::Free) => return self.core.beside(now, false),
             Err(e) => return log::warn!(cause:% = e; "the folder's other journal cannot be read: {e}"),
         };
@@ -679,6 +695,10 @@
             self.adopt_at = now + ADOPT_EVERY;
             self.take_over(now);
         }
+        if self.core.has_company() && now >= self.beside_at {
+            self.beside_at = now + BESIDE_EVERY;
+            self.core.heed_process_beside(now);
+        }
         if now >= self.keep_at {
             self.keep_at = now + self.together.recovery.keep_ms;
             self.keep(now);
@@ -715,9 +735,9 @@
                 Finding::Ended { task: Task::Delegation(no, attempt), end, .. } => {
                     self.core.outcome(now, no, attempt, end);
                 }
-                Finding::Waits(route, wait) => self.core.told_wait(route, wait),
+                Finding::Waits(route, wait) => self.core.told_wait(now, route, wait),
                 Finding::Ended { task: Task::Probe(route), took, end } => {
-                    self.core.told_wait(route, end.wait);
+                    self.core.told_wait(now, route, end.wait);
                     self.core.probed(now, route, end.outcome, took, end.report);
                 }
             }
@@ -796,8 +816,8 @@
 }
 
 /// What the last life kept, as a hint with its age; a file that is none is set aside.
-fn read_hint(config: &Config, installation: u32, now: Ms) -> Hint {
-    match Kept::newest(&disk::read_kept(&config.state), installation, now, &config.names) {
+fn read_hint(config: &Config, installation: u32, clocks: &Reading) -> Hint {
+    match Kept::newest(&disk::read_kept(&config.state), installation, clocks, &config.names) {
         Ok(None) => Hint::default(),
         Ok(Some(hint)) => {
             let age = hint.age.map_or("of an age that nobody can tell".into(), |a| format!("{a:.0} ms old"));
--- a/src/recovery.rs
+++ b/src/recovery.rs
@@ -6,6 +6,7 @@
 //! start from a folder wiped whole, and says so.
 
 use crate::api::Ms;
+use crate::timeline::Reading;
 
 /// The record of a folder's lives.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -16,8 +17,10 @@
     pub epoch: u64,
     /// Wall-clock milliseconds of the first start.
     pub first_ms: u64,
-    /// Wall-clock milliseconds of the last starts that no clean end followed, oldest first.
+    /// Wall-clock milliseconds of the last starts that no clean end followed, oldest first, on the timeline of this life.
     pub starts: Starts,
+    /// Which boot of the machine this life began in, and milliseconds since that boot; none in records of earlier programs.
+    pub began: Option<(u64, u64)>,
 }
 
 /// Times of the last starts; 0 where there was none.
@@ -80,13 +83,16 @@
     }
 }
 
-/// The record to write for this start: the next life, or a first one with an epoch from `draw` at `now` (wall clock).
-pub fn next(life: Life, draw: u64, now: Ms) -> LifeRecord {
-    let now = now.max(0.0) as u64;
+/// The record to write for the start with this reading of the clocks: the next life, or a first one with an epoch from `draw`.
+pub fn next(life: Life, draw: u64, clocks: &Reading) -> LifeRecord {
+    let now = clocks.wall.max(0.0) as u64;
+    let began = Some((clocks.boot, clocks.since_boot.max(0.0) as u64));
     let mut next = match life {
-        Life::Again(r) => LifeRecord { life: r.life.saturating_add(1), ..r },
+        Life::Again(r) => {
+            LifeRecord { life: r.life.saturating_add(1), starts: r.starts_on(clocks), began, ..r }
+        }
         // The folder's earlier lives are not known: a new epoch, so that nothing of them is taken for this one's.
-        _ => LifeRecord { life: 1, epoch: draw, first_ms: now, starts: Starts::default() },
+        _ => LifeRecord { life: 1, epoch: draw, first_ms: now, starts: Starts::default(), began },
     };
     next.starts.rotate_left(1);
     next.starts[CRASHES - 1] = now;
@@ -140,11 +146,22 @@
 }
 
 impl LifeRecord {
+    /// The starts on the timeline that begins with this reading: between two lives the wall clock may have been stepped.
+    fn starts_on(&self, clocks: &Reading) -> Starts {
+        let Some((boot, since_boot)) = self.began else { return self.starts };
+        let wall = self.starts[CRASHES - 1] as Ms;
+        let from = Reading { boot, since_boot: since_boot as Ms, wall };
+        // After a clean end no start is left, and 0 is none.
+        let moved = |at: u64| if at == 0 { 0 } else { clocks.translate(&from, at as Ms).max(1.0) as u64 };
+        self.starts.map(moved)
+    }
+
     /// One line of text with its checksum.
     pub fn encode(&self) -> String {
         let starts: Vec<String> = self.starts.iter().map(u64::to_string).collect();
         let (life, epoch, first) = (self.life, self.epoch, self.first_ms);
-        let body = format!("life {life} epoch {epoch:016x} first {first} starts {}", starts.join(","));
+        let began = self.began.map_or(String::new(), |(boot, ms)| format!(" boot {boot:016x} at {ms}"));
+        let body = format!("life {life} epoch {epoch:016x} first {first} starts {}{began}", starts.join(","));
         format!("{body} crc {:08x}\n", crc32fast::hash(body.as_bytes()))
     }
 
@@ -153,15 +170,22 @@
         let (body, sum) = text.trim_end().rsplit_once(" crc ")?;
         (u32::from_str_radix(sum, 16).ok()? == crc32fast::hash(body.as_bytes())).then_some(())?;
         let words: Vec<&str> = body.split(' ').collect();
-        let ["life", life, "epoch", epoch, "first", first, "starts", starts] = words.as_slice() else {
+        let ["life", life, "epoch", epoch, "first", first, "starts", starts, began @ ..] = words.as_slice()
+        else {
             return None;
         };
+        let began = match began {
+            [] => None,
+            ["boot", boot, "at", ms] => Some((u64::from_str_radix(boot, 16).ok()?, ms.parse().ok()?)),
+            _ => return None,
+        };
         let starts: Vec<u64> = starts.split(',').map(|s| s.parse().ok()).collect::<Option<_>>()?;
         Some(LifeRecord {
             life: life.parse().ok()?,
             epoch: u64::from_str_radix(epoch, 16).ok()?,
             first_ms: first.parse().ok()?,
             starts: starts.try_into().ok()?,
+            began,
         })
     }
 
@@ -196,24 +220,36 @@
         assert_eq!(found(None, true, 0), Life::Lost);
         assert_eq!(found(None, false, 0), Life::FirstOrWiped);
         let starts = [0, 0, 0, 0, 5];
-        assert_eq!(next(Life::Again(r), 9, 5.0), LifeRecord { life: 4, starts, ..r });
-        assert_eq!(next(Life::Lost, 9, 5.0), LifeRecord { life: 1, epoch: 9, first_ms: 5, starts });
+        let began = Some((1, 70));
+        assert_eq!(next(Life::Again(r), 9, &clocks(70.0, 5.0)), LifeRecord { life: 4, starts, began, ..r });
+        let first = next(Life::Lost, 9, &clocks(70.0, 5.0));
+        assert_eq!(first, LifeRecord { life: 1, epoch: 9, first_ms: 5, starts, began });
+        assert_eq!(LifeRecord::decode(&first.encode()), Some(first));
         assert!(Life::Lost.unsure() && !Life::FirstOrWiped.unsure());
     }
 
+    fn clocks(since_boot: Ms, wall: Ms) -> Reading {
+        Reading { boot: 1, since_boot, wall }
+    }
+
     /// Guards against restarts of weeks, or planned ones, taken for a crash loop, and a loop that is not seen.
     #[test]
     fn five_starts_in_thirty_seconds_without_a_clean_end_are_a_crash_loop() {
-        let lives = |gap: f64| {
-            let mut r = next(Life::FirstOrWiped, 1, 1_000.0);
-            (1..5).for_each(|n| r = next(Life::Again(r), 1, 1_000.0 + gap * f64::from(n)));
+        let lives = |gap: f64, step: f64| {
+            let mut r = next(Life::FirstOrWiped, 1, &clocks(0.0, 1e9));
+            for n in (1..5).map(f64::from) {
+                r = next(Life::Again(r), 1, &clocks(gap * n, 1e9 + (gap + step) * n));
+            }
             r
         };
-        assert!(lives(6_000.0).is_crash_loop());
-        assert!(!lives(60_000.0).is_crash_loop());
-        assert!(!lives(-6_000.0).is_crash_loop(), "a clock that steps back says nothing");
-        let well = lives(6_000.0).ended_well();
-        assert!(!well.is_crash_loop() && !next(Life::Again(well), 1, 40_000.0).is_crash_loop());
+        assert!(lives(6_000.0, 0.0).is_crash_loop());
+        assert!(!lives(60_000.0, 0.0).is_crash_loop());
+        for step in [-3_600_000.0, 3_600_000.0] {
+            assert!(lives(6_000.0, step).is_crash_loop(), "the wall clock says nothing of the time between");
+            assert!(!lives(60_000.0, step).is_crash_loop());
+        }
+        let well = lives(6_000.0, 0.0).ended_well();
+        assert!(!well.is_crash_loop() && !next(Life::Again(well), 1, &clocks(31_000.0, 2e9)).is_crash_loop());
     }
 
     /// Guards against a list of a registry that was set back, and against one that is refused for ever.
