--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -440,6 +440,11 @@
         self.child.wait().unwrap();
     }
 
+    /// Waits for an end of any kind.
+    pub fn ended_somehow(&mut self) -> std::process::ExitStatus {
+        self.child.wait().unwrap()
+    }
+
     /// Waits for its end; how long that took.
     pub fn ended(&mut self) -> Duration {
         let start = Instant::now();
