Deliver what a full or failing folder holds; ask one guard before each send and close

Cause: "a delegation cannot be written down and is not sent" was told to the module as an attempt, and after most_attempts of them the message was handed back with no call; in the same class: attempts kept back by a wait, a promise, a cell's part or a window. After a record that the file did not take, the endpoint's unit rests 100 ms. A folder that answers EIO or ENOSPC at open is tried again for 25 s; an unreadable life record is no damage. Guard (src/guard.rs, no I/O): may this be sent, repeated, probed, closed now; asked by `Core::send`, `Core::probe`, `Acceptors::close` and the end of the process, its answers counted in `vars` ("guard") and in the log ("rules: ...").

--- a/src/api.rs
+++ b/src/api.rs
@@ -292,6 +292,8 @@
     pub report: Report,
     /// Some of an answer had come: the connection was alive, whatever became of it.
     pub heard: bool,
+    /// Nothing of it went out, for a reason on this side: it does not count among the message's attempts.
+    pub unspent: bool,
 }
 
 /// A message that an earlier process of this sender had taken on. Given in the order of taking.
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -425,6 +425,11 @@
         if !e.outcome.never_ran() {
             h.ran.get_or_insert((flight.sent, zone));
         }
+        if e.unspent {
+            h.attempts = flight.attempt;
+            let earned = if h.attempts == 0 { RETRY_EARN } else { 0.0 };
+            self.retry.level -= earned;
+        }
         h.over |= e.over;
         h.avoid = Some(e.route);
         h.not_before = if e.outcome == Outcome::NotSent { now + NOT_SENT_REST } else { now };
--- a/src/disk.rs
+++ b/src/disk.rs
@@ -69,17 +69,36 @@
 /// Files of the dispatcher's that tell that a folder was used before.
 const USED: [&str; 5] = ["journal", "journal.1", "down", "damaged", "journal.lock"];
 
+/// The life record of a folder (none: no file; `Some(None)`: it does not read), and whether other files of the dispatcher's
+/// are there.
+pub type LifeSeen = (Option<Option<crate::recovery::LifeRecord>>, bool);
+
 /// What a start finds of the folder's lives, before it opens the journal (which makes files of its own).
-pub fn look_at_life(folder: &Path) -> (Option<Option<crate::recovery::LifeRecord>>, bool) {
-    let record = match std::fs::read_to_string(folder.join(LIFE)) {
-        Ok(text) => Some(crate::recovery::LifeRecord::decode(&text)),
+///
+/// # Errors
+///
+/// The file cannot be read now; that says nothing of what it holds.
+pub fn look_at_life(folder: &Path) -> io::Result<LifeSeen> {
+    let record = match std::fs::read(folder.join(LIFE)) {
+        Ok(bytes) => Some(std::str::from_utf8(&bytes).ok().and_then(crate::recovery::LifeRecord::decode)),
         Err(e) if e.kind() == io::ErrorKind::NotFound => None,
-        Err(_) => Some(None),
+        Err(e) => return Err(e),
     };
     let others = USED.iter().any(|name| {
         std::fs::metadata(folder.join(name)).is_ok_and(|m| m.len() > 0 || name.ends_with("lock"))
     });
-    (record, others)
+    Ok((record, others))
+}
+
+/// May the same call succeed a little later? A folder may be full or fail for a while, and descriptors may be short.
+pub fn may_pass(error: &io::Error) -> bool {
+    use io::ErrorKind::*;
+    /// Linux's numbers of errors that have no kind of their own: EIO, ENFILE and EMFILE.
+    const NUMBERS: [i32; 3] = [5, 23, 24];
+    matches!(
+        error.kind(),
+        StorageFull | QuotaExceeded | Interrupted | ResourceBusy | OutOfMemory | StaleNetworkFileHandle
+    ) || error.raw_os_error().is_some_and(|n| NUMBERS.contains(&n))
 }
 
 /// Writes the life record over the old one: one write of less than a page, which a kill does not divide. Not by a second
@@ -98,7 +117,7 @@
 ///
 /// Where the folder cannot be written to.
 pub fn end_life(folder: &Path, record: &crate::recovery::LifeRecord) -> io::Result<()> {
-    match look_at_life(folder).0.flatten() {
+    match look_at_life(folder)?.0.flatten() {
         Some(now) if now == *record => write_life(folder, &record.ended_well()),
         _ => Ok(()),
     }
--- a/src/dispatch/book.rs
+++ b/src/dispatch/book.rs
@@ -121,6 +121,7 @@
     /// A call is held no more.
     pub(super) fn take_out(&mut self, now: Ms, no: CallNo) -> Option<Call> {
         let c = self.calls.remove(&no)?;
+        self.order.leave(&c.taken);
         self.backlog.remove(no);
         self.live_bytes -= c.size;
         if c.ending.is_none() {
--- a/src/dispatch/control.rs
+++ b/src/dispatch/control.rs
@@ -73,6 +73,7 @@
                 members,
                 unavailable,
                 unproven: self.counters.unproven,
+                guard: self.guard.json(),
                 replication: self.copying_figures(),
             },
         )
--- a/src/dispatch/copying.rs
+++ b/src/dispatch/copying.rs
@@ -467,7 +467,7 @@
                 given_up.push((no, identity));
             }
         }
-        self.write_down(&records);
+        self.write_down(records.clone(), None);
         self.restore(now, records);
         for (no, identity) in given_up {
             self.copy_ended(now, no, &identity, Ending::GivenUp);
--- a/src/dispatch/figures.rs
+++ b/src/dispatch/figures.rs
@@ -35,6 +35,8 @@
     pub unavailable: usize,
     /// Unsafe messages handed in again that were answered without a call.
     pub unproven: u64,
+    /// What the rules on sending and closing did not allow: see [`crate::guard::Counts`].
+    pub guard: serde_json::Value,
     /// What is known of the other dispatchers; null where nothing is copied.
     pub replication: serde_json::Value,
 }
@@ -87,6 +89,7 @@
             "kept_age_ms": self.start.kept_age_ms,
             "older_lists": self.start.older_lists,
             "unproven": now.unproven,
+            "guard": now.guard,
             "replication": now.replication,
         })
         .to_string()
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -17,6 +17,7 @@
 pub mod figures;
 mod hints;
 mod once;
+mod order;
 mod pace;
 mod relay;
 mod route;
@@ -27,13 +28,16 @@
 
 use crate::api::*;
 use crate::config::{Names, Worker};
-use crate::journal::{CallNo, Ending, Identity, Journal, Sent};
+use crate::guard;
+use crate::journal::{CallNo, Ending, FileMark, Identity, Journal, Sent};
+use crate::logging::Complaint;
 use lilacbank_cells::wire::Envelope;
 use lilacbank_limits::{Ceilings, Promise};
 use lilacbank_replica::wire::Envelope as MateEnvelope;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 
+pub use admit::Left;
 use admit::NO_ROOM_ADVICE;
 pub use cells::CellSpec;
 use cells::Cells;
@@ -335,6 +339,19 @@
     beside: beside::Beside,
     /// Waits that endpoints told this dispatcher.
     waits: waits::Waits,
+    /// Calls of ordered keys that are not over.
+    order: order::KeyOrder,
+    /// What the rules on sending and closing did not allow.
+    pub guard: guard::Counts,
+    /// The last file that was taken over: it may still be there.
+    adopted: Option<FileMark>,
+    /// The journal's file still holds what a later process has taken over and gone on with.
+    outdated: bool,
+    /// Attempts that could not be written down, and compactions.
+    unwritten: Complaint,
+    uncompacted: Complaint,
+    /// When a compaction may be tried again.
+    compact_at: Ms,
     live_bytes: u64,
     known_bytes: u64,
     /// How calls ended whose clients wait for the verdict of this turn.
@@ -389,6 +406,13 @@
             first_no: 1,
             beside: beside::Beside::default(),
             waits: waits::Waits::default(),
+            order: order::KeyOrder::default(),
+            guard: guard::Counts::default(),
+            adopted: None,
+            outdated: false,
+            unwritten: Complaint::default(),
+            uncompacted: Complaint::default(),
+            compact_at: 0.0,
             live_bytes: 0,
             known_bytes: 0,
             answers: HashMap::new(),
--- a/src/dispatch/pace.rs
+++ b/src/dispatch/pace.rs
@@ -124,7 +124,12 @@
         if self.probes.contains_key(&route) {
             return;
         }
-        match self.charge(now, PROBES_OF, route) {
+        let allowed = self.guarded_endpoint(now, route).map(|e| crate::guard::may_probe(now, &e));
+        let charge = match allowed.map(|answer| self.guard.note(answer)) {
+            Some(Ok(())) => self.charge(now, PROBES_OF, route),
+            _ => Err(0.0),
+        };
+        match charge {
             Ok(charge) => drop(self.probes.insert(route, charge)),
             Err(_) => {
                 self.counters.over += 1;
@@ -181,6 +186,7 @@
             wait,
             report,
             heard,
+            unspent: false,
         }));
     }
 
@@ -200,4 +206,4 @@
 /// The number of no message: what is told under it concerns its route alone.
 const NOBODY: MsgId = 0;
 /// After a call that could not be written down.
-const NOT_WRITTEN_REST: Ms = 100.0;
+pub(super) const NOT_WRITTEN_REST: Ms = 100.0;
--- a/src/dispatch/relay.rs
+++ b/src/dispatch/relay.rs
@@ -29,6 +29,12 @@
         }
         let route = out.route;
         let delivered = outcome == Outcome::Delivered;
+        // Guards against messages that spend all their attempts on this side, without a call: kept back by a wait, by a
+        // promise or by a folder that takes no record.
+        let unspent = outcome == Outcome::NotSent && !heard && !over;
+        if unspent {
+            self.calls.entry(no).and_modify(|c| c.attempts = attempt);
+        }
         let ended = Ended {
             id: no,
             attempt,
@@ -39,6 +45,7 @@
             wait,
             report,
             heard,
+            unspent,
         };
         let doubtful = delivered && self.is_doubtful(now, no);
         self.cells.back(cell);
--- a/src/dispatch/send.rs
+++ b/src/dispatch/send.rs
@@ -1,15 +1,23 @@
 //! Send: a delegation is written down before its first byte goes out, and has a time at which it ends.
 
-use super::{Call, Core, Delegation, End, Order, Out};
+use super::pace::NOT_WRITTEN_REST;
+use super::{Call, Core, Delegation, Order, Out};
 use crate::api::*;
 use crate::config::place;
+use crate::guard;
 use crate::journal::{CallNo, Record, Sent};
 
+/// The process may be held up for so long between reading its clock and writing; deadlines and windows allow for it.
+const HELD_UP: Ms = 150.0;
+
 impl Core {
-    /// Starts a delegation. What cannot be written down is not sent.
+    /// Starts a delegation, if the rules allow it now. What cannot be written down is not sent.
     pub(super) fn send(&mut self, now: Ms, no: CallNo, route: RouteId, cap: Option<Ms>) {
         let address = self.address(route);
-        let Some(c) = self.calls.get_mut(&no).filter(|c| c.ending.is_none()) else { return };
+        let allowed = self.allowed(now, no, route);
+        let Some(c) = self.calls.get_mut(&no).filter(|c| c.ending.is_none() && c.out.is_none()) else {
+            return;
+        };
         let cell = c.cell;
         let attempt = c.attempts;
         let left = c.taken.valid_until - now;
@@ -35,13 +43,14 @@
             self.cells.forced(cell);
             return self.over(now, no, attempt, 0.0);
         }
+        if let Err(rest) = allowed {
+            return self.over(now, no, attempt, rest);
+        }
         if let Err(wait) = self.hinted(now, no, route) {
             return self.over(now, no, attempt, wait);
         }
         if !self.copy_may_start(now, no) {
             self.over(now, no, attempt, 0.0);
-            // Nothing of it went out, and no try is spent.
-            self.calls.entry(no).and_modify(|c| c.attempts = attempt);
             return self.stand_still(no);
         }
         match self.charge(now, cell, route) {
@@ -56,32 +65,75 @@
         self.compact_if_full();
         let record = self.calls.get(&no).map(|c| self.state(no, c));
         if let Some(Err(e)) = record.map(|r| self.journal.append(&r)) {
-            log::error!(cause:% = e; "a delegation cannot be written down and is not sent: {e}");
-            return self.outcome(now, no, attempt, End::of(Outcome::NotSent));
+            if let Some(count) = self.unwritten.raise(now) {
+                log::error!(cause:% = e, count = count; "a delegation cannot be written down and is not sent: {e}");
+            }
+            return self.over(now, no, attempt, NOT_WRITTEN_REST);
         }
         self.counters.sent += 1;
         self.orders.push(Order::Delegate(delegation));
     }
 
-    /// When the last moment is at which an attempt may be written: a repeat is dropped by who got the first one only within
-    /// the window, and a connection may come up late.
+    /// Asks the rules whether an attempt may go out; if not, how long its endpoint is left alone (0: no wait is on).
+    fn allowed(&mut self, now: Ms, no: CallNo, route: RouteId) -> Result<(), Ms> {
+        let Some(message) = self.calls.get(&no).map(|c| self.guarded(c)) else { return Err(0.0) };
+        let Some(endpoint) = self.guarded_endpoint(now, route) else { return Err(0.0) };
+        let wait = endpoint.wait_until.map_or(0.0, |until| until - now);
+        let answer = guard::may_send(now, &message, &endpoint, &self.guarded_process());
+        self.guard.note(answer).map_err(|reason| {
+            let id = self.calls.get(&no).map_or("", |c| c.taken.identity.1.as_str());
+            log::debug!(id = id, route = route, cause = reason.name(); "an attempt is not allowed now");
+            wait
+        })
+    }
+
+    /// A call as the rules see it.
+    fn guarded<'a>(&self, c: &'a Call) -> guard::Message<'a> {
+        let class = place(&self.names.classes, &c.taken.class).and_then(|c| self.settings.classes.get(c));
+        let ordered = class.is_some_and(|class| class.in_order);
+        guard::Message {
+            ended: c.ending.is_some(),
+            outstanding: c.out.is_some(),
+            valid_until: c.taken.valid_until,
+            attempts: c.attempts,
+            effect: class.map_or(Effect::Unsafe, |class| class.effect),
+            window: class.map_or(0.0, |class| class.window),
+            ran: c.ran.as_ref().map(|sent| (sent.at, sent.zone.as_str())),
+            has_earlier: ordered && self.order.has_earlier(&c.taken),
+        }
+    }
+
+    /// An endpoint as the rules see it.
+    pub(super) fn guarded_endpoint(&self, now: Ms, route: RouteId) -> Option<guard::Endpoint<'_>> {
+        let w = self.worker(route)?;
+        let out = self.down.contains(&w.uid) && w.listing == Listing::Ready;
+        let listing = if out { Listing::Draining } else { w.listing };
+        let zone = self.names.zones.get(w.zone).map_or("", String::as_str);
+        Some(guard::Endpoint { listing, zone, wait_until: self.wait_on(now, route) })
+    }
+
+    fn guarded_process(&self) -> guard::Process {
+        let (most_attempts, round) = (self.settings.most_attempts, self.settings.round);
+        guard::Process { closing: self.closing, most_attempts, round }
+    }
+
+    /// The last moment at which an attempt of the call may be written.
     fn write_by(&self, no: CallNo) -> Ms {
-        let window = |c: &Call| {
-            let class = self.settings.classes.get(place(&self.names.classes, &c.taken.class)?)?;
-            let sent = c.ran.as_ref().filter(|_| matches!(class.effect, Effect::Keyed { .. }))?;
-            Some(sent.at + class.window - 2.0 * self.settings.round)
-        };
-        self.calls.get(&no).and_then(window).unwrap_or(f64::MAX)
+        let by = |c: &Call| guard::write_by(&self.guarded(c), &self.guarded_process());
+        self.calls.get(&no).map_or(f64::MIN, by)
     }
 
     /// The last byte of a delegation has been written.
     pub fn written(&mut self, now: Ms, no: CallNo, attempt: u32) {
         let out = self.calls.get_mut(&no).and_then(|c| c.out.as_mut()).filter(|o| o.attempt == attempt);
         let Some(o) = out else { return };
-        if !o.written {
-            self.figures.upstream += 1;
+        let first = !std::mem::replace(&mut o.written, true);
+        self.figures.upstream += u64::from(first);
+        if first && now > self.write_by(no) + HELD_UP {
+            self.guard.violated(guard::Reason::WindowOver);
+            log::error!("a delegation was written after its time");
         }
-        o.written = true;
+        let Some(o) = self.calls.get_mut(&no).and_then(|c| c.out.as_mut()) else { return };
         // It stays out meanwhile: the journal may be written anew here.
         let Some(mut charge) = o.charge.take() else { return };
         self.charge_written(now, &mut charge);
--- a/src/dispatch/take_in.rs
+++ b/src/dispatch/take_in.rs
@@ -124,9 +124,13 @@
                     reply: s.reply,
                     body: s.body,
                 };
+                let id = taken.identity.1.clone();
                 match self.admit(now, class, taken, s.again, ticket) {
                     Ok(()) => return,
-                    Err(wait) => Verdict::Busy(wait.min(self.settings.max_advice)),
+                    Err(wait) => {
+                        log::debug!(id = id.as_str(), outcome = "busy", wait_ms = wait; "a call is not taken on");
+                        Verdict::Busy(wait.min(self.settings.max_advice))
+                    }
                 }
             }
         };
--- a/src/dispatch/waits.rs
+++ b/src/dispatch/waits.rs
@@ -66,6 +66,16 @@
         }
     }
 
+    /// Until when nothing may go to the route: a wait of its own, or of what it shares its limit with.
+    pub(super) fn wait_on(&self, now: Ms, route: RouteId) -> Option<Ms> {
+        let w = self.worker(route)?;
+        if self.settings.kind(w.kind).apart {
+            return self.waits.until(now, &w.uid);
+        }
+        let sharing = self.routes_of.get(&w.dest).into_iter().flatten().filter_map(|r| self.worker(*r));
+        sharing.filter_map(|w| self.waits.until(now, &w.uid)).reduce(f64::max)
+    }
+
     fn apply_wait(&mut self, now: Ms, worker: String, until: Ms) {
         match self.worker_of.get(&worker).copied() {
             Some(route) => {
--- a/src/journal.rs
+++ b/src/journal.rs
@@ -7,7 +7,7 @@
 mod record;
 
 use crate::timeline::{self, Reading};
-pub use record::{CallNo, Ending, Identity, Record, Sent, Taken};
+pub use record::{CallNo, Ending, FileMark, Identity, Record, Sent, Taken};
 use std::fs::{File, OpenOptions};
 use std::io::{self, Read, Write};
 use std::os::unix::fs::{FileExt, MetadataExt};
@@ -19,6 +19,8 @@
 const KNOWN_SHARE: f64 = 0.08;
 /// and that the file may fill before it is compacted. Both copies together stay under the limit.
 const FILE_SHARE: f64 = 0.48;
+/// A file that cannot be compacted takes no new call beyond this; what is held still ends in it.
+const GROWN_SHARE: f64 = 0.8;
 
 /// The files of a folder's journal. Each is held by one process at a time, so that a new process can serve beside the
 /// old one during an upgrade; the first name is that of a journal of one file.
@@ -43,10 +45,12 @@
     damaged: usize,
     /// Its start found the last record cut short.
     cut: bool,
+    /// The file as the start found it.
+    found: FileMark,
     /// The clocks at the start of this process; none for those who only look at a folder.
     clocks: Option<Reading>,
-    /// The reading stands in the file before the records of this process.
-    dated: bool,
+    /// Records that the file must hold before any other: it took none when they were to be written.
+    owed: Vec<u8>,
     /// How far the other file has been read for news, while the process that writes it lives.
     other_read: Tail,
 }
@@ -91,6 +95,8 @@
     pub records: Vec<Record>,
     /// Damaged stretches among them, passed over, and a last record cut short.
     pub damaged: usize,
+    /// By which the file is known again, if it could not be emptied.
+    pub mark: FileMark,
 }
 
 impl Orphan {
@@ -98,8 +104,17 @@
     ///
     /// # Errors
     ///
-    /// The file cannot be emptied; its records stay, and a later look takes them again.
+    /// The file cannot be emptied; its records stay, and are to be passed over by their mark.
     pub fn clear(self) -> io::Result<()> {
+        self.empty()
+    }
+
+    /// The same, and the file is still held by this process: if it cannot be emptied now, later perhaps.
+    ///
+    /// # Errors
+    ///
+    /// See [`Orphan::clear`].
+    pub fn empty(&self) -> io::Result<()> {
         write_mark(&self._lock, 0)?;
         OpenOptions::new().write(true).open(&self.path)?.set_len(0)
     }
@@ -244,12 +259,7 @@
 
 /// The highest call number among the records; 0 for none.
 pub fn highest(records: &[Record]) -> CallNo {
-    let number = |r: &Record| match r {
-        Record::Taken(t) => t.no,
-        Record::State { no, .. } | Record::Ended { no, .. } | Record::Over { no, .. } => *no,
-        _ => 0,
-    };
-    records.iter().map(number).max().unwrap_or(0)
+    records.iter().filter_map(Record::call).max().unwrap_or(0)
 }
 
 /// Bytes of damaged records that a start sets aside at most; more are counted and dropped, for the folder's room.
@@ -340,12 +350,13 @@
             slot,
             damaged: damaged.len(),
             cut,
+            found: FileMark::of(&bytes),
             clocks,
-            dated: false,
+            owed: clocks.map_or_else(Vec::new, |c| Record::Clock(c).encode()),
             other_read: Tail::default(),
             _lock: lock,
         };
-        if let Err(e) = journal.date() {
+        if let Err(e) = journal.settle() {
             log::warn!(cause:% = e; "the journal takes no record yet: {e}");
         }
         if !damaged.is_empty() {
@@ -361,6 +372,11 @@
         Ok((journal, records))
     }
 
+    /// The file as the start found it.
+    pub fn found(&self) -> FileMark {
+        self.found
+    }
+
     /// The clocks at the start of this process.
     pub fn clocks(&self) -> Option<Reading> {
         self.clocks
@@ -418,7 +434,8 @@
                 let cut = good < bytes.len() || (good as u64) < read_mark(&lock);
                 let damaged = damaged.len() + usize::from(cut);
                 let records = self.own_timeline(records);
-                return Ok(Other::Left(Orphan { path, _lock: lock, records, damaged }));
+                let mark = FileMark::of(&bytes);
+                return Ok(Other::Left(Orphan { path, _lock: lock, records, damaged, mark }));
             }
         }
         Ok(found)
@@ -453,43 +470,56 @@
         })
     }
 
-    /// Writes the reading of the clocks before the first record of this process.
-    fn date(&mut self) -> io::Result<()> {
-        if let (Some(clocks), false) = (self.clocks, self.dated) {
-            self.write(&Record::Clock(clocks))?;
-            self.dated = true;
+    /// Writes what is owed.
+    ///
+    /// # Errors
+    ///
+    /// The file takes nothing now; it is as it was before.
+    pub fn settle(&mut self) -> io::Result<()> {
+        if !self.owed.is_empty() {
+            let owed = std::mem::take(&mut self.owed);
+            if let Err(e) = self.write(&owed) {
+                self.owed = owed;
+                return Err(e);
+            }
         }
         Ok(())
     }
 
+    /// Records that must stand in the file before any that is written from now on, whether it takes them now or later.
+    pub fn owe<'a>(&mut self, records: impl Iterator<Item = &'a Record>) {
+        records.for_each(|r| self.owed.extend(r.encode()));
+    }
+
     /// Writes a record; after a failure the file is as it was before.
     pub fn append(&mut self, record: &Record) -> io::Result<()> {
-        self.date()?;
-        self.write(record)
+        self.settle()?;
+        self.write(&record.encode())?;
+        if matches!(record, Record::State { out: Some(_), .. }) {
+            // A mark that stays behind says less, and nothing that is wrong.
+            let _ = write_mark(&self._lock, self.size);
+        }
+        Ok(())
     }
 
-    fn write(&mut self, record: &Record) -> io::Result<()> {
-        let bytes = record.encode();
+    fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
         // Half a record would hide all that follow it.
         if self.torn {
             self.file.set_len(self.size)?;
         }
-        if let Err(e) = self.file.write_all(&bytes) {
+        if let Err(e) = self.file.write_all(bytes) {
             self.torn = self.file.set_len(self.size).is_err();
             return Err(e);
         }
         self.torn = false;
         self.size += bytes.len() as u64;
-        if matches!(record, Record::State { out: Some(_), .. }) {
-            // A mark that stays behind says less, and nothing that is wrong.
-            let _ = write_mark(&self._lock, self.size);
-        }
         Ok(())
     }
 
-    /// Would live records of so many bytes still fit?
+    /// Would live records of so many bytes still fit? Not in a file that has grown because it could not be compacted.
     pub fn has_room(&self, live: u64) -> bool {
-        (live as f64) < self.limit as f64 * LIVE_SHARE
+        let fits = |bytes: u64, share: f64| (bytes as f64) < self.limit as f64 * share;
+        fits(live, LIVE_SHARE) && fits(self.size, GROWN_SHARE)
     }
 
     /// Bytes that live records may fill.
@@ -517,7 +547,9 @@
         }
         let (file, size) = done?;
         (self.file, self.size) = (file, size);
-        (self.torn, self.dated) = (false, true);
+        self.torn = false;
+        // All that was owed is held, and was among the records.
+        self.owed.clear();
         write_mark(&self._lock, self.size)
     }
 
--- a/src/journal/record.rs
+++ b/src/journal/record.rs
@@ -57,6 +57,22 @@
     pub body: Vec<u8>,
 }
 
+/// By which a file of records is known again: it does not change once its process has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct FileMark {
+    /// Its bytes.
+    pub length: u64,
+    /// Their checksum.
+    pub checksum: u32,
+}
+
+impl FileMark {
+    /// Of a file with these bytes.
+    pub fn of(bytes: &[u8]) -> FileMark {
+        FileMark { length: bytes.len() as u64, checksum: crc32fast::hash(bytes) }
+    }
+}
+
 /// One record.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Record {
@@ -115,6 +131,9 @@
     Seat(Vec<u8>),
     /// The machine's clocks at the start of the process that wrote the records behind it: see [`crate::timeline`].
     Clock(Reading),
+    /// The records of the folder's other file, left by a process that has ended, stand before this one: the file itself may
+    /// still be there.
+    Adopted(FileMark),
     /// An endpoint told to wait.
     Wait {
         /// The endpoint's id in the list.
@@ -278,6 +297,11 @@
                 o.ms(reading.since_boot);
                 o.ms(reading.wall);
             }
+            Record::Adopted(mark) => {
+                o.0.push(b'A');
+                o.u64(mark.length);
+                o.u64(u64::from(mark.checksum));
+            }
             Record::Wait { worker, until } => {
                 o.0.push(b'W');
                 o.bytes(worker.as_bytes());
@@ -343,12 +367,22 @@
             },
             b'M' => Record::Seat(i.bytes()?),
             b'C' => Record::Clock(Reading { boot: i.u64()?, since_boot: i.ms()?, wall: i.ms()? }),
+            b'A' => Record::Adopted(FileMark { length: i.u64()?, checksum: u32::try_from(i.u64()?).ok()? }),
             b'W' => Record::Wait { worker: i.text()?, until: i.ms()? },
             _ => return None,
         };
         i.0.is_empty().then_some(record)
     }
 
+    /// The call that it is about.
+    pub fn call(&self) -> Option<CallNo> {
+        match self {
+            Record::Taken(t) => Some(t.no),
+            Record::State { no, .. } | Record::Ended { no, .. } | Record::Over { no, .. } => Some(*no),
+            _ => None,
+        }
+    }
+
     /// Bytes that the record takes in the file.
     pub fn size(&self) -> u64 {
         self.encode().len() as u64
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod disk;
 pub mod dispatch;
 mod fleet;
+pub mod guard;
 pub mod journal;
 pub mod kept;
 pub mod logging;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -18,7 +18,7 @@
 use crate::disk;
 use crate::dispatch::control::Effect;
 use crate::dispatch::figures::Start;
-use crate::dispatch::{Core, Order, Parts, Past, Reloaded, Told};
+use crate::dispatch::{Core, Left, Order, Parts, Past, Reloaded, Told};
 use crate::journal::{Ending, Journal, Orphan, Other, Record};
 use crate::kept::{self, Hint, Kept, Refused};
 use crate::logging::Complaint;
@@ -54,6 +54,10 @@
 /// How often the journal of a process that serves beside this one is looked at for waits that it was told: calls that come
 /// 100 ms after a wait was told break it.
 const BESIDE_EVERY: Ms = 20.0;
+/// A folder that cannot be opened is tried again for so long: a start has 30 s.
+const OPEN_PATIENCE: Ms = 25_000.0;
+/// The time between two such tries.
+const OPEN_AGAIN: Duration = Duration::from_millis(50);
 /// Descriptors for the listener, the journal, the poll, signals, watch, notices and a margin.
 const SOCKETS_OWN: usize = 40;
 
@@ -168,6 +172,8 @@
     accept_at: Option<Ms>,
     /// When the folder is next looked at for the journal of a process that has ended.
     adopt_at: Ms,
+    /// The file of a process that has ended, until what it held is in this one's and it is empty.
+    left: Option<Orphan>,
     /// When the journal of a process that serves beside this one is next looked at for waits.
     beside_at: Ms,
 }
@@ -193,12 +199,7 @@
             poll.registry().register(&mut reader, token(Kind::Signal, signals.len()), Interest::READABLE)?;
             signals.push((signal, reader));
         }
-        if config.sidecar.is_some() {
-            disk::claim(&config.state, &config.name)?;
-        }
-        let (record, others) = disk::look_at_life(&config.state);
-        let (journal, mut records) =
-            Journal::open_at(&config.state, config.limits.disk, Some(clock.reading()))?;
+        let ((record, others), (journal, mut records)) = open_folder(&config, &clock, &mut signals)?;
         let found = recovery::Found { record, others, damaged: usize::from(journal.may_lack_records()) };
         let life = recovery::judge(&found);
         let draw = config.settings.seed ^ (now as u64).rotate_left(17) ^ u64::from(std::process::id());
@@ -261,6 +262,7 @@
             _ => None,
         };
         let left_records = left.as_mut().map(adopted).unwrap_or_default();
+        let read = records.len() + left_records.records.len();
         let seen = crate::journal::highest(&records).max(journal.other_numbers());
         let parts = Parts { settings, names, journal, promises, once, cells, mesh: side.mesh };
         let mut core = Core::new(parts);
@@ -290,9 +292,10 @@
         };
         core.number_from(recovery::first_number(this.life, seen));
         core.list(now, known, true);
-        let read = records.len() + left_records.len();
         let came = core.restore_both(now, records, left_records);
-        left.into_iter().for_each(|orphan| cleared(orphan, came));
+        if left.is_some() {
+            log::info!(calls = came; "took over {came} calls from the journal of a process that has ended");
+        }
         log::info!(records = read, calls = core.holds(); "stage recovering: {read} records read, {} calls taken up", core.holds());
         let mut listener = stream::listen(config.listen)?;
         poll.registry().register(&mut listener, token(Kind::Listener, 0), Interest::READABLE)?;
@@ -345,6 +348,7 @@
             leaving: None,
             accept_at: None,
             adopt_at: now + ADOPT_EVERY,
+            left,
             beside_at: now,
             started: now,
             life: this,
@@ -369,12 +373,14 @@
             let now = self.clock.now();
             if self.may_leave(now) {
                 self.last_turn(now);
+                self.acceptors.count_owed(&mut self.core);
                 self.sessions.leave(now);
                 self.keep(now);
                 if let Err(e) = disk::end_life(&self.config.state, &self.life) {
                     log::warn!(cause:% = e; "the folder's life record cannot be written: {e}");
                 }
                 log::info!("leaves with {} calls in the journal; {}", self.core.holds(), self.core.counters);
+                log::info!("rules: {}", self.core.guard.json());
                 return Ok(());
             }
             let wait = (self.next_due(now) - now).clamp(0.0, 1_000.0);
@@ -504,6 +510,7 @@
         while reader.read(&mut bytes).is_ok_and(|n| n > 0) {}
         if *signal == SIGUSR1 {
             log::info!("holds {} calls, {} out; {}", self.core.holds(), self.core.out(), self.core.counters);
+            log::info!("rules: {}", self.core.guard.json());
             let cells = self.core.cells_text();
             if !cells.is_empty() {
                 log::info!("cells: {cells}");
@@ -641,7 +648,10 @@
     /// Takes over the journal of a process of this folder that has ended, after an upgrade.
     fn take_over(&mut self, now: Ms) {
         self.reread_bans(now);
-        let orphan = match self.core.other() {
+        if !self.empty_left() {
+            return;
+        }
+        let mut orphan = match self.core.other() {
             Ok(Other::Left(orphan)) => orphan,
             Ok(Other::Lives) => {
                 self.core.beside(now, true);
@@ -650,13 +660,27 @@
             Ok(Other::Free) => return self.core.beside(now, false),
             Err(e) => return log::warn!(cause:% = e; "the folder's other journal cannot be read: {e}"),
         };
-        let mut orphan = orphan;
-        let records = adopted(&mut orphan);
-        let calls = self.core.take_over(now, records);
-        cleared(orphan, calls);
+        let calls = self.core.take_over(now, adopted(&mut orphan));
+        log::info!(calls = calls; "took over {calls} calls from the journal of a process that has ended");
+        self.left = Some(orphan);
+        self.empty_left();
         self.core.beside(now, false);
     }
 
+    /// Empties the file of a process that has ended, once what it held is in this one's; true if there is none any more.
+    fn empty_left(&mut self) -> bool {
+        let Some(orphan) = &self.left else { return true };
+        let done = self.core.settle()
+            && orphan
+                .empty()
+                .inspect_err(|e| {
+                    log::debug!(cause:% = e; "a journal that was taken over cannot be emptied yet: {e}");
+                })
+                .is_ok();
+        self.left.take_if(|_| done);
+        done
+    }
+
     /// Writes the list and the members' health down for the next life.
     fn keep(&mut self, now: Ms) {
         let Some(kept) = self.core.kept(now, self.installation, self.watch.rev()) else { return };
@@ -792,6 +816,40 @@
     }
 }
 
+/// The folder's life record, its journal and the records in it. A folder that fails or is full for a while is tried again: a
+/// process that ends instead leaves what the folder holds without an end.
+fn open_folder(
+    config: &Config,
+    clock: &Clock,
+    signals: &mut [(i32, pipe::Receiver)],
+) -> io::Result<(disk::LifeSeen, (Journal, Vec<Record>))> {
+    let open = || {
+        if config.sidecar.is_some() {
+            disk::claim(&config.state, &config.name)?;
+        }
+        let life = disk::look_at_life(&config.state)?;
+        Ok((life, Journal::open_at(&config.state, config.limits.disk, Some(clock.reading()))?))
+    };
+    let (begun, mut complaint) = (clock.now(), Complaint::default());
+    loop {
+        let now = clock.now();
+        let error = match open() {
+            Err(e) if disk::may_pass(&e) && now - begun < OPEN_PATIENCE => e,
+            done => return done,
+        };
+        if let Some(count) = complaint.raise(now) {
+            log::error!(cause:% = error, count = count; "the folder cannot be opened yet: {error}");
+        }
+        std::thread::sleep(OPEN_AGAIN);
+        let told = |(signal, reader): &mut (i32, pipe::Receiver)| {
+            [SIGTERM, SIGINT].contains(signal) && reader.read(&mut [0]).is_ok_and(|n| n > 0)
+        };
+        if signals.iter_mut().any(told) {
+            return Err(error);
+        }
+    }
+}
+
 /// Who this dispatcher is among those that keep copies for each other.
 fn keeper_spec(
     config: &Config,
@@ -840,7 +898,7 @@
 }
 
 /// The records of a journal that is taken over; after damage its open calls count as may have run.
-fn adopted(orphan: &mut Orphan) -> Vec<Record> {
+fn adopted(orphan: &mut Orphan) -> Left {
     let mut records = std::mem::take(&mut orphan.records);
     if orphan.damaged > 0 {
         let marked = crate::journal::unsure(&mut records);
@@ -851,15 +909,7 @@
             orphan.damaged
         );
     }
-    records
-}
-
-/// What was taken over is written elsewhere: its file is emptied.
-fn cleared(orphan: Orphan, calls: usize) {
-    if let Err(e) = orphan.clear() {
-        log::error!(cause:% = e; "a journal that was taken over cannot be emptied: {e}");
-    }
-    log::info!(calls = calls; "took over {calls} calls from the journal of a process that has ended");
+    Left { records, mark: orphan.mark }
 }
 
 /// A sidecar's file is checked as strictly as the tool does; a platform's file may hold what is not known here.
--- a/src/net/resp.rs
+++ b/src/net/resp.rs
@@ -5,6 +5,7 @@
 use crate::api::Ms;
 use crate::config;
 use crate::dispatch::{Core, Submission, Ticket, Verdict};
+use crate::guard::{self, Close};
 use mio::net::TcpStream;
 use mio::Registry;
 use slab::Slab;
@@ -58,6 +59,15 @@
 }
 
 impl Conn {
+    /// As the rules on closing see it.
+    fn guarded(&self, now: Ms) -> guard::Connection {
+        guard::Connection {
+            awaits_answer: self.asked.is_some(),
+            unwritten: self.stream.unwritten(),
+            stalled: self.stuck.is_some_and(|since| now - since >= STALL_PATIENCE),
+        }
+    }
+
     fn is_idle(&self) -> bool {
         self.asked.is_none() && self.stream.inbox.is_empty() && self.stream.unwritten() == 0
     }
@@ -193,7 +203,9 @@
     pub fn room(&mut self, now: Ms, core: &mut Core) -> bool {
         while self.conns.len() > self.most {
             let Some(at) = self.spare(now, core) else { return false };
-            self.close(at);
+            if !self.close(now, at, Close::NoRoom, core) {
+                return false;
+            }
         }
         true
     }
@@ -267,11 +279,27 @@
         }
     }
 
-    fn close(&mut self, at: usize) {
-        if let Some(c) = self.conns.try_remove(at) {
-            if let Some(t) = c.asked {
-                self.asked.remove(&t);
-            }
+    /// Closes a connection, if the rules allow it for this cause; true once it is gone.
+    fn close(&mut self, now: Ms, at: usize, why: Close, core: &mut Core) -> bool {
+        let Some(c) = self.conns.get(at) else { return true };
+        if let Err(reason) = core.guard.note(guard::may_close(&c.guarded(now), why)) {
+            log::warn!(conn = at, cause = why.name(); "a client's connection is not closed: {}", reason.name());
+            return false;
+        }
+        core.guard.closed(why);
+        log::debug!(conn = at, cause = why.name(), served = c.served, unread = c.stream.inbox.len();
+            "a client's connection is closed");
+        if let Some(ticket) = self.conns.remove(at).asked {
+            self.asked.remove(&ticket);
+        }
+        true
+    }
+
+    /// The process ends: connections whose answer is still owed. There are none, unless this program is wrong.
+    pub fn count_owed(&self, core: &mut Core) {
+        for (at, _) in self.conns.iter().filter(|(_, c)| c.asked.is_some()) {
+            core.guard.violated(guard::Reason::AnswerOwed);
+            log::error!(conn = at; "the process ends and a client's answer is owed");
         }
     }
 
@@ -296,7 +324,7 @@
             let Some(since) = c.lingers else {
                 // A request may have come in this very moment.
                 if self.still(now, at, core, &|c| c.due() <= now) {
-                    self.close(at);
+                    self.close(now, at, Close::TimedOut, core);
                 }
                 continue;
             };
@@ -304,7 +332,7 @@
             let over = now - since >= LINGER || c.stream.fill(PART_MOST) == Fill::Ended;
             c.stream.inbox.clear();
             if over {
-                self.close(at);
+                self.close(now, at, Close::Answered, core);
             }
         }
     }
@@ -314,7 +342,8 @@
         for _ in 0..COMMANDS_A_TURN {
             let Some(c) = self.conns.get_mut(at).filter(|c| c.lingers.is_none()) else { return };
             if c.stream.flush().is_err() {
-                return self.close(at);
+                self.close(now, at, Close::ByClient, core);
+                return;
             }
             if self.stopped {
                 return;
@@ -327,7 +356,8 @@
             if c.ending {
                 c.stream.finish();
                 if !c.faulty {
-                    return self.close(at);
+                    self.close(now, at, Close::Answered, core);
+                    return;
                 }
                 (c.lingers, c.used) = (Some(now), now);
                 return;
@@ -349,7 +379,10 @@
                     c.stream.inbox.clear();
                     (c.ending, c.faulty) = (true, true);
                 }
-                Parse::More if fill == Fill::Ended => return self.close(at),
+                Parse::More if fill == Fill::Ended => {
+                    self.close(now, at, Close::ByClient, core);
+                    return;
+                }
                 Parse::More => {
                     c.stuck = if c.stream.inbox.is_empty() { None } else { c.stuck.or(Some(now)) };
                     return;
@@ -450,7 +483,7 @@
         for at in all {
             self.ready(now, at, core);
             if self.conns.get(at).is_some_and(Conn::is_idle) {
-                self.close(at);
+                self.close(now, at, Close::Draining, core);
             }
         }
     }
--- a/src/timeline.rs
+++ b/src/timeline.rs
@@ -68,7 +68,7 @@
         | Record::Known { until, .. }
         | Record::Wait { until, .. } => *until = time(*until),
         Record::Spent(spent) => spent.at = time(spent.at),
-        Record::Ended { .. } | Record::Seat(_) | Record::Clock(_) => {}
+        Record::Ended { .. } | Record::Seat(_) | Record::Clock(_) | Record::Adopted(_) => {}
     }
     record
 }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -299,6 +299,8 @@
             wait,
             report,
             heard,
+            // The platform counts what it did not send.
+            unspent: false,
         }));
         Ok(())
     }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -145,6 +145,7 @@
             wait,
             report: Report::default(),
             heard: false,
+            unspent: false,
         };
         self.give(vec![Event::Ended(e)]);
     }
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -100,6 +100,7 @@
         wait: 0.0,
         report,
         heard: true,
+        unspent: false,
     };
     w.give(vec![Event::Ended(e)]);
     w.pass(1_000.0);
--- a/tests/full_folder.rs
+++ b/tests/full_folder.rs
@@ -51,3 +51,15 @@
 fn what_a_start_finds_is_delivered_once_a_full_folder_has_room() {
     all_are_delivered_by_a_start_under("enospc 0 2000");
 }
+
+/// The same with half of each record written before the error.
+#[test]
+fn what_a_start_finds_is_delivered_once_a_folder_that_tears_writes_has_room() {
+    all_are_delivered_by_a_start_under("enospc 0 2000 1");
+}
+
+/// The same with an I/O error on opens, reads, writes, truncations and renames, from the first one on.
+#[test]
+fn what_a_start_finds_is_delivered_once_a_folder_that_fails_works_again() {
+    all_are_delivered_by_a_start_under("eio 0 1500");
+}
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -78,6 +78,14 @@
     k.each_was_delivered_once();
 }
 
+/// The same with a folder that answers EIO to everything once the second process has started.
+#[test]
+fn a_handover_on_a_failing_folder_loses_nothing_and_sends_nothing_twice() {
+    let mut k = killed("eio 150 2500");
+    k.deliver();
+    k.each_was_delivered_once();
+}
+
 /// A second process that is killed between two steps of taking over leaves what it had not done to the next one.
 #[test]
 fn a_handover_on_a_full_folder_that_is_killed_is_done_by_the_next_process() {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -200,6 +200,7 @@
         wait: 0.0,
         report: Report::default(),
         heard: false,
+        unspent: false,
     };
     let stray = Ended { id: 777, route: 55, ..e };
     let events = vec![
