Show by a failing test that commands read ahead are dropped at the process's end

A client sends 600 commands at once, all read into the connection's inbox; at 3.3 s after SIGTERM `Server::last_turn` answers the one that is served and closes: 5 of 600 answered.

--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -356,3 +356,35 @@
         assert!(orders.contains(&hold), "whole: {whole}: {orders:?}");
     }
 }
+
+/// Guards against commands that were read ahead of the one that is served, and end with the process without an answer: a
+/// request that was read and whose connection is closed unanswered is lost.
+#[test]
+fn commands_that_were_read_ahead_are_answered_before_the_end() {
+    const COMMANDS: usize = 600;
+    let worker = Worker::start(|_, _| Reply::Answer("200 OK"));
+    let site = Site::new(&[entry("w1", &worker.address.to_string(), "a", 1, "in_service")]);
+    let mut d = site.start();
+    let mut client = d.client();
+    let all: Vec<u8> = (0..COMMANDS)
+        .flat_map(|n| {
+            let id = format!("m{n}");
+            let options = "c=safe,t=acme,d=4000,dest=1";
+            command(&[b"SUBMIT", b"0000000000000000", id.as_bytes(), options.as_bytes(), b"x"])
+        })
+        .collect();
+    assert!(all.len() < 64 << 10, "one reading takes them all: {}", all.len());
+    // Told to leave with all of them read, it stands still until its time to leave is over.
+    d.halt();
+    client.send(&all);
+    d.signal("-TERM");
+    d.signal("-CONT");
+    until("the first ones are sent", || worker.count() >= 3);
+    d.halt();
+    assert!(worker.count() < COMMANDS, "all were served before");
+    std::thread::sleep(Duration::from_millis(3_400));
+    d.signal("-CONT");
+    let answers = std::iter::from_fn(|| Some(client.line()).filter(|l| !l.is_empty())).count();
+    assert_eq!(answers, COMMANDS);
+    d.ended();
+}
