Add a soak over real processes: troubles drawn from a seed that overlap, judged by invariants

`lilacbank-rig soak` (crates/rig/src/soak.rs) starts dispatchers behind the rig's proxies, draws kills, stops, upgrades, reloads in a row, cut, slow and silent paths, members that go, older lists, clock steps and failing system calls (crates/faults), several at once, and judges: lost, late, doubled, overlapping, told twice, violations of the guard, panics, failed starts.

--- a/crates/rig/src/bin/lilacbank-rig.rs
+++ b/crates/rig/src/bin/lilacbank-rig.rs
@@ -2,6 +2,7 @@
 
 use clap::{Parser, Subcommand};
 use lilacbank_rig::scenario::{Scenario, DEFAULT};
+use lilacbank_rig::soak::Spec;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -41,6 +42,33 @@
         #[arg(long)]
         keep: bool,
     },
+    /// Play scenarios drawn from seeds, in which troubles of many kinds overlap; exit 1 if an invariant broke.
+    Soak {
+        /// The first seed.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// How many plays, with seeds from the first one on.
+        #[arg(long, default_value_t = 1)]
+        plays: u64,
+        /// Processes of the dispatcher.
+        #[arg(long, default_value_t = 24)]
+        dispatchers: usize,
+        /// Milliseconds of load.
+        #[arg(long, default_value_t = 15_000)]
+        run_ms: u64,
+        /// Troubles at once, on average.
+        #[arg(long, default_value_t = 2.5)]
+        at_once: f64,
+        /// The dispatcher's program; by default `lilacbank` beside this one.
+        #[arg(long)]
+        program: Option<PathBuf>,
+        /// The library of `crates/faults`; by default beside this program.
+        #[arg(long)]
+        library: Option<PathBuf>,
+        /// Keep the folders and logs of plays in which an invariant broke.
+        #[arg(long)]
+        keep: bool,
+    },
     /// Check a scenario and say what is wrong, with file, line and key.
     Check {
         /// The scenario, TOML.
@@ -57,6 +85,59 @@
     }
 }
 
+/// The file that was given, or the one of this name beside this program.
+fn beside(given: Option<PathBuf>, name: &str) -> Option<PathBuf> {
+    let beside = || Some(std::env::current_exe().ok()?.parent()?.join(name));
+    given.or_else(beside).filter(|p| p.is_file())
+}
+
+fn not_beside(what: &str, option: &str) -> ExitCode {
+    eprintln!("{what} is not beside this one; build it (cargo build --release --workspace) or give {option}");
+    ExitCode::from(2)
+}
+
+/// Plays the soak of each seed and prints a line for each; what broke is printed whole.
+fn soak(specs: impl Iterator<Item = Spec>, program: &std::path::Path, keep: bool) -> ExitCode {
+    let (mut plays, mut broken) = (0, Vec::new());
+    for spec in specs {
+        let scenario = lilacbank_rig::soak::scenario(&spec);
+        let report = match lilacbank_rig::run::play(&scenario, program, &std::env::temp_dir(), keep) {
+            Ok(report) => report,
+            Err(e) => {
+                eprintln!("the rig could not be set up: {e}");
+                return ExitCode::from(2);
+            }
+        };
+        plays += 1;
+        println!(
+            "seed {}: {} handed in, {} taken, {} delivered, {} told; {} lost, {} late, {} doubled, {} overlapping, {} told twice, \
+             {} violations, {} panics, {} failed starts",
+            spec.seed,
+            report.handed,
+            report.taken,
+            report.delivered,
+            report.told,
+            report.lost.len(),
+            report.late.len(),
+            report.doubled.len(),
+            report.overlapping.len(),
+            report.told_twice.len(),
+            report.violations.len(),
+            report.panics.len(),
+            report.failed_starts
+        );
+        if !report.clean() {
+            broken.push(spec.seed);
+            let lists =
+                [&report.lost, &report.late, &report.doubled, &report.overlapping, &report.told_twice];
+            println!("  {:?}", lists);
+            report.violations.iter().chain(&report.panics).for_each(|line| println!("  {line}"));
+        }
+    }
+    println!("{plays} plays, {} broke an invariant: {broken:?}", broken.len());
+    ExitCode::from(u8::from(!broken.is_empty()))
+}
+
 fn main() -> ExitCode {
     match Cli::parse().command {
         Do::Default => {
@@ -78,6 +159,22 @@
                 ExitCode::from(2)
             }
         },
+        Do::Soak { seed, plays, dispatchers, run_ms, at_once, program, library, keep } => {
+            let (program, library) =
+                (beside(program, "lilacbank"), beside(library, "liblilacbank_faults.so"));
+            let Some(program) = program else { return not_beside("the dispatcher's program", "--program") };
+            if library.is_none() {
+                return not_beside("the library of crates/faults", "--library");
+            }
+            let specs = (seed..seed + plays.max(1)).map(|seed| Spec {
+                seed,
+                dispatchers,
+                run_ms,
+                at_once,
+                library: library.clone(),
+            });
+            soak(specs, &program, keep)
+        }
         Do::Run { file, program, report, trials, plot, recovery, replication, keep } => {
             let scenario = match read(file.as_ref()) {
                 Ok(s) => s,
@@ -86,10 +183,8 @@
                     return ExitCode::from(2);
                 }
             };
-            let beside = std::env::current_exe().ok().and_then(|p| p.parent().map(|d| d.join("lilacbank")));
-            let Some(program) = program.or(beside).filter(|p| p.is_file()) else {
-                eprintln!("the dispatcher's program is not beside this one; build it (cargo build --release) or give --program");
-                return ExitCode::from(2);
+            let Some(program) = beside(program, "lilacbank") else {
+                return not_beside("the dispatcher's program", "--program");
             };
             let mut reports = Vec::new();
             for n in 0..trials.max(1) {
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod report;
 pub mod run;
 pub mod scenario;
+pub mod soak;
 
 pub use proxy::{Fault, Proxy};
 pub use registry::{entry, Registry};
--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -22,6 +22,8 @@
     listen: SocketAddr,
     /// The operators' file on coming back, if it has one.
     pub(crate) together: Option<PathBuf>,
+    /// More variables of its processes: the library of `crates/faults` and its schedule.
+    pub(crate) variables: Vec<(String, String)>,
     child: Option<Child>,
     /// The processes beside it that were told to leave, during an upgrade.
     leaving: Vec<Child>,
@@ -39,7 +41,8 @@
         let ip = [127, 1 + (pid >> 8 & 0x7f) as u8, (pid & 0xff) as u8, 1 + n as u8];
         let (child, leaving, lives) = (None, Vec::new(), Vec::new());
         let listen = SocketAddr::from((ip, 0));
-        Process { folder, listen, config, together, child, leaving, address: Arc::default(), lives }
+        let (address, variables) = (Arc::default(), Vec::new());
+        Process { folder, listen, config, together, variables, child, leaving, address, lives }
     }
 
     /// Its own address, with this port.
@@ -73,6 +76,7 @@
             .env("ROUTER_STATE", self.folder.join("state"))
             .env("LILACBANK_CLOCK_OFFSET_MS", clock_ms.to_string())
             .env("RUST_LOG", std::env::var("RUST_LOG").unwrap_or("info".into()))
+            .envs(self.variables.iter().map(|(name, value)| (name, value)))
             .stdout(Stdio::null())
             .stderr(Stdio::piped())
             .spawn();
@@ -121,6 +125,15 @@
         self.ended();
     }
 
+    /// Puts the registry's address into its configuration and has it read that again.
+    pub(crate) fn reload(&self, registry: SocketAddr) -> std::io::Result<()> {
+        let mut config: serde_json::Value = serde_json::from_str(&std::fs::read_to_string(&self.config)?)?;
+        config["discovery"] = registry.to_string().into();
+        std::fs::write(&self.config, config.to_string())?;
+        self.child.iter().for_each(|c| signal(c, "-HUP"));
+        Ok(())
+    }
+
     /// Asks it to write its counters to its log.
     pub(crate) fn count(&self) {
         self.child.iter().for_each(|c| signal(c, "-USR1"));
--- a/crates/rig/src/registry.rs
+++ b/crates/rig/src/registry.rs
@@ -18,6 +18,8 @@
     older: Arc<Mutex<Option<String>>>,
     /// Lines of the notices posted, one JSON object each.
     pub notices: Arc<Mutex<Vec<String>>>,
+    /// When each of them came.
+    pub noticed_at: Arc<Mutex<Vec<Instant>>>,
     /// So many notices are answered 500, not 204.
     pub deaf: Arc<Mutex<usize>>,
     /// Watches that began with an earlier number are broken.
@@ -55,6 +57,7 @@
             lists: Arc::new(Mutex::new(vec![whole(1, entries)])),
             older: Arc::default(),
             notices: Arc::default(),
+            noticed_at: Arc::default(),
             deaf: Arc::default(),
             watches: Arc::default(),
             asks: Arc::default(),
@@ -93,7 +96,9 @@
             if request.line.starts_with("POST") {
                 let mut deaf = lock(&self.deaf);
                 let text = String::from_utf8_lossy(&request.body).into_owned();
-                lock(&self.notices).extend(text.lines().map(String::from));
+                let (mut notices, mut times) = (lock(&self.notices), lock(&self.noticed_at));
+                notices.extend(text.lines().map(String::from));
+                times.resize(notices.len(), Instant::now());
                 if *deaf > 0 {
                     *deaf -= 1;
                     out.write_all(b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n").ok()?;
--- a/crates/rig/src/report.rs
+++ b/crates/rig/src/report.rs
@@ -19,6 +19,12 @@
     pub overlapping: Vec<String>,
     /// Ids told two final answers that differ.
     pub told_twice: Vec<String>,
+    /// Ids of what got its end long after its time.
+    pub late: Vec<String>,
+    /// Lines of the dispatchers' logs that count what their own rules forbid and was done all the same.
+    pub violations: Vec<String>,
+    /// Lines of their logs that tell of a panic.
+    pub panics: Vec<String>,
     /// The registry's askings.
     pub asks: usize,
     /// The most askings in any 10 ms.
@@ -63,6 +69,9 @@
             && self.doubled.is_empty()
             && self.overlapping.is_empty()
             && self.told_twice.is_empty()
+            && self.late.is_empty()
+            && self.violations.is_empty()
+            && self.panics.is_empty()
             && self.failed_starts == 0
     }
 }
--- a/crates/rig/src/run.rs
+++ b/crates/rig/src/run.rs
@@ -4,12 +4,14 @@
 use crate::measure;
 use crate::process::Process;
 use crate::report::Report;
-use crate::scenario::{FaultName, MemberStep, PathName, RegistryStep, Scenario, Step};
-use crate::{config, Fault, Proxy, Registry};
+use crate::scenario::{FaultName, Faults, MemberStep, PathName, RegistryStep, Scenario, Step};
+use crate::{config, soak, Fault, Proxy, Registry};
 use lilacbank_load::arrivals::{poisson, Intended, Stream};
 use lilacbank_load::client::{drive, hand_in_again, Door, Habits, Handed, Route};
 use lilacbank_load::keyed::{audit, Audit, Sent};
 use lilacbank_load::member::{Endpoint, Limit, Manner};
+use rustix::time::{clock_gettime, ClockId};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::atomic::{AtomicU16, Ordering};
@@ -42,6 +44,8 @@
     /// When each member came back from an outage.
     back: Vec<(usize, Instant)>,
     failed_starts: usize,
+    /// Whether a dispatcher's configuration names the registry itself or the proxy before it.
+    direct: Vec<bool>,
     /// Dispatchers whose folder was wiped and that have not started since.
     wiped: Vec<usize>,
 }
@@ -86,7 +90,11 @@
             std::fs::create_dir_all(&dir)?;
             std::fs::write(&config, text)?;
             let together = (scenario.recovery || scenario.replication).then(|| dir.join("together.toml"));
-            processes.push(Process::new(n, dir, config, together));
+            let mut process = Process::new(n, dir, config, together);
+            if let Some(faults) = &scenario.faults {
+                process.variables = variables(faults, n, &process.folder);
+            }
+            processes.push(process);
         }
         let mates = together_files(scenario, &processes)?;
         Ok(Stage {
@@ -97,6 +105,7 @@
             processes,
             back: Vec::new(),
             failed_starts: 0,
+            direct: vec![false; scenario.dispatchers],
             wiped: Vec::new(),
         })
     }
@@ -131,6 +140,14 @@
             thread::sleep(gap);
         }
         step.term.iter().for_each(|&d| self.processes[d].term());
+        for &d in &step.reload {
+            let (seen, proxy, _) = &self.paths[d];
+            self.direct[d] = !self.direct[d];
+            let to = if self.direct[d] { seen.address } else { proxy.address };
+            if let Err(e) = self.processes[d].reload(to) {
+                eprintln!("the configuration of n{d} cannot be written: {e}");
+            }
+        }
         for &d in &step.wipe {
             self.processes[d].stop();
             let _ = std::fs::remove_dir_all(self.processes[d].folder.join("state"));
@@ -196,6 +213,21 @@
     }
 }
 
+/// What loads the faults into a dispatcher's processes; the time of the schedule begins now.
+fn variables(faults: &Faults, n: usize, folder: &Path) -> Vec<(String, String)> {
+    let now = clock_gettime(ClockId::Monotonic);
+    let epoch = now.tv_sec as f64 * 1e3 + now.tv_nsec as f64 / 1e6;
+    let schedule = faults.schedules.get(n).cloned().unwrap_or_default();
+    [
+        ("LD_PRELOAD", faults.library.display().to_string()),
+        ("LILACBANK_FAULTS", schedule),
+        ("LILACBANK_FAULTS_EPOCH", epoch.to_string()),
+        ("LILACBANK_FAULTS_FOLDER", folder.join("state").display().to_string()),
+    ]
+    .map(|(name, value)| (name.to_string(), value))
+    .to_vec()
+}
+
 /// Ports of dispatchers for each other: no two of one process of the rig.
 static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
 
@@ -241,6 +273,7 @@
     for _ in 0..scenario.dispatchers {
         for class in classes {
             let (wanted, deadline) = config::times(class);
+            let deadline = scenario.deadline_ms.unwrap_or(deadline);
             let usual = (0, scenario.run_ms, rate);
             let more = scenario.load.surge.as_ref().map(|s| (s.from_ms, s.until_ms, rate * (s.times - 1.0)));
             for (from, until, rate) in [usual].into_iter().chain(more) {
@@ -335,15 +368,16 @@
         (load.join().unwrap_or_default(), again)
     });
     let found = settle(scenario, &handed, &again, &stage, per);
-    if keep {
-        stage.processes.iter().for_each(Process::count);
-        thread::sleep(Duration::from_millis(200));
-    }
+    stage.processes.iter().for_each(Process::count);
+    thread::sleep(Duration::from_millis(200));
     stage.processes.iter_mut().for_each(Process::kill);
+    let logged = soak::logged(&stage.processes.iter().map(|p| p.folder.join("log")).collect::<Vec<_>>());
     if !keep {
         let _ = std::fs::remove_dir_all(&folder);
     }
     let mut report = report(scenario, &stage, &streams, &handed, found, (start, wave, last_start));
+    report.late = late_ends(scenario, &stage, &handed, per, start);
+    (report.violations, report.panics) = (logged.violations, logged.panics);
     report.again = again.len();
     report.again_without_call = again.iter().filter(|(_, answer)| failed(answer)).count();
     Ok(report)
@@ -389,6 +423,42 @@
     }
 }
 
+/// Messages that got their end long after their time; only where all have the same time.
+fn late_ends(
+    scenario: &Scenario,
+    stage: &Stage,
+    handed: &[Handed],
+    per: usize,
+    start: Instant,
+) -> Vec<String> {
+    let Some(deadline) = scenario.deadline_ms else { return Vec::new() };
+    let since = |at: Instant| at.saturating_duration_since(start).as_millis() as u64;
+    let mut ended: HashMap<String, u64> = HashMap::new();
+    let mut end = |id: &str, at: u64| {
+        ended.entry(id.to_string()).and_modify(|known| *known = at.min(*known)).or_insert(at);
+    };
+    for effect in stage.members.iter().flat_map(Endpoint::effects) {
+        end(&effect.id, since(effect.at));
+    }
+    for (line, at) in lock(&stage.registry.notices).iter().zip(lock(&stage.registry.noticed_at)) {
+        let id = line.split("\"message\":\"").nth(1).and_then(|rest| rest.split('"').next());
+        id.into_iter().for_each(|id| end(id, since(at)));
+    }
+    let ending = |h: &Handed| {
+        let id = h.what.id(h.refusals);
+        let ended = *ended.get(&id)?;
+        let due = h.what.at.as_millis() as u64 + deadline;
+        Some(soak::Ending { id, dispatcher: h.what.stream / per, due, ended })
+    };
+    let endings: Vec<soak::Ending> =
+        handed.iter().filter(|h| h.door == Door::Taken).filter_map(ending).collect();
+    let away = |n: usize| -> Vec<(u64, u64)> {
+        let lives = &stage.processes[n].lives;
+        lives.windows(2).filter_map(|w| Some((since(w[0].1?), since(w[1].0)))).collect()
+    };
+    soak::late(&endings, |n| soak::excuses(scenario, n, &away(n)))
+}
+
 fn report(
     scenario: &Scenario,
     stage: &Stage,
@@ -452,6 +522,9 @@
         latency_ms: measure::latencies(start, handed, &first),
         calls: calls.iter().map(|c| measure::buckets(start, run_ms, c)).collect(),
         serving,
+        late: Vec::new(),
+        violations: Vec::new(),
+        panics: Vec::new(),
         again: 0,
         again_without_call: 0,
     }
--- a/crates/rig/src/scenario.rs
+++ b/crates/rig/src/scenario.rs
@@ -71,11 +71,26 @@
     pub member: Member,
     /// Messages handed in.
     pub load: Load,
+    /// Milliseconds for which each message may be delivered; those of its class where it is none.
+    #[serde(skip)]
+    pub deadline_ms: Option<u64>,
+    /// The library of `crates/faults`, and the schedule of each dispatcher; see `crate::soak`.
+    #[serde(skip)]
+    pub faults: Option<Faults>,
     /// The timeline, in any order; steps of one time go in the order written.
     #[serde(default, rename = "at")]
     pub steps: Vec<toml::Spanned<Step>>,
 }
 
+/// System calls that fail in the dispatchers' processes.
+#[derive(Debug, Clone)]
+pub struct Faults {
+    /// The library of `crates/faults`.
+    pub library: std::path::PathBuf,
+    /// What fails when, for each dispatcher; times count from the start of the load.
+    pub schedules: Vec<String>,
+}
+
 /// The stand-in member.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -215,6 +230,9 @@
     /// Dispatchers to upgrade: a second process starts beside the first, which is then sent SIGTERM.
     #[serde(default)]
     pub upgrade: Vec<usize>,
+    /// Dispatchers whose configuration is read again (SIGHUP): discovery moves to the other of its two addresses.
+    #[serde(default)]
+    pub reload: Vec<usize>,
     /// Milliseconds by which the clock of the processes that this step starts is off.
     #[serde(default)]
     pub clock_ms: i64,
--- /dev/null
+++ b/tests/soak.rs
@@ -0,0 +1,36 @@
+//! A short soak of fixed seeds: real processes behind the rig's proxies, troubles that overlap, judged by the invariants.
+//! Longer ones: `lilacbank-rig soak` (README).
+
+mod stand;
+use lilacbank_rig::soak::{scenario, Spec};
+use std::path::Path;
+
+fn play(seed: u64) {
+    let library = Some(stand::faults::library().into());
+    let spec = Spec { seed, dispatchers: 8, run_ms: 10_000, at_once: 5.0, library };
+    let (play, work) = (scenario(&spec), std::env::temp_dir());
+    let program = Path::new(env!("CARGO_BIN_EXE_lilacbank"));
+    let report = lilacbank_rig::run::play(&play, program, &work, false).unwrap();
+    let broken = (
+        (&report.lost, &report.late, &report.doubled),
+        (&report.told_twice, &report.violations, &report.panics),
+        report.failed_starts,
+    );
+    assert!(report.clean(), "seed {seed}: {broken:?} {:?}", report.overlapping);
+    assert!(
+        report.taken > 400 && report.delivered > report.taken / 2,
+        "{} {}",
+        report.taken,
+        report.delivered
+    );
+}
+
+#[test]
+fn the_invariants_hold_under_overlapping_troubles_of_seed_11() {
+    play(11);
+}
+
+#[test]
+fn the_invariants_hold_under_overlapping_troubles_of_seed_12() {
+    play(12);
+}
