Show by a failing test that half a record makes a start give up untried messages

A write that fails halfway on a folder that answers EIO leaves half a record when the truncation fails too, and the process is killed.

--- a/crates/faults/src/lib.rs
+++ b/crates/faults/src/lib.rs
@@ -21,13 +21,15 @@
 
 use libc::{c_char, c_int, c_void, mode_t, off_t, size_t, sockaddr, socklen_t, ssize_t, timespec};
 use schedule::{Kind, Schedule};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::OnceLock;
 
 /// One in so many socket writes is held up by a `halt`.
 const HALT_EACH: u64 = 64;
 
 static SCHEDULE: OnceLock<Schedule> = OnceLock::new();
+/// The last write that failed has written its half, and the next call of its writer fails.
+static HALVED: AtomicBool = AtomicBool::new(false);
 /// Calls so far, to pick every nth of them.
 static CALLS: AtomicU64 = AtomicU64::new(0);
 
@@ -118,7 +120,7 @@
         return libc::syscall(libc::SYS_write, fd, bytes, count) as ssize_t;
     }
     if let Some((errno, half)) = disk_fault(fd) {
-        if half && count > 1 && count.is_multiple_of(2) {
+        if half && count > 1 && !HALVED.fetch_xor(true, Ordering::Relaxed) {
             return libc::syscall(libc::SYS_write, fd, bytes, count / 2) as ssize_t;
         }
         return fail(errno) as ssize_t;
--- a/tests/full_folder.rs
+++ b/tests/full_folder.rs
@@ -63,3 +63,40 @@
 fn what_a_start_finds_is_delivered_once_a_folder_that_fails_works_again() {
     all_are_delivered_by_a_start_under("eio 0 1500");
 }
+
+/// Guards against half a record, left by a write that failed, taken for a file that was cut off: nothing is missing before
+/// it, and what was never tried is not given up for fear that it may have run.
+#[test]
+fn half_a_record_at_the_end_gives_nothing_up_that_was_never_tried() {
+    let answers = Arc::new(AtomicBool::new(false));
+    let a = answers.clone();
+    let worker = Worker::start(move |_, _| if a.load(Ordering::SeqCst) { OK } else { Reply::Silence });
+    let site = Site::new(&[entry("w1", &worker.address.to_string(), "a", 1, "in_service")]);
+    let d = site.start_under("eio 1500 1e12 1", &[]);
+    let begun = std::time::Instant::now();
+    let mut client = d.client();
+    let ids: Vec<String> = (0..40).map(|n| format!("m{n:02}")).collect();
+    for id in &ids {
+        assert_eq!(client.submit(id, "c=pay,t=acme,d=15000,dest=1"), "+OK");
+    }
+    assert!(begun.elapsed() < Duration::from_millis(1_200), "the machine is too slow for this test");
+    std::thread::sleep(Duration::from_millis(1_600).saturating_sub(begun.elapsed()));
+    let journal = site.dir.join("state").join("journal");
+    let whole = std::fs::metadata(&journal).unwrap().len();
+    assert!(client.submit("late", "c=pay,t=acme,d=15000,dest=1").starts_with("-BUSY"));
+    assert!(std::fs::metadata(&journal).unwrap().len() > whole, "half a record stands at the end");
+    d.kill();
+    let tried: Vec<usize> = ids.iter().map(|id| worker.of(id)).collect();
+    assert!(tried.iter().filter(|t| **t == 0).count() > 20);
+    answers.store(true, Ordering::SeqCst);
+    let _next = site.start();
+    for (id, tried) in ids.iter().zip(tried) {
+        if tried == 0 {
+            until(&format!("{id} ends"), || worker.of(id) > 0 || !site.platform.noticed(id).is_empty());
+            assert_eq!(worker.of(id), 1, "{id} is delivered: {:?}", site.platform.noticed(id));
+        } else {
+            until(&format!("{id} may have run"), || !site.platform.noticed(id).is_empty());
+            assert_eq!(worker.of(id), tried);
+        }
+    }
+}
