Take half a record for a write that failed, and a cut for what the attempts' mark says

The length in the lock file tells better: it is written with each mark of an attempt, so a file that reads whole up to it lacks none. Now the length is written at each open, too, and an attempt whose length cannot be written is not sent (it is taken back out of the file).

--- a/src/journal.rs
+++ b/src/journal.rs
@@ -169,6 +169,15 @@
     }
 }
 
+/// Was a file of which `good` bytes read whole cut off before the mark that an attempt went out? Half a record behind them
+/// says nothing by itself: a write may fail halfway. Without a length to go by it is taken for a cut.
+fn was_cut(lock: &File, good: usize, length: usize) -> bool {
+    match read_mark(lock) {
+        0 => good < length,
+        mark => (good as u64) < mark,
+    }
+}
+
 /// The file where a compaction writes before it takes the journal's name.
 fn fresh(path: &Path) -> PathBuf {
     let mut name = path.as_os_str().to_owned();
@@ -336,7 +345,7 @@
             log::warn!("the journal's tail of {} bytes is torn and cut off", bytes.len() - good);
             file.set_len(good as u64)?;
         }
-        let cut = good < bytes.len() || (good as u64) < read_mark(&lock);
+        let cut = was_cut(&lock, good, bytes.len());
         if cut {
             // Said once: the next start finds a whole file, if a shorter one.
             write_mark(&lock, good as u64)?;
@@ -356,7 +365,8 @@
             other_read: Tail::default(),
             _lock: lock,
         };
-        if let Err(e) = journal.settle() {
+        // From here on there is a length to go by.
+        if let Err(e) = journal.settle().and_then(|()| write_mark(&journal._lock, journal.size)) {
             log::warn!(cause:% = e; "the journal takes no record yet: {e}");
         }
         if !damaged.is_empty() {
@@ -431,7 +441,7 @@
                 if !damaged.is_empty() {
                     set_aside(folder, SLOTS[slot], &bytes, &damaged);
                 }
-                let cut = good < bytes.len() || (good as u64) < read_mark(&lock);
+                let cut = was_cut(&lock, good, bytes.len());
                 let damaged = damaged.len() + usize::from(cut);
                 let records = self.own_timeline(records);
                 let mark = FileMark::of(&bytes);
@@ -494,10 +504,15 @@
     /// Writes a record; after a failure the file is as it was before.
     pub fn append(&mut self, record: &Record) -> io::Result<()> {
         self.settle()?;
+        let before = self.size;
         self.write(&record.encode())?;
         if matches!(record, Record::State { out: Some(_), .. }) {
-            // A mark that stays behind says less, and nothing that is wrong.
-            let _ = write_mark(&self._lock, self.size);
+            // Beside a mark that stays behind, a cut that takes this record would not be seen.
+            if let Err(e) = write_mark(&self._lock, self.size) {
+                self.torn = self.file.set_len(before).is_err();
+                self.size = before;
+                return Err(e);
+            }
         }
         Ok(())
     }
