Tell owed ends within 100 ms once connections come up again; wait for a start's sockets

`Notices` doubled the time between two tries to connect up to 1 s, so an end that was due just after connections came up again was told up to 1 s later, where a notice has 300 ms. Now 100 ms at most: one connection to the machine's own agent. tests/crossings.rs `ends_are_told_at_once_when_connections_come_up_again` plays four lengths of the trouble.

A start tries its poll, its listener and its folder again for want of descriptors, locks or buffers.

--- a/crates/faults/src/lib.rs
+++ b/crates/faults/src/lib.rs
@@ -24,6 +24,10 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::OnceLock;
 
+/// Between two halts, so that one is over before the next: the time that a process may be held up is the time of one.
+const HALT_GAP_MS: u64 = 1_000;
+/// When the last halt began.
+static LAST_HALT: AtomicU64 = AtomicU64::new(0);
 /// One in so many socket writes is held up by a `halt`.
 const HALT_EACH: u64 = 64;
 
@@ -142,7 +146,10 @@
 }
 
 fn halt() {
-    if let Some(span) = active(Kind::Halt).filter(|_| nth_call(HALT_EACH)) {
+    let now = monotonic_ms() as u64;
+    let rested = || now.saturating_sub(LAST_HALT.load(Ordering::Relaxed)) > HALT_GAP_MS;
+    if let Some(span) = active(Kind::Halt).filter(|_| rested() && nth_call(HALT_EACH)) {
+        LAST_HALT.store(now, Ordering::Relaxed);
         let span = if span > 0.0 { span } else { 150.0 };
         let span = timespec { tv_sec: 0, tv_nsec: (span * 1e6) as _ };
         // SAFETY: the structure outlives the call.
--- a/src/disk.rs
+++ b/src/disk.rs
@@ -93,8 +93,8 @@
 /// May the same call succeed a little later? A folder may be full or fail for a while, and descriptors may be short.
 pub fn may_pass(error: &io::Error) -> bool {
     use io::ErrorKind::*;
-    /// Linux's numbers of errors that have no kind of their own: EIO, ENFILE and EMFILE.
-    const NUMBERS: [i32; 3] = [5, 23, 24];
+    /// Linux's numbers of errors that have no kind of their own: EIO, ENFILE, EMFILE, ENOLCK and ENOBUFS.
+    const NUMBERS: [i32; 5] = [5, 23, 24, 37, 105];
     matches!(
         error.kind(),
         StorageFull | QuotaExceeded | Interrupted | ResourceBusy | OutOfMemory | StaleNetworkFileHandle
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -189,7 +189,7 @@
         let offset = environment(clock::OFFSET).and_then(|t| t.parse().ok()).filter(|t: &Ms| t.is_finite());
         let clock = Clock::start(offset.unwrap_or(0.0));
         let now = clock.now();
-        let poll = Poll::new()?;
+        let poll = patiently("the poll", &clock, Poll::new)?;
         // Before all else: a signal whose default is the process's end must find its handler.
         let mut signals = Vec::new();
         for signal in [SIGTERM, SIGINT, SIGUSR1, SIGHUP] {
@@ -297,7 +297,7 @@
             log::info!(calls = came; "took over {came} calls from the journal of a process that has ended");
         }
         log::info!(records = read, calls = core.holds(); "stage recovering: {read} records read, {} calls taken up", core.holds());
-        let mut listener = stream::listen(config.listen)?;
+        let mut listener = patiently("the listener", &clock, || stream::listen(config.listen))?;
         poll.registry().register(&mut listener, token(Kind::Listener, 0), Interest::READABLE)?;
         // A number that no connection has tells this listener from the other.
         let mut mqtt_listener = mqtt.listen.map(stream::listen).transpose()?;
@@ -816,6 +816,20 @@
     }
 }
 
+/// Tries what a start cannot do without again, while it fails for want of descriptors or memory.
+fn patiently<T>(what: &str, clock: &Clock, make: impl Fn() -> io::Result<T>) -> io::Result<T> {
+    let begun = clock.now();
+    loop {
+        match make() {
+            Err(e) if disk::may_pass(&e) && clock.now() - begun < OPEN_PATIENCE => {
+                log::warn!(cause:% = e; "{what} cannot be had yet: {e}");
+                std::thread::sleep(OPEN_AGAIN);
+            }
+            done => return done,
+        }
+    }
+}
+
 /// The folder's life record, its journal and the records in it. A folder that fails or is full for a while is tried again: a
 /// process that ends instead leaves what the folder holds without an end.
 fn open_folder(
--- a/src/net/notice.rs
+++ b/src/net/notice.rs
@@ -15,7 +15,8 @@
 const PATIENCE: Ms = 200.0;
 const PATIENCE_MOST: Ms = 1_000.0;
 const AGAIN_FIRST: Ms = 50.0;
-const AGAIN_MOST: Ms = 1_000.0;
+/// Once connections come up again, what is owed is told well within the 300 ms that a notice has.
+const AGAIN_MOST: Ms = 100.0;
 const BATCH_MOST: usize = 64;
 
 /// Notices that are owed, and the connection that carries them.
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -163,3 +163,41 @@
         d.kill();
     }
 }
+
+/// Guards against ends that are owed and told late once connections come up again: no connection could be made for a while,
+/// and the time between two tries had grown.
+#[test]
+fn ends_are_told_at_once_when_connections_come_up_again() {
+    // The tries have a rhythm; one of these ends falls well before the next try.
+    let plays = [2_600, 3_000, 3_500, 4_000].map(|up| std::thread::spawn(move || ends_are_told_once_up(up)));
+    // All are waited for first: a process that outlives this test would keep its output open.
+    let ends: Vec<_> = plays.into_iter().map(|play| play.join()).collect();
+    ends.into_iter().for_each(|end| end.unwrap());
+}
+
+fn ends_are_told_once_up(up_ms: u64) {
+    let worker = Worker::start(|_, _| Reply::Silence);
+    let site = site_of(&worker);
+    let begun = Instant::now();
+    let d = site.start_under(&format!("connect 700 {up_ms}"), &[]);
+    let started = Instant::now();
+    let mut client = d.client();
+    std::thread::sleep(Duration::from_millis(800).saturating_sub(begun.elapsed()));
+    let mut taken = Vec::new();
+    for n in 0..30 {
+        let (id, left) = (format!("m{n:02}"), 500 + 100 * n);
+        if client.submit(&id, &format!("c=pay,t=acme,d={left},dest=1")) == "+OK" {
+            taken.push((id, Instant::now() + Duration::from_millis(left)));
+        }
+    }
+    assert!(taken.len() > 10, "{}", taken.len());
+    // The schedule begins with the process, so connections come up so long after its start at the latest.
+    let up = started + Duration::from_millis(up_ms);
+    std::thread::sleep((up + Duration::from_millis(450)).saturating_duration_since(Instant::now()));
+    let open: Vec<&String> = taken
+        .iter()
+        .filter(|(id, due)| *due < Instant::now() && site.platform.noticed(id).is_empty())
+        .map(|t| &t.0)
+        .collect();
+    assert!(open.is_empty(), "no end 450 ms after connections came up again: {open:?}");
+}
