Let the next of a key go once the one before is delivered, whoever has confirmed it

Found in the review of the guard before landing: its rule on a key's order counted a delivered message of an MQTT session until the session's client had confirmed, up to a minute; the platform's front closes a delivered call at once. What is delivered leaves the order now (`Core::finish`), at a restart too. tests/endings.rs `the_next_of_a_key_goes_once_the_one_before_is_delivered_to_a_session` fails without the change (tried) and passes with it.

--- a/src/dispatch/admit.rs
+++ b/src/dispatch/admit.rs
@@ -350,7 +350,9 @@
             call.frozen = Some(Frozen::Queued);
         }
         let waits = call.frozen.is_some();
-        self.order.enter(&call.taken);
+        if call.ending != Some(Ending::Delivered) {
+            self.order.enter(&call.taken);
+        }
         self.calls.insert(no, call);
         if !waits {
             self.resume(no);
--- a/src/dispatch/book.rs
+++ b/src/dispatch/book.rs
@@ -60,6 +60,10 @@
         self.cells.over(now, c, ending == Ending::Delivered);
         let platform = identity.0.is_empty();
         let doubtful = c.unheard.is_some();
+        if ending == Ending::Delivered && !doubtful {
+            // The next of its key may go, though its client has not confirmed that it heard.
+            self.order.leave(&c.taken);
+        }
         self.note(&Record::Ended { no, ending });
         self.copy_answered(no);
         self.copy_ended(now, no, &identity, ending);
--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -388,3 +388,28 @@
     assert_eq!(answers, COMMANDS);
     d.ended();
 }
+
+/// Guards against a rule on a key's order that waits for a session's client: what was delivered is over, though its client has
+/// not confirmed that it heard.
+#[test]
+fn the_next_of_a_key_goes_once_the_one_before_is_delivered_to_a_session() {
+    let mut core = core();
+    tell(&mut core, 0.0, Listing::Ready, false);
+    for id in ["a", "b"] {
+        let identity = ("session".to_string(), id.to_string());
+        let (class, idempotency) = ("order".to_string(), id.to_string());
+        let key = Some(5);
+        core.submit(
+            10.0,
+            3,
+            Submission { identity, class, idempotency, key, dest: 1, ..Submission::default() },
+        );
+    }
+    let (at, first) = next_delegation(&mut core, 10.0, 500).unwrap();
+    assert_eq!(first.id, "a");
+    assert!(next_delegation(&mut core, at + 1.0, 500).is_none(), "the second one waits for the first");
+    core.outcome(at + 510.0, first.no, first.attempt, End::of(Outcome::Delivered));
+    let (_, second) = next_delegation(&mut core, at + 510.0, 500).unwrap();
+    assert_eq!(second.id, "b");
+    assert_eq!(core.holds(), 2, "the first one's client has not confirmed");
+}
