Write the ends that a full folder did not take once it does; write requests by a fresh clock

Found by reading for crossings: `Core::note` dropped `Ended` and `Over` records that the folder did not take, so a message delivered while it was full looks, after a kill, like one that may have run: "m0", given_up, though delivered. Such records are owed now (256 KiB at most) and written before any other, tried each 100 ms. tests/full_folder.rs `ends_that_came_while_the_folder_was_full_are_known_to_the_next_start` fails without `owe_late` (tried) and passes with it.

--- a/src/dispatch/admit.rs
+++ b/src/dispatch/admit.rs
@@ -14,6 +14,8 @@
 pub(super) const NO_ROOM_ADVICE: Ms = 500.0;
 /// How long an identity is remembered after its call's time is up.
 const MEMORY: Ms = 15_000.0;
+/// Between two tries to write what the journal is owed.
+const SETTLE_AGAIN: Ms = 100.0;
 /// After a compaction that failed, the next one is tried so much later.
 const COMPACT_AGAIN: Ms = 500.0;
 /// Share of what the module may hold that is filled with calls of an earlier process; the rest wait in the backlog.
@@ -328,6 +330,19 @@
         !self.outdated && self.journal.settle().is_ok()
     }
 
+    /// Writes what the journal is owed as soon as the folder takes it.
+    pub(super) fn settle_turn(&mut self, now: Ms) {
+        if self.journal.owes() && now >= self.settle_at {
+            self.settle_at = now + SETTLE_AGAIN;
+            let _ = self.journal.settle();
+        }
+    }
+
+    /// When that is next tried.
+    pub(super) fn settle_due(&self) -> Option<Ms> {
+        self.journal.owes().then_some(self.settle_at)
+    }
+
     /// A call of an earlier process, or of another dispatcher, is held here; the module has it if nothing keeps it from it.
     pub(super) fn hold_again(&mut self, now: Ms, call: Call) {
         let (no, t) = (call.taken.no, &call.taken);
--- a/src/dispatch/book.rs
+++ b/src/dispatch/book.rs
@@ -182,7 +182,10 @@
     pub(super) fn note(&mut self, record: &Record) {
         self.compact_if_full();
         if let Err(e) = self.journal.append(record) {
-            log::error!(cause:% = e; "the journal misses a record: {e}");
+            self.journal.owe_late(record);
+            if let Some(count) = self.unwritten.raise(self.now) {
+                log::error!(cause:% = e, count = count; "the journal does not take a record yet: {e}");
+            }
         }
     }
 }
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -350,6 +350,8 @@
     /// Attempts that could not be written down, and compactions.
     unwritten: Complaint,
     uncompacted: Complaint,
+    /// When what the journal is owed is next tried.
+    settle_at: Ms,
     /// When a compaction may be tried again.
     compact_at: Ms,
     live_bytes: u64,
@@ -412,6 +414,7 @@
             outdated: false,
             unwritten: Complaint::default(),
             uncompacted: Complaint::default(),
+            settle_at: 0.0,
             compact_at: 0.0,
             live_bytes: 0,
             known_bytes: 0,
@@ -494,7 +497,11 @@
         let outs = self.calls.values().filter_map(|c| c.out.as_ref()).map(|o| o.until);
         let own =
             room.into_iter().chain(self.hints_due()).chain(self.backlog.next_due()).chain(self.copying_due());
-        outs.chain(self.alarms.iter().map(|a| a.0)).chain(own).chain(self.seats_due()).min_by(f64::total_cmp)
+        outs.chain(self.alarms.iter().map(|a| a.0))
+            .chain(own)
+            .chain(self.seats_due())
+            .chain(self.settle_due())
+            .min_by(f64::total_cmp)
     }
 
     /// Takes changed settings over, under names that [`crate::config::Names::carry`] has made to fit. What is held, what has
--- a/src/journal.rs
+++ b/src/journal.rs
@@ -19,6 +19,8 @@
 const KNOWN_SHARE: f64 = 0.08;
 /// and that the file may fill before it is compacted. Both copies together stay under the limit.
 const FILE_SHARE: f64 = 0.48;
+/// Bytes of records that are owed late at most.
+const OWED_MOST: usize = 256 << 10;
 /// A file that cannot be compacted takes no new call beyond this; what is held still ends in it.
 const GROWN_SHARE: f64 = 0.8;
 
@@ -501,6 +503,18 @@
         records.for_each(|r| self.owed.extend(r.encode()));
     }
 
+    /// Is anything owed?
+    pub fn owes(&self) -> bool {
+        !self.owed.is_empty()
+    }
+
+    /// Owes a record that the file did not take, unless too much is owed already: a restart can do without it, at a price.
+    pub fn owe_late(&mut self, record: &Record) {
+        if self.owed.len() < OWED_MOST {
+            self.owe(std::iter::once(record));
+        }
+    }
+
     /// Writes a record; after a failure the file is as it was before.
     pub fn append(&mut self, record: &Record) -> io::Result<()> {
         self.settle()?;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -427,7 +427,7 @@
         match untoken(token) {
             (Some(Kind::Listener), which) => self.accept(now, which),
             (Some(Kind::Acceptor), at) => self.acceptors.ready(now, at, &mut self.core),
-            (Some(Kind::Worker), at) => self.workers.ready(now, at, &mut self.found),
+            (Some(Kind::Worker), at) => self.workers.ready(self.clock.now(), at, &mut self.found),
             (Some(Kind::Session), at) => {
                 let heard = self.sessions.ready(now, at, &mut self.core);
                 heard.into_iter().for_each(|no| self.core.confirmed(now, no));
@@ -782,7 +782,8 @@
             Order::Delegate(d) if d.address.starts_with(broker::SCHEME) => {
                 self.brokers.delegate(now, &d, registry, &mut self.found);
             }
-            Order::Delegate(d) => self.workers.delegate(now, &d, registry, &mut self.found),
+            // By the clock of this moment: the turn may have taken a while, and a request has a time by which it is written.
+            Order::Delegate(d) => self.workers.delegate(self.clock.now(), &d, registry, &mut self.found),
             Order::Abandon { no, attempt } => {
                 self.workers.abandon(now, Task::Delegation(no, attempt));
                 self.brokers.abandon(Task::Delegation(no, attempt));
--- a/tests/full_folder.rs
+++ b/tests/full_folder.rs
@@ -100,3 +100,27 @@
         }
     }
 }
+
+/// Guards against ends that are not in the journal: they came while the folder was full, and a later start takes messages that
+/// were delivered for ones that may have run.
+#[test]
+fn ends_that_came_while_the_folder_was_full_are_known_to_the_next_start() {
+    let worker = Worker::start(|_, _| Reply::After(Duration::from_millis(900), "200 OK"));
+    let site = Site::new(&[entry("w1", &worker.address.to_string(), "a", 1, "in_service")]);
+    let d = site.start_under("enospc 600 1800", &[]);
+    let begun = std::time::Instant::now();
+    let mut client = d.client();
+    let ids: Vec<String> = (0..2).map(|n| format!("m{n}")).collect();
+    for id in &ids {
+        assert_eq!(client.submit(id, "c=pay,t=acme,d=15000,dest=1"), "+OK");
+    }
+    until("they are out", || worker.count() == 2);
+    assert!(begun.elapsed() < Duration::from_millis(500), "the machine is too slow for this test");
+    std::thread::sleep(Duration::from_millis(2_300).saturating_sub(begun.elapsed()));
+    d.kill();
+    let _next = site.start();
+    std::thread::sleep(Duration::from_millis(500));
+    for id in &ids {
+        assert_eq!(site.platform.noticed(id), Vec::<String>::new(), "{id} was delivered");
+    }
+}
