Keep the mark of a file that was taken over for as long as the file may be there

Found in the review: a start that passes over the other file by `Record::Adopted` did not hold the mark itself, so its next compaction dropped it, and a file that could still not be emptied would be taken over by the start after that. Both ways in `restore_both` hold it now. tests/handover.rs puts the file back before each of three starts; it passed before the change, too, as no compaction falls on it: by reading only.

--- a/src/dispatch/admit.rs
+++ b/src/dispatch/admit.rs
@@ -270,11 +270,13 @@
     pub fn restore_both(&mut self, now: Ms, own: Vec<Record>, left: Left) -> usize {
         // A process that took the other file over and ended before it could empty it.
         if own.contains(&Record::Adopted(left.mark)) {
+            // A journal that is written anew says so again, for as long as the other file may be there.
+            self.adopted = Some(left.mark);
             self.restore(now, own);
             return 0;
         }
         if left.records.contains(&Record::Adopted(self.journal.found())) {
-            self.outdated = true;
+            (self.outdated, self.adopted) = (true, Some(left.mark));
             self.restore(now, left.records);
             return self.calls.len();
         }
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -118,7 +118,11 @@
             std::fs::write(&other, &k.copy).unwrap();
         }
         let calls = k.worker.count();
-        for _ in 0..2 {
+        // Whichever file a start empties is there again at the next one.
+        let other = k.file.with_file_name("journal.1");
+        let left = std::fs::read(&other).unwrap();
+        for _ in 0..3 {
+            std::fs::write(&other, &left).unwrap();
             let next = k.site.start();
             std::thread::sleep(Duration::from_millis(500));
             next.kill();
