--- a/src/dispatch/admit.rs
+++ b/src/dispatch/admit.rs
@@ -14,8 +14,8 @@
 pub(super) const NO_ROOM_ADVICE: Ms = 500.0;
 /// How long an identity is remembered after its call's time is up.
 const MEMORY: Ms = 15_000.0;
-/// Between two tries to write what the journal is owed.
-const SETTLE_AGAIN: Ms = 100.0;
+/// Between two tries to write the deferred records of the journal.
+const FLUSH_AGAIN: Ms = 100.0;
 /// After a compaction that failed, the next one is tried so much later.
 const COMPACT_AGAIN: Ms = 500.0;
 /// Share of what the module may hold that is filled with calls of an earlier process; the rest wait in the backlog.
@@ -306,7 +306,7 @@
         let records: Vec<Record> = left.records.into_iter().map(|r| renumber(r, base)).collect();
         let calls = records.iter().filter(|r| matches!(r, Record::Taken(_))).count();
         self.restore(now, records.clone());
-        self.heed_waits(now, records.clone());
+        self.apply_waits(now, records.clone());
         self.write_down(records, Some(left.mark));
         calls
     }
@@ -316,8 +316,8 @@
     pub(super) fn write_down(&mut self, mut records: Vec<Record>, mark: Option<FileMark>) {
         records.extend(mark.map(Record::Adopted));
         self.adopted = mark.or(self.adopted);
-        self.journal.owe(records.iter());
-        if let Err(e) = self.journal.settle() {
+        self.journal.defer(records.iter());
+        if let Err(e) = self.journal.flush_deferred() {
             log::error!(cause:% = e; "the journal does not take what was taken over yet: {e}");
         }
         self.compact_if_full();
@@ -325,24 +325,24 @@
 
     /// Is all that was taken over in this journal, and nothing older? Before that the file that it came from must stay as it
     /// is.
-    pub fn settle(&mut self) -> bool {
+    pub fn flush_journal(&mut self) -> bool {
         if self.outdated {
             self.outdated = !self.compact();
         }
-        !self.outdated && self.journal.settle().is_ok()
+        !self.outdated && self.journal.flush_deferred().is_ok()
     }
 
-    /// Writes what the journal is owed as soon as the folder takes it.
-    pub(super) fn settle_turn(&mut self, now: Ms) {
-        if self.journal.owes() && now >= self.settle_at {
-            self.settle_at = now + SETTLE_AGAIN;
-            let _ = self.journal.settle();
+    /// Writes the deferred records of the journal as soon as the folder takes them.
+    pub(super) fn flush_turn(&mut self, now: Ms) {
+        if self.journal.has_deferred() && now >= self.flush_at {
+            self.flush_at = now + FLUSH_AGAIN;
+            let _ = self.journal.flush_deferred();
         }
     }
 
     /// When that is next tried.
-    pub(super) fn settle_due(&self) -> Option<Ms> {
-        self.journal.owes().then_some(self.settle_at)
+    pub(super) fn flush_due(&self) -> Option<Ms> {
+        self.journal.has_deferred().then_some(self.flush_at)
     }
 
     /// A call of an earlier process, or of another dispatcher, is held here; the module has it if nothing keeps it from it.
--- a/src/dispatch/book.rs
+++ b/src/dispatch/book.rs
@@ -182,7 +182,7 @@
     pub(super) fn note(&mut self, record: &Record) {
         self.compact_if_full();
         if let Err(e) = self.journal.append(record) {
-            self.journal.owe_late(record);
+            self.journal.defer_bounded(record);
             if let Some(count) = self.unwritten.raise(self.now) {
                 log::error!(cause:% = e, count = count; "the journal does not take a record yet: {e}");
             }
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -350,8 +350,8 @@
     /// Attempts that could not be written down, and compactions.
     unwritten: Complaint,
     uncompacted: Complaint,
-    /// When what the journal is owed is next tried.
-    settle_at: Ms,
+    /// When the deferred records of the journal are next tried.
+    flush_at: Ms,
     /// When a compaction may be tried again.
     compact_at: Ms,
     live_bytes: u64,
@@ -414,7 +414,7 @@
             outdated: false,
             unwritten: Complaint::default(),
             uncompacted: Complaint::default(),
-            settle_at: 0.0,
+            flush_at: 0.0,
             compact_at: 0.0,
             live_bytes: 0,
             known_bytes: 0,
@@ -500,7 +500,7 @@
         outs.chain(self.alarms.iter().map(|a| a.0))
             .chain(own)
             .chain(self.seats_due())
-            .chain(self.settle_due())
+            .chain(self.flush_due())
             .min_by(f64::total_cmp)
     }
 
--- a/src/dispatch/waits.rs
+++ b/src/dispatch/waits.rs
@@ -56,7 +56,7 @@
     }
 
     /// Waits that were told to the process beside this one, or to one that has ended and left its journal.
-    pub fn heed_waits(&mut self, now: Ms, records: Vec<Record>) {
+    pub fn apply_waits(&mut self, now: Ms, records: Vec<Record>) {
         for record in records {
             let Record::Wait { worker, until } = record else { continue };
             if until > now && self.waits.told(&worker, until) {
@@ -96,9 +96,9 @@
     }
 
     /// Reads what the process beside this one was told since the last look.
-    pub fn heed_process_beside(&mut self, now: Ms) {
+    pub fn apply_waits_of_other_process(&mut self, now: Ms) {
         let records = self.journal.other_waits();
-        self.heed_waits(now, records);
+        self.apply_waits(now, records);
     }
 }
 
--- a/src/journal.rs
+++ b/src/journal.rs
@@ -19,8 +19,8 @@
 const KNOWN_SHARE: f64 = 0.08;
 /// and that the file may fill before it is compacted. Both copies together stay under the limit.
 const FILE_SHARE: f64 = 0.48;
-/// Bytes of records that are owed late at most.
-const OWED_MOST: usize = 256 << 10;
+/// Bytes of records deferred by `defer_bounded` at most.
+const DEFERRED_MOST: usize = 256 << 10;
 /// A file that cannot be compacted takes no new call beyond this; what is held still ends in it.
 const GROWN_SHARE: f64 = 0.8;
 
@@ -52,7 +52,7 @@
     /// The clocks at the start of this process; none for those who only look at a folder.
     clocks: Option<Reading>,
     /// Records that the file must hold before any other: it took none when they were to be written.
-    owed: Vec<u8>,
+    deferred: Vec<u8>,
     /// How far the other file has been read for news, while the process that writes it lives.
     other_read: Tail,
 }
@@ -363,12 +363,12 @@
             cut,
             found: FileMark::of(&bytes),
             clocks,
-            owed: clocks.map_or_else(Vec::new, |c| Record::Clock(c).encode()),
+            deferred: clocks.map_or_else(Vec::new, |c| Record::Clock(c).encode()),
             other_read: Tail::default(),
             _lock: lock,
         };
         // From here on there is a length to go by.
-        if let Err(e) = journal.settle().and_then(|()| write_mark(&journal._lock, journal.size)) {
+        if let Err(e) = journal.flush_deferred().and_then(|()| write_mark(&journal._lock, journal.size)) {
             log::warn!(cause:% = e; "the journal takes no record yet: {e}");
         }
         if !damaged.is_empty() {
@@ -482,16 +482,16 @@
         })
     }
 
-    /// Writes what is owed.
+    /// Writes what is deferred.
     ///
     /// # Errors
     ///
     /// The file takes nothing now; it is as it was before.
-    pub fn settle(&mut self) -> io::Result<()> {
-        if !self.owed.is_empty() {
-            let owed = std::mem::take(&mut self.owed);
-            if let Err(e) = self.write(&owed) {
-                self.owed = owed;
+    pub fn flush_deferred(&mut self) -> io::Result<()> {
+        if !self.deferred.is_empty() {
+            let deferred = std::mem::take(&mut self.deferred);
+            if let Err(e) = self.write(&deferred) {
+                self.deferred = deferred;
                 return Err(e);
             }
         }
@@ -499,25 +499,25 @@
     }
 
     /// Records that must stand in the file before any that is written from now on, whether it takes them now or later.
-    pub fn owe<'a>(&mut self, records: impl Iterator<Item = &'a Record>) {
-        records.for_each(|r| self.owed.extend(r.encode()));
+    pub fn defer<'a>(&mut self, records: impl Iterator<Item = &'a Record>) {
+        records.for_each(|r| self.deferred.extend(r.encode()));
     }
 
-    /// Is anything owed?
-    pub fn owes(&self) -> bool {
-        !self.owed.is_empty()
+    /// Is anything deferred?
+    pub fn has_deferred(&self) -> bool {
+        !self.deferred.is_empty()
     }
 
-    /// Owes a record that the file did not take, unless too much is owed already: a restart can do without it, at a price.
-    pub fn owe_late(&mut self, record: &Record) {
-        if self.owed.len() < OWED_MOST {
-            self.owe(std::iter::once(record));
+    /// Defers a record that the file did not take, unless too much is deferred already: a restart can do without it, at a price.
+    pub fn defer_bounded(&mut self, record: &Record) {
+        if self.deferred.len() < DEFERRED_MOST {
+            self.defer(std::iter::once(record));
         }
     }
 
     /// Writes a record; after a failure the file is as it was before.
     pub fn append(&mut self, record: &Record) -> io::Result<()> {
-        self.settle()?;
+        self.flush_deferred()?;
         let before = self.size;
         self.write(&record.encode())?;
         if matches!(record, Record::State { out: Some(_), .. }) {
@@ -577,8 +577,8 @@
         let (file, size) = done?;
         (self.file, self.size) = (file, size);
         self.torn = false;
-        // All that was owed is held, and was among the records.
-        self.owed.clear();
+        // All that was deferred is held, and was among the records.
+        self.deferred.clear();
         write_mark(&self._lock, self.size)
     }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -655,7 +655,7 @@
             Ok(Other::Left(orphan)) => orphan,
             Ok(Other::Lives) => {
                 self.core.beside(now, true);
-                return self.core.heed_process_beside(now);
+                return self.core.apply_waits_of_other_process(now);
             }
             Ok(Other::Free) => return self.core.beside(now, false),
             Err(e) => return log::warn!(cause:% = e; "the folder's other journal cannot be read: {e}"),
@@ -670,7 +670,7 @@
     /// Empties the file of a process that has ended, once what it held is in this one's; true if there is none any more.
     fn empty_left(&mut self) -> bool {
         let Some(orphan) = &self.left else { return true };
-        let done = self.core.settle()
+        let done = self.core.flush_journal()
             && orphan
                 .empty()
                 .inspect_err(|e| {
@@ -721,7 +721,7 @@
         }
         if self.core.has_company() && now >= self.beside_at {
             self.beside_at = now + BESIDE_EVERY;
-            self.core.heed_process_beside(now);
+            self.core.apply_waits_of_other_process(now);
         }
         if now >= self.keep_at {
             self.keep_at = now + self.together.recovery.keep_ms;
