Ask the guard before each write and the process's end; count what broke a rule

Now `guard::may_write` is asked before each write, its reason travels with the end (`End::refused`) and is counted; `guard::may_end` decides the end. As an attempt is booked as written, `guard::broken_by` counts a violation: too late, within a wait, or out of its key's turn. Connections to endpoints and MQTT clients' are closed without asking: the module says why.

--- a/src/dispatch/admit.rs
+++ b/src/dispatch/admit.rs
@@ -306,7 +306,7 @@
         let records: Vec<Record> = left.records.into_iter().map(|r| renumber(r, base)).collect();
         let calls = records.iter().filter(|r| matches!(r, Record::Taken(_))).count();
         self.restore(now, records.clone());
-        self.apply_waits(now, records.clone());
+        self.apply_waits(now, &records);
         self.write_down(records, Some(left.mark));
         calls
     }
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -115,12 +115,14 @@
     pub over: bool,
     /// Some of an answer had come.
     pub heard: bool,
+    /// The rule by which the wire did not write it.
+    pub refused: Option<guard::Reason>,
 }
 
 impl End {
     /// An end of which nothing more is known.
     pub fn of(outcome: Outcome) -> End {
-        End { outcome, wait: 0.0, report: Report::default(), over: false, heard: false }
+        End { outcome, wait: 0.0, report: Report::default(), over: false, heard: false, refused: None }
     }
 }
 
--- a/src/dispatch/relay.rs
+++ b/src/dispatch/relay.rs
@@ -11,7 +11,10 @@
 impl Core {
     /// A delegation ended. Exactly one outcome counts for each; later ones are passed over.
     pub fn outcome(&mut self, now: Ms, no: CallNo, attempt: u32, end: End) {
-        let End { outcome, wait, report, over, heard } = end;
+        let End { outcome, wait, report, over, heard, refused } = end;
+        if let Some(reason) = refused {
+            let _ = self.guard.note(Err(reason));
+        }
         let Some(c) = self.calls.get_mut(&no) else { return };
         let cell = c.cell;
         let Some(mut out) = c.out.take_if(|o| o.attempt == attempt) else { return };
--- a/src/dispatch/send.rs
+++ b/src/dispatch/send.rs
@@ -7,9 +7,6 @@
 use crate::guard;
 use crate::journal::{CallNo, Record, Sent};
 
-/// The process may be held up for so long between reading its clock and writing; deadlines and windows allow for it.
-const HELD_UP: Ms = 150.0;
-
 impl Core {
     /// Starts a delegation, if the rules allow it now. What cannot be written down is not sent.
     pub(super) fn send(&mut self, now: Ms, no: CallNo, route: RouteId, cap: Option<Ms>) {
@@ -109,7 +106,8 @@
         let out = self.down.contains(&w.uid) && w.listing == Listing::Ready;
         let listing = if out { Listing::Draining } else { w.listing };
         let zone = self.names.zones.get(w.zone).map_or("", String::as_str);
-        Some(guard::Endpoint { listing, zone, wait_until: self.wait_on(now, route) })
+        let wait_until = self.wait_on(now, route).map(|wait| wait.until);
+        Some(guard::Endpoint { listing, zone, wait_until })
     }
 
     fn guarded_process(&self) -> guard::Process {
@@ -129,10 +127,8 @@
         let Some(o) = out else { return };
         let first = !std::mem::replace(&mut o.written, true);
         self.figures.upstream += u64::from(first);
-        if first && now > self.write_by(no) + HELD_UP {
-            self.guard.violated(guard::Reason::WindowOver);
-            let id = self.calls.get(&no).map_or("", |c| c.taken.identity.1.as_str());
-            log::error!(id = id, late_ms = now - self.write_by(no); "a delegation was written after its time");
+        if first {
+            self.check_written(now, no);
         }
         let Some(o) = self.calls.get_mut(&no).and_then(|c| c.out.as_mut()) else { return };
         // It stays out meanwhile: the journal may be written anew here.
@@ -143,6 +139,22 @@
         }
     }
 
+    /// Counts a rule that the writing of an attempt has broken. Asked as it is booked, which is a little later.
+    fn check_written(&mut self, now: Ms, no: CallNo) {
+        let Some(c) = self.calls.get(&no) else { return };
+        let message = self.guarded(c);
+        let written = guard::Written {
+            write_by: guard::write_by(&message, &self.guarded_process()),
+            wait_told: c.out.as_ref().and_then(|out| self.wait_on(now, out.route)).map(|wait| wait.told),
+            has_earlier: message.has_earlier,
+        };
+        if let Some(reason) = guard::broken_by(now, &written) {
+            log::error!(id = c.taken.identity.1.as_str(), late_ms = now - written.write_by, cause = reason.name();
+                "an attempt was written against a rule");
+            self.guard.violated(reason);
+        }
+    }
+
     /// What the journal must know of a call's delegations.
     pub(super) fn state(&self, no: CallNo, c: &Call) -> Record {
         let out = c.out.as_ref().map(|o| Sent { at: o.sent, zone: self.zone(o.route) });
--- a/src/guard.rs
+++ b/src/guard.rs
@@ -1,8 +1,11 @@
 //! The rules on what may be sent, repeated, closed or started now, in one place; no I/O, no clock.
 //!
-//! Every path that begins an attempt, writes a request, closes a client's connection or ends the process asks here first,
-//! whatever it decided before: a decision may be older than an event that has crossed it. What is not allowed is not done,
-//! and counted by its reason ([`Counts`]). What was found done although it was not allowed is a violation.
+//! Every path that begins an attempt or a probe, writes a request, closes a client's connection or ends the process asks here
+//! first, whatever it decided before: a decision may be older than an event that has crossed it. What is not allowed is not
+//! done, and counted by its reason ([`Counts`]). What was found done although it was not allowed is a violation.
+//!
+//! Connections to endpoints are closed without asking: an idle one owes nothing, and one with a request out gives that request
+//! up, which is booked. An MQTT client's connection, too: its session outlives it, with what is owed to it.
 
 use crate::api::{Effect, Listing, Ms};
 use std::collections::BTreeMap;
@@ -34,6 +37,8 @@
     Leaving,
     /// A request was read, and its answer is owed or not written yet.
     AnswerOwed,
+    /// Calls are out or held, and there is time for them.
+    Unfinished,
 }
 
 impl Reason {
@@ -52,6 +57,7 @@
             Reason::NotInService => "not_in_service",
             Reason::Leaving => "leaving",
             Reason::AnswerOwed => "answer_owed",
+            Reason::Unfinished => "unfinished",
         }
     }
 }
@@ -156,6 +162,83 @@
     }
 }
 
+/// May bytes of an attempt be written now? Asked before each write: its connection may come up late.
+///
+/// # Errors
+///
+/// Its last moment is over.
+pub fn may_write(now: Ms, write_by: Ms) -> Result<(), Reason> {
+    if now > write_by {
+        return Err(Reason::WindowOver);
+    }
+    Ok(())
+}
+
+/// The process may be held up for so long between reading its clock and writing; deadlines and windows allow for it.
+const HELD_UP: Ms = 150.0;
+/// Calls that come so soon after a wait was told were on their way.
+const ON_ITS_WAY: Ms = 100.0;
+
+/// An attempt whose last byte was written, as it is booked.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Written {
+    /// Its last moment: see [`write_by`].
+    pub write_by: Ms,
+    /// When the wait was told that is on at its endpoint.
+    pub wait_told: Option<Ms>,
+    /// An earlier message of its key is not over.
+    pub has_earlier: bool,
+}
+
+/// The rule that the writing of an attempt has broken.
+pub fn broken_by(now: Ms, written: &Written) -> Option<Reason> {
+    let broken = [
+        (now > written.write_by + HELD_UP, Reason::WindowOver),
+        (written.wait_told.is_some_and(|told| now > told + ON_ITS_WAY + HELD_UP), Reason::Waiting),
+        (written.has_earlier, Reason::OutOfTurn),
+    ];
+    broken.iter().find(|(holds, _)| *holds).map(|(_, reason)| *reason)
+}
+
+/// After SIGTERM: calls that are out may end until then,
+pub const LEAVE_AFTER: Ms = 3_300.0;
+/// and with nothing held the process leaves after this; until then clients still come.
+pub const LINGER: Ms = 700.0;
+
+/// A process that was told to leave.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Leaving {
+    /// For so long.
+    pub told_for: Ms,
+    /// Calls that it holds, and of these the ones with an attempt out.
+    pub held: usize,
+    /// See `held`.
+    pub outstanding: usize,
+    /// Another process serves on the folder, which takes over what this one holds.
+    pub has_company: bool,
+    /// Something was read that is not decided on or answered.
+    pub undecided: bool,
+}
+
+/// May the process end now? At [`LEAVE_AFTER`] in any case: what was read is answered then, and the rest is the next one's.
+///
+/// # Errors
+///
+/// What it stays for.
+pub fn may_end(leaving: &Leaving) -> Result<(), Reason> {
+    if leaving.told_for >= LEAVE_AFTER {
+        return Ok(());
+    }
+    let done = leaving.held == 0 || (leaving.has_company && leaving.outstanding == 0);
+    if leaving.told_for < LINGER || !done {
+        return Err(Reason::Unfinished);
+    }
+    if leaving.undecided {
+        return Err(Reason::AnswerOwed);
+    }
+    Ok(())
+}
+
 /// Why a client's connection is to be closed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Close {
@@ -313,6 +396,42 @@
         assert_eq!(write_by(&Message { valid_until: 300.0, ..keyed(true) }, &PROCESS), 300.0);
     }
 
+    #[test]
+    fn what_was_written_too_late_within_a_wait_or_out_of_turn_is_a_violation() {
+        let written = Written { write_by: 1_000.0, wait_told: None, has_earlier: false };
+        assert_eq!(
+            (may_write(1_000.0, 1_000.0), may_write(1_000.1, 1_000.0)),
+            (Ok(()), Err(Reason::WindowOver))
+        );
+        assert_eq!(broken_by(1_150.0, &written), None);
+        assert_eq!(broken_by(1_151.0, &written), Some(Reason::WindowOver));
+        let waiting = Written { wait_told: Some(100.0), ..written };
+        assert_eq!((broken_by(350.0, &waiting), broken_by(351.0, &waiting)), (None, Some(Reason::Waiting)));
+        assert_eq!(broken_by(0.0, &Written { has_earlier: true, ..written }), Some(Reason::OutOfTurn));
+    }
+
+    #[test]
+    fn a_process_ends_when_nothing_is_owed_or_its_time_is_up() {
+        let idle =
+            Leaving { told_for: LINGER, held: 0, outstanding: 0, has_company: false, undecided: false };
+        assert_eq!(may_end(&idle), Ok(()));
+        let stays = [
+            (Leaving { told_for: LINGER - 1.0, ..idle }, Reason::Unfinished),
+            (Leaving { held: 1, ..idle }, Reason::Unfinished),
+            (Leaving { held: 2, outstanding: 1, has_company: true, ..idle }, Reason::Unfinished),
+            (Leaving { undecided: true, ..idle }, Reason::AnswerOwed),
+        ];
+        for (leaving, reason) in stays {
+            assert_eq!(may_end(&leaving), Err(reason));
+            assert_eq!(may_end(&Leaving { told_for: LEAVE_AFTER, ..leaving }), Ok(()));
+        }
+        assert_eq!(
+            may_end(&Leaving { held: 2, has_company: true, ..idle }),
+            Ok(()),
+            "the other one takes over"
+        );
+    }
+
     #[test]
     fn a_connection_with_an_answer_owed_is_closed_by_its_client_only() {
         let idle = Connection { awaits_answer: false, unwritten: 0, stalled: false };
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -5,6 +5,7 @@
 use super::{token, Kind};
 use crate::api::*;
 use crate::dispatch::{Delegation, End};
+use crate::guard::{self, Reason};
 use crate::journal::CallNo;
 use mio::Registry;
 use slab::Slab;
@@ -301,8 +302,10 @@
     /// Writes and reads what can be.
     fn push(&mut self, now: Ms, at: usize, found: &mut Vec<Finding>) {
         let Some(c) = self.conns.get_mut(at) else { return };
-        if c.task.is_some() && !c.written && now > c.write_by {
-            return self.end(now, at, Outcome::NotSent, found);
+        if c.task.is_some() && !c.written {
+            if let Err(reason) = guard::may_write(now, c.write_by) {
+                return self.refuse(now, at, reason, found);
+            }
         }
         let flushed = c.stream.flush();
         if let (Ok(true), Some((task, _)), false) = (&flushed, c.task, c.written) {
@@ -402,6 +405,14 @@
         }
     }
 
+    /// Ends a task that the rules do not let be written any more.
+    fn refuse(&mut self, now: Ms, at: usize, reason: Reason, found: &mut Vec<Finding>) {
+        if let Some((task, started)) = self.conns.get(at).and_then(|c| c.task) {
+            found.push(refused(task, reason, now - started));
+        }
+        self.close(at);
+    }
+
     fn end(&mut self, now: Ms, at: usize, outcome: Outcome, found: &mut Vec<Finding>) {
         if let Some((task, started)) = self.conns.get(at).and_then(|c| c.task) {
             found.push(ended(task, outcome, now - started));
@@ -439,7 +450,7 @@
             match &self.conns[at] {
                 c if c.given_up.is_some() => self.close(at),
                 c if c.task.is_some() && !c.written && c.write_by <= now => {
-                    self.end(now, at, Outcome::NotSent, found);
+                    self.refuse(now, at, Reason::WindowOver, found);
                 }
                 c if c.heard.is_some() => self.broke(now, at, found),
                 c if c.up => self.end(now, at, Outcome::Late, found),
@@ -453,6 +464,11 @@
     Finding::Ended { task, took, end: End::of(outcome) }
 }
 
+pub(super) fn refused(task: Task, reason: Reason, took: Ms) -> Finding {
+    let end = End { refused: Some(reason), ..End::of(Outcome::NotSent) };
+    Finding::Ended { task, took, end }
+}
+
 pub(super) fn answered(task: Task, h: &Head, took: Ms) -> Finding {
     let (outcome, over) = match h.code {
         200 => (Outcome::Delivered, false),
@@ -466,5 +482,6 @@
         }
     };
     let wait = if outcome == Outcome::Refused { h.wait } else { 0.0 };
-    Finding::Ended { task, took, end: End { outcome, wait, report: h.report, over, heard: true } }
+    let end = End { outcome, wait, report: h.report, over, heard: true, refused: None };
+    Finding::Ended { task, took, end }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -19,6 +19,7 @@
 use crate::dispatch::control::Effect;
 use crate::dispatch::figures::Start;
 use crate::dispatch::{Core, Left, Order, Parts, Past, Reloaded, Told};
+use crate::guard::{self, LEAVE_AFTER, LINGER};
 use crate::journal::{Ending, Journal, Orphan, Other, Record};
 use crate::kept::{self, Hint, Kept, Refused};
 use crate::logging::Complaint;
@@ -43,10 +44,6 @@
 use std::io::{self, ErrorKind, Read};
 use std::time::Duration;
 
-/// After SIGTERM: delegations out may end until then,
-const LEAVE_AFTER: Ms = 3_300.0;
-/// and with nothing held it leaves after this; until then clients still come.
-const LINGER: Ms = 700.0;
 /// After a client could not be accepted, for want of room: how long until it is tried again.
 const ACCEPT_AGAIN: Ms = 25.0;
 /// How often the journal of a process that served beside this one is looked for, once that one has ended.
@@ -693,10 +690,16 @@
     }
 
     fn may_leave(&self, now: Ms) -> bool {
-        let Some(since) = self.leaving.map(|t| now - t) else { return false };
-        // With another process beside it, that one takes over what is held here once this one has ended.
-        let done = self.core.holds() == 0 || (self.core.has_company() && self.core.out() == 0);
-        since >= LEAVE_AFTER || (since >= LINGER && done && self.found.is_empty() && !self.core.is_due())
+        let Some(since) = self.leaving else { return false };
+        let leaving = guard::Leaving {
+            told_for: now - since,
+            held: self.core.holds(),
+            outstanding: self.core.out(),
+            // With another process beside it, that one takes over what is held here once this one has ended.
+            has_company: self.core.has_company(),
+            undecided: !self.found.is_empty() || self.core.is_due(),
+        };
+        guard::may_end(&leaving).is_ok()
     }
 
     /// What was read is owed an answer, though the core's turn had not come: a client whose connection ends without one has
--- a/src/net/mqtt/broker.rs
+++ b/src/net/mqtt/broker.rs
@@ -7,8 +7,9 @@
 use super::{publish, Extras, Session};
 use crate::api::*;
 use crate::dispatch::Delegation;
+use crate::guard::{self, Reason};
 use crate::net::head::{report, Head};
-use crate::net::http::{answered, ended, Finding, Task, PROBE_PATIENCE};
+use crate::net::http::{answered, ended, refused, Finding, Task, PROBE_PATIENCE};
 use crate::net::stream::Stream;
 use crate::net::{token, Kind};
 use mio::Registry;
@@ -42,6 +43,8 @@
     extras: Extras,
     body: Vec<u8>,
     unit: (DestId, RouteId),
+    /// Later than this it is not written.
+    write_by: Ms,
     queued: bool,
     written: bool,
 }
@@ -105,7 +108,7 @@
         let expiry_s = Some((d.patience / 1000.0).ceil().clamp(1.0, 1e9) as u32);
         let extras = Extras { response: String::new(), correlation, expiry_s, user };
         let task = Task::Delegation(d.no, d.attempt);
-        self.start(now, task, &d.address, (d.dest, d.route), extras, &d.body, registry, found);
+        self.start(now, task, &d.address, (d.dest, d.route), extras, (&d.body, d.write_by), registry, found);
     }
 
     /// Starts a probe: a PUBLISH with the user property `probe`, which the worker answers like a call.
@@ -123,7 +126,7 @@
         let extras = Extras { response: String::new(), correlation, expiry_s, user };
         let task = Task::Probe(unit.1);
         if !self.busy.contains_key(&task) {
-            self.start(now, task, address, unit, extras, &[], registry, found);
+            self.start(now, task, address, unit, extras, (&[], f64::MAX), registry, found);
         }
     }
 
@@ -135,7 +138,7 @@
         address: &str,
         unit: (DestId, RouteId),
         extras: Extras,
-        body: &[u8],
+        (body, write_by): (&[u8], Ms),
         registry: &Registry,
         found: &mut Vec<Finding>,
     ) {
@@ -158,6 +161,7 @@
             extras,
             body: body.to_vec(),
             unit,
+            write_by,
             queued: false,
             written: false,
         };
@@ -269,6 +273,10 @@
     /// Queues the delegation once the session is ready, and writes.
     fn push(&mut self, now: Ms, at: usize, found: &mut Vec<Finding>) {
         let Some(c) = self.conns.get_mut(at) else { return };
+        let unwritten = c.job.as_ref().filter(|j| !j.written);
+        if let Some(Err(reason)) = unwritten.map(|j| guard::may_write(now, j.write_by)) {
+            return self.refuse(now, at, reason, found);
+        }
         if let Some(job) = c.job.as_mut().filter(|j| c.stage == Stage::Ready && !j.queued) {
             job.queued = true;
             job.extras.response = answers(&c.name);
@@ -350,9 +358,18 @@
         c.idle_since = now;
     }
 
+    /// Ends a task that the rules do not let be written any more.
+    fn refuse(&mut self, now: Ms, at: usize, reason: Reason, found: &mut Vec<Finding>) {
+        if let Some(job) = self.conns.get(at).and_then(|c| c.job.as_ref()) {
+            found.push(refused(job.task, reason, now - job.started));
+        }
+        self.close(at);
+    }
+
     fn due(&self, c: &Conn) -> Option<Ms> {
         match &c.job {
-            _ if c.stage != Stage::Ready => Some(c.opened + self.connect_timeout),
+            Some(job) if c.stage != Stage::Ready => Some((c.opened + self.connect_timeout).min(job.write_by)),
+            None if c.stage != Stage::Ready => Some(c.opened + self.connect_timeout),
             Some(Job { task: Task::Probe(_), started, .. }) => Some(started + PROBE_PATIENCE),
             Some(_) => None,
             None => Some(c.idle_since + self.keep_idle).filter(|t| *t < f64::MAX),
@@ -369,6 +386,11 @@
         let due = |c: &Conn| self.due(c).is_some_and(|t| t <= now);
         let due: Vec<usize> = self.conns.iter().filter(|(_, c)| due(c)).map(|(at, _)| at).collect();
         for at in due {
+            let unwritten = self.conns[at].job.as_ref().filter(|j| !j.written);
+            if unwritten.is_some_and(|j| j.write_by <= now) {
+                self.refuse(now, at, Reason::WindowOver, found);
+                continue;
+            }
             let up = self.conns[at].stage == Stage::Ready;
             self.end(now, at, if up { Outcome::Late } else { Outcome::NoConnection }, found);
         }
--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -5,8 +5,10 @@
 use lilacbank::api::{Listing, Ms, Outcome};
 use lilacbank::config::{Config, Worker as Listed, WorkerList};
 use lilacbank::dispatch::{Core, Delegation, End, Order, Parts, Submission};
+use lilacbank::guard::Reason;
 use lilacbank::journal::{Journal, Record};
-use lilacbank::net::http::{Finding, Workers};
+use lilacbank::net::http::{Finding, Task, Workers};
+use lilacbank::net::mqtt::broker::Brokers;
 use stand::*;
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
@@ -295,6 +297,63 @@
     assert_eq!((again.attempt, again.write_by), (1, first + 20_000.0 - 2.0));
 }
 
+/// The same for a session with a broker that comes up late; the rule that kept it back is told with its end.
+#[test]
+fn a_session_with_a_broker_that_comes_up_after_the_window_carries_nothing() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = format!("mqtt://{}/inbox", listener.local_addr().unwrap());
+    let poll = mio::Poll::new().unwrap();
+    let mut brokers = Brokers::new(core().settings(), 8, "n0".into());
+    let delegation = Delegation {
+        no: 1,
+        attempt: 1,
+        route: 0,
+        address,
+        dest: 1,
+        id: "a".into(),
+        idempotency: "k".into(),
+        body: b"x".to_vec(),
+        patience: 5_000.0,
+        write_by: 40.0,
+    };
+    let mut found = Vec::new();
+    brokers.delegate(0.0, &delegation, poll.registry(), &mut found);
+    assert_eq!(brokers.next_due(), Some(40.0));
+    brokers.tick(40.0, &mut found);
+    let end = End { refused: Some(Reason::WindowOver), ..End::of(Outcome::NotSent) };
+    assert_eq!(found, [Finding::Ended { task: Task::Delegation(1, 1), took: 40.0, end }]);
+    assert!(brokers.is_empty());
+}
+
+/// Guards against a rule that keeps something back and says so nowhere: what a wire did not write is counted by its reason.
+#[test]
+fn what_a_wire_did_not_write_is_counted_by_its_rule() {
+    let mut core = core();
+    tell(&mut core, 0.0, Listing::Ready, false);
+    submit(&mut core, 10.0, "a", "pay");
+    let (at, d) = next_delegation(&mut core, 10.0, 500).unwrap();
+    let end = End { refused: Some(Reason::WindowOver), ..End::of(Outcome::NotSent) };
+    core.outcome(at + 1.0, d.no, d.attempt, end);
+    assert_eq!(core.guard.json()["refused"]["window_over"], 1);
+    let (_, again) = next_delegation(&mut core, at + 1.0, 500).unwrap();
+    assert_eq!((again.attempt, d.attempt), (0, 0), "nothing went out: it is the first attempt still");
+}
+
+/// Guards against an attempt that is written against a rule and is counted nowhere.
+#[test]
+fn an_attempt_that_was_written_too_late_is_counted_as_a_violation() {
+    let mut core = core();
+    tell(&mut core, 0.0, Listing::Ready, false);
+    submit(&mut core, 10.0, "a", "pay");
+    let (at, d) = next_delegation(&mut core, 10.0, 500).unwrap();
+    core.written(at + 1.0, d.no, d.attempt);
+    assert!(core.guard.violations.is_empty());
+    core.outcome(at + 2.0, d.no, d.attempt, End::of(Outcome::Refused));
+    let (at, d) = next_delegation(&mut core, at + 2.0, 5_000).unwrap();
+    core.written(at.max(d.write_by) + 151.0, d.no, d.attempt);
+    assert_eq!(core.guard.json()["violations"]["window_over"], 1);
+}
+
 /// The same on the wire: not a byte of it is written once the time is past, and the call is told to be unsent.
 #[test]
 fn a_connection_that_comes_up_after_the_window_carries_nothing() {
