--- a/src/api.rs
+++ b/src/api.rs
@@ -296,6 +296,14 @@
     pub unspent: bool,
 }
 
+impl Ended {
+    /// An end of which nothing more is known: at once, no wait, no report, nothing of an answer.
+    pub fn of(id: MsgId, attempt: u32, route: RouteId, outcome: Outcome) -> Ended {
+        let (took, over, wait, heard, unspent) = (0.0, false, 0.0, false, false);
+        Ended { id, attempt, route, outcome, took, over, wait, report: Report::default(), heard, unspent }
+    }
+}
+
 /// A message that an earlier process of this sender had taken on. Given in the order of taking.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Resumed {
--- a/src/dispatch/admit.rs
+++ b/src/dispatch/admit.rs
@@ -290,7 +290,9 @@
             self.restore(now, own);
             return self.take_over(now, left);
         }
-        self.restore(now, [own, left.records.clone()].concat());
+        let mut all = own;
+        all.extend(left.records.iter().cloned());
+        self.restore(now, all);
         if !left.records.is_empty() {
             self.write_down(left.records, Some(left.mark));
         }
@@ -453,9 +455,7 @@
         let mut records = Vec::new();
         for (no, c) in &self.calls {
             records.push(Record::Taken(c.taken.clone()));
-            if c.attempts > 0 {
-                records.push(self.state(*no, c));
-            }
+            records.extend(self.marked_state(*no, c));
             records.extend(c.ending.map(|ending| Record::Ended { no: *no, ending }));
         }
         for (identity, k) in self.known.iter().filter(|(_, k)| !self.calls.contains_key(&k.no)) {
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -219,6 +219,8 @@
     route: RouteId,
     sent: Ms,
     until: Ms,
+    /// Its mark is in the journal.
+    marked: bool,
     /// Its last byte has been written: from then on it may run.
     written: bool,
     /// Where it is counted.
--- a/src/dispatch/pace.rs
+++ b/src/dispatch/pace.rs
@@ -174,20 +174,8 @@
 
     /// All cells hear of a wait that no delegation of theirs was told.
     pub(super) fn post_wait(&mut self, route: RouteId, wait: Ms) {
-        let (outcome, report) = (Outcome::Refused, Report::default());
-        let (attempt, took, over, heard) = (0, 0.0, false, true);
-        self.cells.post_all(&Event::Ended(Ended {
-            id: NOBODY,
-            attempt,
-            route,
-            outcome,
-            took,
-            over,
-            wait,
-            report,
-            heard,
-            unspent: false,
-        }));
+        let told = Ended { wait, heard: true, ..Ended::of(NOBODY, 0, route, Outcome::Refused) };
+        self.cells.post_all(&Event::Ended(told));
     }
 
     /// How long a message with so much time left would have to stay away to be in time; none if it is already.
--- a/src/dispatch/relay.rs
+++ b/src/dispatch/relay.rs
@@ -39,16 +39,13 @@
             self.calls.entry(no).and_modify(|c| c.attempts = attempt);
         }
         let ended = Ended {
-            id: no,
-            attempt,
-            route: out.route,
-            outcome,
             took: now - out.sent,
             over: over || delivered,
             wait,
             report,
             heard,
             unspent,
+            ..Ended::of(no, attempt, route, outcome)
         };
         let doubtful = delivered && self.is_doubtful(now, no);
         self.cells.back(cell);
@@ -74,6 +71,9 @@
             self.finish(now, no, Ending::Delivered);
         } else if over {
             self.close_over(now, no);
+        } else if !out.marked {
+            // The journal knows nothing of it, and what it says of the call still holds.
+            self.end_behind(now, no);
         } else if let Some(record) = self.calls.get(&no).map(|c| self.state(no, c)) {
             // Without this record a restart takes the delegation for one that may have run: safe, if slower.
             self.note(&record);
--- a/src/dispatch/route.rs
+++ b/src/dispatch/route.rs
@@ -315,6 +315,32 @@
         );
     }
 
+    /// Guards against a wait that the module was not told, as the other process of an upgrade was: the guard keeps the call back,
+    /// it costs neither an attempt nor a record, and goes once the wait is over.
+    #[test]
+    fn what_the_guard_keeps_back_costs_no_attempt_and_no_record() {
+        let mut core = platform_core("kept-back");
+        news(&mut core, 0.0, vec![worker("u", 1, Listing::Ready)]);
+        let class = "pay".to_string();
+        core.submit(
+            1.0,
+            7,
+            Submission { identity: (String::new(), "x".into()), class, dest: 1, ..Submission::default() },
+        );
+        core.waits.told(1.0, "u", 301.0);
+        let delegated =
+            |core: &mut Core, now: Ms| core.turn(now).iter().any(|o| matches!(o, Order::Delegate(_)));
+        let size = core.journal.size();
+        assert!(!delegated(&mut core, 1.0));
+        let first = (2..400).map(Ms::from).find(|now| delegated(&mut core, *now)).unwrap();
+        assert!((301.0..330.0).contains(&first), "{first}");
+        assert!(core.guard.json()["refused"]["waiting"].as_u64() >= Some(1));
+        let call = core.calls.values().next().unwrap();
+        assert_eq!((call.attempts, call.out.as_ref().map(|o| o.attempt)), (1, Some(0)));
+        let mark = core.state(call.taken.no, call).size();
+        assert_eq!(core.journal.size() - size, mark, "one record, of the attempt that went out");
+    }
+
     /// Guards against a trial of a member that was away that never goes out: with the room told long before the first
     /// call, the module sent a second one beside it, which was kept back, and that broke the first one off, over and over.
     #[test]
--- a/src/dispatch/send.rs
+++ b/src/dispatch/send.rs
@@ -20,7 +20,8 @@
         let left = c.taken.valid_until - now;
         let patience = cap.map_or(left, |cap| cap.min(left)).max(0.0);
         c.attempts += 1;
-        c.out = Some(Out { attempt, route, sent: now, until: now + patience, written: false, charge: None });
+        let (until, marked, written, charge) = (now + patience, false, false, None);
+        c.out = Some(Out { attempt, route, sent: now, until, marked, written, charge });
         let write_by = self.write_by(no);
         let Some(c) = self.calls.get(&no) else { return };
         let delegation = Delegation {
@@ -67,6 +68,9 @@
             }
             return self.over(now, no, attempt, NOT_WRITTEN_REST);
         }
+        if let Some(out) = self.calls.get_mut(&no).and_then(|c| c.out.as_mut()) {
+            out.marked = true;
+        }
         self.counters.sent += 1;
         self.orders.push(Order::Delegate(delegation));
     }
@@ -161,6 +165,16 @@
         Record::State { no, attempts: c.attempts, ran: c.ran.clone(), out }
     }
 
+    /// The same for a journal that is written anew: an attempt without its mark may still be kept back, and is none yet.
+    pub(super) fn marked_state(&self, no: CallNo, c: &Call) -> Option<Record> {
+        let unmarked = c.out.as_ref().filter(|o| !o.marked).map(|o| o.attempt);
+        match unmarked {
+            Some(0) => None,
+            Some(attempts) => Some(Record::State { no, attempts, ran: c.ran.clone(), out: None }),
+            None => (c.attempts > 0).then(|| self.state(no, c)),
+        }
+    }
+
     /// The name of a worker's zone.
     pub(super) fn zone(&self, route: RouteId) -> String {
         let zone = self.worker(route).map(|w| w.zone);
--- a/src/dispatch/waits.rs
+++ b/src/dispatch/waits.rs
@@ -30,7 +30,7 @@
 
 impl Waits {
     /// An endpoint told a wait; true if it ends later than what is known.
-    fn told(&mut self, now: Ms, worker: &str, until: Ms) -> bool {
+    pub fn told(&mut self, now: Ms, worker: &str, until: Ms) -> bool {
         if self.waits.get(worker).is_some_and(|known| until <= known.until + SAME) {
             return false;
         }
--- a/src/journal.rs
+++ b/src/journal.rs
@@ -171,6 +171,14 @@
     }
 }
 
+/// Records of a file on the timeline of the process that reads them, if it has one.
+fn on_timeline(records: Vec<Record>, clocks: Option<&Reading>) -> Vec<Record> {
+    match clocks {
+        Some(clocks) => timeline::translated(records, clocks),
+        None => records,
+    }
+}
+
 /// Was a file of which `good` bytes read whole cut off before the mark that an attempt went out? Half a record behind them
 /// says nothing by itself: a write may fail halfway. Without a length to go by it is taken for a cut.
 fn was_cut(lock: &File, good: usize, length: usize) -> bool {
@@ -342,7 +350,7 @@
         let mut bytes = Vec::new();
         file.read_to_end(&mut bytes)?;
         let Scan { records, good, damaged } = scan(&bytes);
-        let records = clocks.map_or_else(|| records.clone(), |c| timeline::translated(records.clone(), &c));
+        let records = on_timeline(records, clocks.as_ref());
         if good < bytes.len() {
             log::warn!("the journal's tail of {} bytes is torn and cut off", bytes.len() - good);
             file.set_len(good as u64)?;
@@ -445,7 +453,7 @@
                 }
                 let cut = was_cut(&lock, good, bytes.len());
                 let damaged = damaged.len() + usize::from(cut);
-                let records = self.own_timeline(records);
+                let records = on_timeline(records, self.clocks.as_ref());
                 let mark = FileMark::of(&bytes);
                 return Ok(Other::Left(Orphan { path, _lock: lock, records, damaged, mark }));
             }
@@ -453,20 +461,13 @@
         Ok(found)
     }
 
-    fn own_timeline(&self, records: Vec<Record>) -> Vec<Record> {
-        match &self.clocks {
-            Some(clocks) => timeline::translated(records, clocks),
-            None => records,
-        }
-    }
-
     /// Waits that were written to the folder's other file since the last look: the process that writes it lives, and what
     /// endpoints told it was told to this one, too.
     pub fn other_waits(&mut self) -> Vec<Record> {
         let folder = self.path.parent().unwrap_or(Path::new("."));
         let Some(other) = (0..SLOTS.len()).find(|s| *s != self.slot) else { return Vec::new() };
         let news = self.other_read.news(&folder.join(SLOTS[other])).unwrap_or_default();
-        let waits = self.own_timeline(news).into_iter();
+        let waits = on_timeline(news, self.clocks.as_ref()).into_iter();
         waits.filter(|r| matches!(r, Record::Wait { .. })).collect()
     }
 
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -288,20 +288,9 @@
         let report = report(p.opt("feedback")?)?;
         p.end()?;
         let wait = if outcome == Outcome::Refused { note } else { 0.0 };
-        let heard = false;
-        inst.events.push(Event::Ended(Ended {
-            id,
-            attempt,
-            route,
-            outcome,
-            took,
-            over,
-            wait,
-            report,
-            heard,
-            // The platform counts what it did not send.
-            unspent: false,
-        }));
+        // The platform counts what it did not send: `unspent` stays false.
+        let ended = Ended { took, over, wait, report, ..Ended::of(id, attempt, route, outcome) };
+        inst.events.push(Event::Ended(ended));
         Ok(())
     }
 
--- a/tests/clock_steps.rs
+++ b/tests/clock_steps.rs
@@ -9,7 +9,6 @@
 const OK: Reply = Reply::Answer("200 OK");
 const HOUR_MS: i64 = 3_600_000;
 const MESSAGES: usize = 60;
-const CLASSES: [&str; 3] = ["safe", "order", "pay"];
 /// A final answer may come so long after its time: 300 ms by the protocol, and what a loaded test machine adds.
 const LATE: Duration = Duration::from_millis(1_500);
 
@@ -25,19 +24,12 @@
 
 /// They are valid for so many milliseconds; the process that took them runs under a schedule of faults and is killed.
 fn taken(left_ms: u64, schedule: &str) -> Taken {
-    let answers = Arc::new(AtomicBool::new(false));
-    let a = answers.clone();
-    let worker = Worker::start(move |_, _| if a.load(Ordering::SeqCst) { OK } else { Reply::Silence });
+    let (worker, answers) = silent_until_told();
     let site = Site::new(&[entry("w1", &worker.address.to_string(), "a", 1, "in_service")]);
     let d = site.start_under(schedule, &[]);
     let mut client = d.client();
     let at = Instant::now();
-    let ids: Vec<(String, &str)> =
-        (0..MESSAGES).map(|n| (format!("m{n:02}"), CLASSES[n % CLASSES.len()])).collect();
-    for (n, (id, class)) in ids.iter().enumerate() {
-        let options = format!("c={class},d={left_ms},k=k{n},dest=1");
-        assert_eq!(client.keyed(&format!("{:x}", n + 1), id, &options), "+OK");
-    }
+    let ids = hand_in_each_class(&mut client, MESSAGES, left_ms);
     d.kill();
     let tried = ids.into_iter().map(|(id, class)| (id.clone(), class, worker.of(&id))).collect();
     Taken { site, worker, answers, at, tried }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -135,18 +135,7 @@
         let a = self.out(id).expect("no attempt is out");
         let over = outcome == Outcome::Delivered || self.seen[&id].finals > 0;
         let took = self.now - a.sent;
-        let e = Ended {
-            id,
-            attempt: a.n,
-            route: a.route,
-            outcome,
-            took,
-            over,
-            wait,
-            report: Report::default(),
-            heard: false,
-            unspent: false,
-        };
+        let e = Ended { took, over, wait, ..Ended::of(id, a.n, a.route, outcome) };
         self.give(vec![Event::Ended(e)]);
     }
 
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -90,18 +90,7 @@
     w.pass(20.0);
     let a = w.out(id).expect("out");
     let report = Report::default();
-    let e = Ended {
-        id,
-        attempt: a.n,
-        route: 0,
-        outcome: Outcome::Reset,
-        took: 20.0,
-        over: false,
-        wait: 0.0,
-        report,
-        heard: true,
-        unspent: false,
-    };
+    let e = Ended { took: 20.0, report, heard: true, ..Ended::of(id, a.n, 0, Outcome::Reset) };
     w.give(vec![Event::Ended(e)]);
     w.pass(1_000.0);
     w.end(id, Outcome::Delivered, 0.0);
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -91,20 +91,8 @@
                 Action::Send { id, route, .. }
                     if (self.dest.down.0..self.dest.down.1).contains(&self.now) =>
                 {
-                    let (outcome, wait, attempt) = (Outcome::NoConnection, 0.0, self.attempt(n, id));
-                    let (took, over, report, heard) = (TRIP, false, Report::default(), false);
-                    let e = Ended {
-                        id,
-                        attempt,
-                        route,
-                        outcome,
-                        took,
-                        over,
-                        wait,
-                        report,
-                        heard,
-                        unspent: false,
-                    };
+                    let attempt = self.attempt(n, id);
+                    let e = Ended { took: TRIP, ..Ended::of(id, attempt, route, Outcome::NoConnection) };
                     self.later(self.now + TRIP, n, Event::Ended(e));
                 }
                 Action::Send { id, route, .. } => {
@@ -117,18 +105,8 @@
                     let report = Report { left: Some(left), limit: Some(self.dest.limit) };
                     // Each message is given one try at a time, numbered by how often it was sent.
                     let attempt = self.attempt(n, id);
-                    let e = Ended {
-                        id,
-                        attempt,
-                        route,
-                        outcome,
-                        took,
-                        over: taken,
-                        wait,
-                        report,
-                        heard: true,
-                        unspent: false,
-                    };
+                    let ended = Ended::of(id, attempt, route, outcome);
+                    let e = Ended { took, over: taken, wait, report, heard: true, ..ended };
                     self.later(self.now + took, n, Event::Ended(e));
                 }
                 _ => {}
@@ -293,18 +271,8 @@
             let report = Report { left: Some(left), limit: Some(limit) };
             let (wait, over) =
                 (if outcome == Outcome::Refused { 300.0 } else { 0.0 }, outcome == Outcome::Delivered);
-            let e = Ended {
-                id,
-                attempt: a.n,
-                route: 0,
-                outcome,
-                took: 100.0,
-                over,
-                wait,
-                report,
-                heard: true,
-                unspent: false,
-            };
+            let ended = Ended::of(id, a.n, 0, outcome);
+            let e = Ended { took: 100.0, over, wait, report, heard: true, ..ended };
             w.give(vec![Event::Ended(e)]);
             true
         };
--- a/tests/full_folder.rs
+++ b/tests/full_folder.rs
@@ -2,29 +2,19 @@
 
 mod stand;
 use stand::*;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-const OK: Reply = Reply::Answer("200 OK");
 const MESSAGES: usize = 60;
-const CLASSES: [&str; 3] = ["safe", "order", "pay"];
 
 /// 60 messages are taken on while their endpoint is silent, the process is killed, and the next one starts under the
 /// schedule of faults with the endpoint well. All are delivered, but what may have run and must not run twice.
 fn all_are_delivered_by_a_start_under(schedule: &str) {
-    let answers = Arc::new(AtomicBool::new(false));
-    let a = answers.clone();
-    let worker = Worker::start(move |_, _| if a.load(Ordering::SeqCst) { OK } else { Reply::Silence });
+    let (worker, answers) = silent_until_told();
     let site = Site::new(&[entry("w1", &worker.address.to_string(), "a", 1, "in_service")]);
     let d = site.start();
     let mut client = d.client();
-    let ids: Vec<(String, &str)> =
-        (0..MESSAGES).map(|n| (format!("m{n:02}"), CLASSES[n % CLASSES.len()])).collect();
-    for (n, (id, class)) in ids.iter().enumerate() {
-        let options = format!("c={class},d=12000,k=k{n},dest=1");
-        assert_eq!(client.keyed(&format!("{:x}", n + 1), id, &options), "+OK");
-    }
+    let ids = hand_in_each_class(&mut client, MESSAGES, 12_000);
     d.kill();
     let tried: Vec<usize> = ids.iter().map(|(id, _)| worker.of(id)).collect();
     answers.store(true, Ordering::SeqCst);
@@ -68,9 +58,7 @@
 /// it, and what was never tried is not given up for fear that it may have run.
 #[test]
 fn half_a_record_at_the_end_gives_nothing_up_that_was_never_tried() {
-    let answers = Arc::new(AtomicBool::new(false));
-    let a = answers.clone();
-    let worker = Worker::start(move |_, _| if a.load(Ordering::SeqCst) { OK } else { Reply::Silence });
+    let (worker, answers) = silent_until_told();
     let site = Site::new(&[entry("w1", &worker.address.to_string(), "a", 1, "in_service")]);
     let begun = std::time::Instant::now();
     let d = site.start_under("eio 3000 1e12 1", &[]);
--- a/tests/restarts.rs
+++ b/tests/restarts.rs
@@ -4,8 +4,7 @@
 use lilacbank::journal::{Journal, Record, Taken};
 use stand::*;
 use std::io::Write;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 const OK: Reply = Reply::Answer("200 OK");
@@ -18,24 +17,16 @@
 /// effect, and each once. The kill comes right behind the last yes.
 #[test]
 fn what_a_kill_behind_the_yes_leaves_untried_is_still_tried() {
-    let well = Arc::new(AtomicBool::new(false));
-    let w = well.clone();
-    let worker = Worker::start(move |_, _| if w.load(Ordering::SeqCst) { OK } else { Reply::Silence });
+    let (worker, well) = silent_until_told();
     let site = site_of(&worker);
     let d = site.start();
     let mut c = d.client();
-    let classes = ["safe", "order", "pay"];
-    let ids: Vec<(String, &str)> =
-        (0..48).map(|n| (format!("m{n:02}"), classes[n % classes.len()])).collect();
-    for (n, (id, class)) in ids.iter().enumerate() {
-        let options = format!("c={class},d=6000,k=k{n},dest=1");
-        assert_eq!(c.keyed(&format!("{:x}", n + 1), id, &options), "+OK");
-    }
+    let ids = hand_in_each_class(&mut c, 48, 6_000);
     d.kill();
     let tried: Vec<usize> = ids.iter().map(|(id, _)| worker.of(id)).collect();
     well.store(true, Ordering::SeqCst);
     let _d = site.start();
-    for class in classes {
+    for class in ["safe", "order", "pay"] {
         let of = |untried: bool| {
             let all = ids.iter().zip(&tried).filter(move |((_, c), t)| *c == class && (**t == 0) == untried);
             all.map(|((id, _), _)| id.clone())
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -190,18 +190,7 @@
     let mut w = two_routes();
     let id = w.arrive(0, 1, None);
     w.end(id, Outcome::Delivered, 0.0);
-    let e = Ended {
-        id,
-        attempt: 0,
-        route: 0,
-        outcome: Outcome::Late,
-        took: 9.0,
-        over: true,
-        wait: 0.0,
-        report: Report::default(),
-        heard: false,
-        unspent: false,
-    };
+    let e = Ended { took: 9.0, over: true, ..Ended::of(id, 0, 0, Outcome::Late) };
     let stray = Ended { id: 777, route: 55, ..e };
     let events = vec![
         Event::Ended(e),
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -260,6 +260,17 @@
     (worker, open, taken)
 }
 
+/// A worker that is silent until it is told to take each call.
+pub fn silent_until_told() -> (Worker, Arc<std::sync::atomic::AtomicBool>) {
+    let answers = Arc::new(std::sync::atomic::AtomicBool::new(false));
+    let told = answers.clone();
+    let reply = move || match told.load(std::sync::atomic::Ordering::SeqCst) {
+        true => Reply::Answer("200 OK"),
+        false => Reply::Silence,
+    };
+    (Worker::start(move |_, _| reply()), answers)
+}
+
 /// The platform: a watch that brings what is pushed, and a place for notices.
 pub type Platform = lilacbank_rig::Registry;
 
@@ -530,6 +541,18 @@
     }
 }
 
+/// Hands in so many messages of the three classes in turn, each with a key of its own; all are taken on.
+pub fn hand_in_each_class(client: &mut Client, count: usize, left_ms: u64) -> Vec<(String, &'static str)> {
+    let classes = ["safe", "order", "pay"];
+    let ids: Vec<(String, &str)> =
+        (0..count).map(|n| (format!("m{n:02}"), classes[n % classes.len()])).collect();
+    for (n, (id, class)) in ids.iter().enumerate() {
+        let options = format!("c={class},d={left_ms},k=k{n},dest=1");
+        assert_eq!(client.keyed(&format!("{:x}", n + 1), id, &options), "+OK");
+    }
+    ids
+}
+
 pub fn command(parts: &[&[u8]]) -> Vec<u8> {
     let mut bytes = format!("*{}\r\n", parts.len()).into_bytes();
     for p in parts {
