Let clients misbehave and answers be cut in the soak; check its arguments

`Fault::Truncate` cuts answers in their middle, to members and the registry. Bad arguments end with 2 and say the range.

--- a/crates/load/src/member.rs
+++ b/crates/load/src/member.rs
@@ -1,5 +1,7 @@
 //! A stand-in member: an endpoint over HTTP that records every call and every effect, and a place for notices.
 
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
+use rustix::io::Errno;
 use std::collections::VecDeque;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -77,32 +79,23 @@
     pub left: Option<Instant>,
 }
 
-/// A running call looks so often whether its caller is still there.
-const LOOK_EVERY: Duration = Duration::from_millis(2);
-
-/// Takes so long; returns when the other side of the connection closed it meanwhile, if it did.
+/// Takes so long; returns when the other side of the connection closed it meanwhile, if it did. Waits for that end itself, so
+/// that it is known as it comes, also on a busy machine.
 fn serve_for(service: Duration, tcp: &TcpStream) -> Option<Instant> {
     let began = Instant::now();
+    let rest = || service.saturating_sub(began.elapsed());
     let mut left = None;
-    loop {
-        let rest = service.saturating_sub(began.elapsed());
-        if rest.is_zero() {
-            return left;
-        }
-        if left.is_some() {
-            thread::sleep(rest);
-            return left;
-        }
-        thread::sleep(rest.min(LOOK_EVERY));
-        if tcp.set_nonblocking(true).is_ok() {
-            let gone = match tcp.peek(&mut [0]) {
-                Ok(n) => n == 0,
-                Err(e) => e.kind() != std::io::ErrorKind::WouldBlock,
-            };
-            let _ = tcp.set_nonblocking(false);
-            left = gone.then(Instant::now);
+    while left.is_none() && !rest().is_zero() {
+        let mut ends = [PollFd::new(tcp, PollFlags::RDHUP)];
+        let Ok(timeout) = Timespec::try_from(rest()) else { break };
+        match poll(&mut ends, Some(&timeout)) {
+            Ok(0) | Err(Errno::INTR) => {}
+            Ok(_) => left = Some(Instant::now()),
+            Err(_) => break,
         }
     }
+    thread::sleep(rest());
+    left
 }
 
 #[derive(Debug, Default)]
--- a/crates/rig/src/bin/lilacbank-rig.rs
+++ b/crates/rig/src/bin/lilacbank-rig.rs
@@ -1,5 +1,6 @@
 //! `lilacbank-rig`: plays a scenario of many dispatchers with faults between them, and reports what the rules say.
 
+use clap::builder::RangedU64ValueParser;
 use clap::{Parser, Subcommand};
 use lilacbank_rig::scenario::{Scenario, DEFAULT};
 use lilacbank_rig::soak::Spec;
@@ -47,17 +48,17 @@
         /// The first seed.
         #[arg(long, default_value_t = 1)]
         seed: u64,
-        /// How many plays, with seeds from the first one on.
-        #[arg(long, default_value_t = 1)]
+        /// How many plays, with seeds from the first one on, 1 to 1000.
+        #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u64).range(1..=1_000))]
         plays: u64,
-        /// Processes of the dispatcher.
-        #[arg(long, default_value_t = 24)]
+        /// Processes of the dispatcher, 1 to 128.
+        #[arg(long, default_value_t = 24, value_parser = RangedU64ValueParser::<usize>::new().range(1..=128))]
         dispatchers: usize,
-        /// Milliseconds of load.
-        #[arg(long, default_value_t = 15_000)]
+        /// Milliseconds of load, 5000 to 600000.
+        #[arg(long, default_value_t = 15_000, value_parser = clap::value_parser!(u64).range(5_000..=600_000))]
         run_ms: u64,
-        /// Troubles at once, on average.
-        #[arg(long, default_value_t = 2.5)]
+        /// Troubles at once, on average, 0.1 to 20.
+        #[arg(long, default_value_t = 2.5, value_parser = troubles)]
         at_once: f64,
         /// The dispatcher's program; by default `lilacbank` beside this one.
         #[arg(long)]
@@ -85,6 +86,11 @@
     }
 }
 
+fn troubles(text: &str) -> Result<f64, String> {
+    let number = text.parse().ok().filter(|n| (0.1..=20.0).contains(n));
+    number.ok_or_else(|| "no number from 0.1 to 20; give how many troubles are on at a time".to_string())
+}
+
 /// The file that was given, or the one of this name beside this program.
 fn beside(given: Option<PathBuf>, name: &str) -> Option<PathBuf> {
     let beside = || Some(std::env::current_exe().ok()?.parent()?.join(name));
@@ -110,7 +116,7 @@
         };
         plays += 1;
         println!(
-            "seed {}: {} handed in, {} taken, {} delivered, {} told; {} lost, {} late, {} doubled, {} overlapping, {} told twice, \
+            "seed {}: {} handed in, {} taken, {} delivered, {} told; {} lost, {} late, {} hanging, {} doubled, {} overlapping, {} told twice, \
              {} violations, {} panics, {} failed starts",
             spec.seed,
             report.handed,
@@ -119,6 +125,7 @@
             report.told,
             report.lost.len(),
             report.late.len(),
+            report.hanging.len(),
             report.doubled.len(),
             report.overlapping.len(),
             report.told_twice.len(),
@@ -128,8 +135,14 @@
         );
         if !report.clean() {
             broken.push(spec.seed);
-            let lists =
-                [&report.lost, &report.late, &report.doubled, &report.overlapping, &report.told_twice];
+            let lists = [
+                &report.lost,
+                &report.late,
+                &report.hanging,
+                &report.doubled,
+                &report.overlapping,
+                &report.told_twice,
+            ];
             println!("  {:?}", lists);
             report.violations.iter().chain(&report.panics).for_each(|line| println!("  {line}"));
         }
@@ -166,7 +179,7 @@
             if library.is_none() {
                 return not_beside("the library of crates/faults", "--library");
             }
-            let specs = (seed..seed + plays.max(1)).map(|seed| Spec {
+            let specs = (seed..seed.saturating_add(plays)).map(|seed| Spec {
                 seed,
                 dispatchers,
                 run_ms,
--- a/crates/rig/src/proxy.rs
+++ b/crates/rig/src/proxy.rs
@@ -24,6 +24,8 @@
     Drop,
     /// So many bytes a second at most pass each way on each connection.
     Bandwidth(u64),
+    /// Half of each piece of an answer passes, and then the connection is cut.
+    Truncate,
 }
 
 #[derive(Debug)]
@@ -144,6 +146,11 @@
                     thread::sleep(Duration::from_secs_f64(n as f64 / rate.max(1) as f64))
                 }
                 Fault::Reset => break,
+                Fault::Truncate if forward => {}
+                Fault::Truncate => {
+                    let _ = to.write_all(&buffer[..n / 2]);
+                    break;
+                }
             }
             if forward {
                 self.shared.forward.fetch_add(n, Ordering::SeqCst);
--- a/crates/rig/src/report.rs
+++ b/crates/rig/src/report.rs
@@ -21,6 +21,8 @@
     pub told_twice: Vec<String>,
     /// Ids of what got its end long after its time.
     pub late: Vec<String>,
+    /// Clients that misbehaved and whose connection stayed open beyond its time.
+    pub hanging: Vec<String>,
     /// Lines of the dispatchers' logs that count what their own rules forbid and was done all the same.
     pub violations: Vec<String>,
     /// Lines of their logs that tell of a panic.
@@ -69,6 +71,7 @@
             && self.doubled.is_empty()
             && self.overlapping.is_empty()
             && self.told_twice.is_empty()
+            && self.hanging.is_empty()
             && self.late.is_empty()
             && self.violations.is_empty()
             && self.panics.is_empty()
--- a/crates/rig/src/run.rs
+++ b/crates/rig/src/run.rs
@@ -5,7 +5,7 @@
 use crate::process::Process;
 use crate::report::Report;
 use crate::scenario::{FaultName, Faults, MemberStep, PathName, RegistryStep, Scenario, Step};
-use crate::{config, soak, Fault, Proxy, Registry};
+use crate::{config, rude, soak, Fault, Proxy, Registry};
 use lilacbank_load::arrivals::{poisson, Intended, Stream};
 use lilacbank_load::client::{drive, hand_in_again, Door, Habits, Handed, Route};
 use lilacbank_load::keyed::{audit, Audit, Sent};
@@ -169,6 +169,7 @@
                 FaultName::Blackhole => Fault::Blackhole,
                 FaultName::Drop => Fault::Drop,
                 FaultName::Bandwidth => Fault::Bandwidth(step.bytes_per_s.unwrap_or(1)),
+                FaultName::Truncate => Fault::Truncate,
             };
             let of = |n: &usize| step.of.is_empty() || step.of.contains(n);
             let between = |(a, b, _): &&(usize, usize, Proxy)| {
@@ -324,7 +325,11 @@
     let start = Instant::now();
     let (mut last_start, mut wave) = (None, None);
     let seen: Arc<Mutex<Vec<Handed>>> = Arc::default();
-    let (handed, again) = thread::scope(|scope| {
+    let addresses: Vec<_> = stage.processes.iter().map(|p| p.address.clone()).collect();
+    let (handed, again, rude) = thread::scope(|scope| {
+        let end = start + Duration::from_millis(scenario.run_ms);
+        let rude =
+            scenario.rude.then(|| scope.spawn(move || rude::visit(scenario.seed, &addresses, start, end)));
         let load = scope.spawn(|| {
             let parts: Vec<_> = (0..scenario.dispatchers)
                 .map(|d| {
@@ -365,7 +370,8 @@
             }
         }
         let again: Vec<_> = again.into_iter().flat_map(|h| h.join().unwrap_or_default()).collect();
-        (load.join().unwrap_or_default(), again)
+        let rude = rude.and_then(|r| r.join().ok()).unwrap_or_default();
+        (load.join().unwrap_or_default(), again, rude)
     });
     let found = settle(scenario, &handed, &again, &stage, per);
     stage.processes.iter().for_each(Process::count);
@@ -376,6 +382,7 @@
         let _ = std::fs::remove_dir_all(&folder);
     }
     let mut report = report(scenario, &stage, &streams, &handed, found, (start, wave, last_start));
+    report.hanging = rude::hanging(&rude, |n, from, until| soak::refuses_clients(scenario, n, from, until));
     report.late = late_ends(scenario, &stage, &handed, per, start);
     (report.violations, report.panics) = (logged.violations, logged.panics);
     report.again = again.len();
@@ -522,6 +529,7 @@
         latency_ms: measure::latencies(start, handed, &first),
         calls: calls.iter().map(|c| measure::buckets(start, run_ms, c)).collect(),
         serving,
+        hanging: Vec::new(),
         late: Vec::new(),
         violations: Vec::new(),
         panics: Vec::new(),
--- a/crates/rig/src/scenario.rs
+++ b/crates/rig/src/scenario.rs
@@ -71,6 +71,9 @@
     pub member: Member,
     /// Messages handed in.
     pub load: Load,
+    /// Clients that misbehave come all the time, drawn from the seed; see `crate::rude`.
+    #[serde(skip)]
+    pub rude: bool,
     /// Milliseconds for which each message may be delivered; those of its class where it is none.
     #[serde(skip)]
     pub deadline_ms: Option<u64>,
@@ -179,6 +182,8 @@
     Drop,
     /// `bytes_per_s` pass on each connection.
     Bandwidth,
+    /// Answers are cut in their middle, and the connection with them.
+    Truncate,
 }
 
 /// What happens to a member.
--- a/crates/rig/src/soak.rs
+++ b/crates/rig/src/soak.rs
@@ -54,7 +54,7 @@
     Calls(&'static str),
 }
 
-const TROUBLES: [Trouble; 22] = [
+const TROUBLES: [Trouble; 24] = [
     Trouble::Kill,
     Trouble::Kill,
     Trouble::Stop,
@@ -65,8 +65,10 @@
     Trouble::MemberPath(FaultName::Blackhole),
     Trouble::MemberPath(FaultName::Reset),
     Trouble::MemberPath(FaultName::Delay),
+    Trouble::MemberPath(FaultName::Truncate),
     Trouble::RegistryPath(FaultName::Blackhole),
     Trouble::RegistryPath(FaultName::Reset),
+    Trouble::RegistryPath(FaultName::Truncate),
     Trouble::MemberDown,
     Trouble::OlderList,
     Trouble::ClockStep,
@@ -121,6 +123,7 @@
             classes: vec!["safe".into(), "order".into(), "pay".into()],
             surge: None,
         },
+        rude: true,
         deadline_ms: Some(DEADLINE),
         faults: spec.library.clone().map(|library| Faults { library, schedules }),
         steps: draw.steps.into_iter().map(|s| toml::Spanned::new(0..0, s)).collect(),
@@ -255,6 +258,17 @@
     spans
 }
 
+/// Does the dispatcher take no new connection at some moment of this span, by its schedule of faults?
+pub(crate) fn refuses_clients(scenario: &Scenario, dispatcher: usize, from: u64, until: u64) -> bool {
+    let schedule = scenario.faults.as_ref().and_then(|f| f.schedules.get(dispatcher));
+    let span = |fault: &str| match fault.split_whitespace().collect::<Vec<_>>().as_slice() {
+        ["accept", begin, end, ..] => begin.parse().ok().zip(end.parse().ok()),
+        _ => None,
+    };
+    let mut spans = schedule.into_iter().flat_map(|s| s.split(';')).filter_map(span);
+    spans.any(|(begin, end): (u64, u64)| begin <= until && from <= end)
+}
+
 /// Those that ended too late, without an excuse near their time.
 pub(crate) fn late(endings: &[Ending], excuses: impl Fn(usize) -> Vec<(u64, u64)>) -> Vec<String> {
     let excused = |e: &Ending| {
