--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -34,11 +34,18 @@
 }
 
 impl Process {
-    /// The `n`th dispatcher of this rig. It listens on a loopback address that is this rig's and its own: on a shared one
-    /// the system may give the port of one that is down to a dispatcher of another rig, whose clients then come there.
-    pub(crate) fn new(n: usize, folder: PathBuf, config: PathBuf, together: Option<PathBuf>) -> Process {
+    /// The `n`th dispatcher of a play of this rig. It listens on a loopback address that is the play's and its own: on a
+    /// shared one the system may give the port of one that is down to a dispatcher of another play, whose clients then come
+    /// there.
+    pub(crate) fn new(
+        (play, n): (usize, usize),
+        folder: PathBuf,
+        config: PathBuf,
+        together: Option<PathBuf>,
+    ) -> Process {
         let pid = std::process::id();
-        let ip = [127, 1 + (pid >> 8 & 0x7f) as u8, (pid & 0xff) as u8, 1 + n as u8];
+        let (rig, play) = ((pid >> 8 & 0x1f) as u8, (play & 0x3) as u8);
+        let ip = [127, 1 + (rig << 2 | play), (pid & 0xff) as u8, 1 + n as u8];
         let (child, leaving, lives) = (None, Vec::new(), Vec::new());
         let listen = SocketAddr::from((ip, 0));
         let (address, variables) = (Arc::default(), Vec::new());
--- a/crates/rig/src/run.rs
+++ b/crates/rig/src/run.rs
@@ -14,7 +14,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::path::Path;
-use std::sync::atomic::{AtomicU16, Ordering};
+use std::sync::atomic::{AtomicU16, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -67,7 +67,7 @@
 }
 
 impl Stage {
-    fn set(scenario: &Scenario, folder: &Path) -> std::io::Result<Stage> {
+    fn set(scenario: &Scenario, folder: &Path, number: usize) -> std::io::Result<Stage> {
         let m = &scenario.member;
         let manner =
             Manner { service: Duration::from_millis(m.service_ms), at_once: m.at_once, queue: m.queue };
@@ -90,7 +90,7 @@
             std::fs::create_dir_all(&dir)?;
             std::fs::write(&config, text)?;
             let together = (scenario.recovery || scenario.replication).then(|| dir.join("together.toml"));
-            let mut process = Process::new(n, dir, config, together);
+            let mut process = Process::new((number, n), dir, config, together);
             if let Some(faults) = &scenario.faults {
                 process.variables = variables(faults, n, &process.folder);
             }
@@ -301,10 +301,13 @@
 ///
 /// The folder, a port or a member cannot be had.
 pub fn play(scenario: &Scenario, program: &Path, work: &Path, keep: bool) -> std::io::Result<Report> {
-    let folder = work.join(format!("lilacbank-rig-{}-{}", std::process::id(), scenario.seed));
+    static PLAYS: AtomicUsize = AtomicUsize::new(0);
+    // Plays of one process may be on at a time, also of one seed.
+    let number = PLAYS.fetch_add(1, Ordering::Relaxed);
+    let folder = work.join(format!("lilacbank-rig-{}-{number}-{}", std::process::id(), scenario.seed));
     let _ = std::fs::remove_dir_all(&folder);
     std::fs::create_dir_all(&folder)?;
-    let mut stage = Stage::set(scenario, &folder)?;
+    let mut stage = Stage::set(scenario, &folder, number)?;
     let all: Vec<usize> = (0..scenario.dispatchers).collect();
     stage.start(&all, program, &Step::default());
     let streams = streams(scenario);
