Tell why a message is not taken, repeated or kept back, in the log and the figures

tests/following.rs follows one message by its id and found a refusal that was logged nowhere (a destination that is not listed) and others without an id. `Core::take_in` is divided; each refusal has a typed reason, is logged with the id and counted in `vars` (`not_taken`).

A schedule of crates/faults that does not read ends the process with status 2 and says what to write (tests/faults.rs): a slip there would have let a test pass for want of its faults.

--- a/crates/faults/src/lib.rs
+++ b/crates/faults/src/lib.rs
@@ -15,7 +15,8 @@
 //! | `short` | reads and writes on sockets move so many bytes at most | 7 if absent |
 //! | `halt` | the thread sleeps before one in 64 writes on a socket | milliseconds, 150 if absent |
 //!
-//! The folder is `LILACBANK_FAULTS_FOLDER`, a prefix of paths.
+//! The folder is `LILACBANK_FAULTS_FOLDER`, a prefix of paths. A schedule that does not read ends the process with status 2 and
+//! says what is wrong.
 
 mod schedule;
 
@@ -24,6 +25,8 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::OnceLock;
 
+/// Exit status of a process whose schedule does not read.
+const BAD_SCHEDULE: c_int = 2;
 /// Between two halts, so that one is over before the next: the time that a process may be held up is the time of one.
 const HALT_GAP_MS: u64 = 1_000;
 /// When the last halt began.
@@ -48,7 +51,13 @@
     SCHEDULE.get_or_init(|| {
         let variable = |name: &str| std::env::var(name).unwrap_or_default();
         let epoch = variable("LILACBANK_FAULTS_EPOCH").parse().unwrap_or_else(|_| monotonic_ms());
-        Schedule::parse(&variable("LILACBANK_FAULTS"), epoch, variable("LILACBANK_FAULTS_FOLDER"))
+        let folder = variable("LILACBANK_FAULTS_FOLDER");
+        Schedule::parse(&variable("LILACBANK_FAULTS"), epoch, folder).unwrap_or_else(|why| {
+            // A test whose faults were left out would show nothing.
+            eprintln!("LILACBANK_FAULTS: {why}");
+            // SAFETY: it ends the process at once and touches nothing.
+            unsafe { libc::_exit(BAD_SCHEDULE) }
+        })
     })
 }
 
--- a/crates/faults/src/schedule.rs
+++ b/crates/faults/src/schedule.rs
@@ -40,16 +40,21 @@
 }
 
 impl Schedule {
-    /// Reads a schedule; what does not read is left out with a line on standard error.
-    pub(crate) fn parse(text: &str, epoch: f64, folder: String) -> Schedule {
-        let mut faults = Vec::new();
-        for part in text.split(';').map(str::trim).filter(|p| !p.is_empty()) {
-            match fault(part) {
-                Some(fault) => faults.push(fault),
-                None => eprintln!("LILACBANK_FAULTS: '{part}' is not KIND FROM UNTIL [ARGUMENT]"),
-            }
+    /// Reads a schedule.
+    ///
+    /// # Errors
+    ///
+    /// What is wrong with the first part that does not read, and what to write.
+    pub(crate) fn parse(text: &str, epoch: f64, folder: String) -> Result<Schedule, String> {
+        let parts = text.split(';').map(str::trim).filter(|p| !p.is_empty());
+        let faults = parts.map(fault).collect::<Result<Vec<Fault>, String>>()?;
+        let on_folder = |f: &Fault| matches!(f.kind, Kind::NoSpace | Kind::Io);
+        if folder.is_empty() && faults.iter().any(on_folder) {
+            return Err(
+                "enospc and eio need LILACBANK_FAULTS_FOLDER; set it to the folder whose files fail".into()
+            );
         }
-        Schedule { faults, epoch, folder }
+        Ok(Schedule { faults, epoch, folder })
     }
 
     pub(crate) fn is_empty(&self) -> bool {
@@ -64,12 +69,13 @@
     }
 }
 
-fn fault(text: &str) -> Option<Fault> {
+fn fault(text: &str) -> Result<Fault, String> {
+    let wrong = |what: &str| Err(format!("'{text}': {what}"));
     let words: Vec<&str> = text.split_whitespace().collect();
-    let (kind, from, until, rest) = match words.as_slice() {
-        [kind, from, until] => (*kind, *from, *until, None),
-        [kind, from, until, argument] => (*kind, *from, *until, Some(*argument)),
-        _ => return None,
+    let (kind, from, until, argument) = match words.as_slice() {
+        [kind, from, until] => (*kind, *from, *until, "0"),
+        [kind, from, until, argument] => (*kind, *from, *until, *argument),
+        _ => return wrong("write KIND FROM UNTIL [ARGUMENT], times in milliseconds"),
     };
     let kind = match kind {
         "clock" => Kind::Clock,
@@ -80,8 +86,14 @@
         "eintr" => Kind::Interrupt,
         "short" => Kind::Short,
         "halt" => Kind::Halt,
-        _ => return None,
+        _ => return wrong("the kind is one of clock, enospc, eio, accept, connect, eintr, short, halt"),
     };
-    let argument = rest.map_or(Some(0.0), |r| r.parse().ok())?;
-    Some(Fault { kind, from: from.parse().ok()?, until: until.parse().ok()?, argument })
+    let number = |text: &str| text.parse::<f64>().ok().filter(|n| n.is_finite());
+    match (number(from), number(until), number(argument)) {
+        (Some(from), Some(until), Some(argument)) if from < until => {
+            Ok(Fault { kind, from, until, argument })
+        }
+        (Some(_), Some(_), Some(_)) => wrong("FROM is before UNTIL"),
+        _ => wrong("FROM, UNTIL and ARGUMENT are numbers"),
+    }
 }
--- a/src/dispatch/admit.rs
+++ b/src/dispatch/admit.rs
@@ -98,6 +98,7 @@
         let call = Call {
             taken,
             attempts: 0,
+            last: None,
             ran: None,
             out: None,
             ending: None,
@@ -109,6 +110,8 @@
         if call.frozen == Some(Frozen::Queued) {
             self.backlog.push(no, call.taken.valid_until);
         }
+        log::debug!(id = call.taken.identity.1.as_str(), class = call.taken.class.as_str(), member = call.taken.dest,
+            left_ms = call.taken.valid_until - now; "a call is taken on");
         self.order.enter(&call.taken);
         self.calls.insert(no, call);
         if !self.copy_asks(now, no, ticket) {
@@ -186,9 +189,19 @@
                     taken.valid_until = taken.valid_until.min(most);
                     let size = Record::Taken(taken.clone()).size() + MARGIN;
                     let cell = self.cells.of(&taken.tenant);
-                    let (ran, out, ending, frozen) = (None, None, None, None);
-                    let call =
-                        Call { taken, attempts: 0, ran, out, ending, cell, size, frozen, unheard: None };
+                    let (last, ran, out, ending, frozen) = (None, None, None, None, None);
+                    let call = Call {
+                        taken,
+                        attempts: 0,
+                        last,
+                        ran,
+                        out,
+                        ending,
+                        cell,
+                        size,
+                        frozen,
+                        unheard: None,
+                    };
                     left.insert(call.taken.no, (call, false));
                 }
                 Record::State { no, attempts, ran, out } => {
--- a/src/dispatch/figures.rs
+++ b/src/dispatch/figures.rs
@@ -18,6 +18,8 @@
 pub struct Figures {
     /// Completed, rejected and failed, by the name of the class.
     classes: BTreeMap<String, [u64; 3]>,
+    /// Messages that were not taken on, by the reason.
+    not_taken: BTreeMap<&'static str, u64>,
     /// Messages written whole to endpoints, each attempt once.
     pub upstream: u64,
     /// How far the process has come since its start.
@@ -64,6 +66,11 @@
         counts[tally as usize] += 1;
     }
 
+    /// One more message was not taken on, for this reason.
+    pub fn not_taken(&mut self, why: &'static str) {
+        *self.not_taken.entry(why).or_default() += 1;
+    }
+
     /// So many of a class ended so.
     pub fn of(&self, class: &str, tally: Tally) -> u64 {
         self.classes.get(class).map_or(0, |c| c[tally as usize])
@@ -79,6 +86,7 @@
             "completed": by(Tally::Completed),
             "rejected": by(Tally::Rejected),
             "failed": by(Tally::Failed),
+            "not_taken": self.not_taken,
             "upstream_requests": self.upstream,
             "pending": now.pending,
             "members": now.members,
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -251,6 +251,8 @@
 struct Call {
     taken: crate::journal::Taken,
     attempts: u32,
+    /// How the last attempt of this process ended, for the log of the next.
+    last: Option<Outcome>,
     ran: Option<Sent>,
     out: Option<Out>,
     ending: Option<Ending>,
--- a/src/dispatch/relay.rs
+++ b/src/dispatch/relay.rs
@@ -35,6 +35,7 @@
         // Guards against messages that spend all their attempts on this side, without a call: kept back by a wait, by a
         // promise or by a folder that takes no record.
         let unspent = outcome == Outcome::NotSent && !heard && !over;
+        self.calls.entry(no).and_modify(|c| c.last = Some(outcome));
         if unspent {
             self.calls.entry(no).and_modify(|c| c.attempts = attempt);
         }
--- a/src/dispatch/seats.rs
+++ b/src/dispatch/seats.rs
@@ -840,6 +840,7 @@
             calls.push(Call {
                 taken,
                 attempts: h.attempts,
+                last: None,
                 ran,
                 out: None,
                 ending: None,
--- a/src/dispatch/send.rs
+++ b/src/dispatch/send.rs
@@ -68,6 +68,7 @@
             }
             return self.over(now, no, attempt, NOT_WRITTEN_REST);
         }
+        self.log_begin(now, no, route);
         if let Some(out) = self.calls.get_mut(&no).and_then(|c| c.out.as_mut()) {
             out.marked = true;
         }
@@ -75,6 +76,16 @@
         self.orders.push(Order::Delegate(delegation));
     }
 
+    /// Which attempt it is, where it goes, and what it follows: the end of the last one tells why it is repeated.
+    fn log_begin(&self, now: Ms, no: CallNo, route: RouteId) {
+        let Some(c) = self.calls.get(&no).filter(|_| log::log_enabled!(log::Level::Debug)) else { return };
+        let worker = self.worker(route).map_or("", |w| w.uid.as_str());
+        let after = c.last.map_or("nothing".to_string(), |outcome| format!("{outcome:?}"));
+        log::debug!(id = c.taken.identity.1.as_str(), class = c.taken.class.as_str(), member = c.taken.dest, worker = worker,
+            attempt = c.attempts.saturating_sub(1), after = after.as_str(), left_ms = c.taken.valid_until - now;
+            "a delegation begins");
+    }
+
     /// Asks the rules whether an attempt may go out; if not, how long its endpoint is left alone (0: no wait is on).
     fn allowed(&mut self, now: Ms, no: CallNo, route: RouteId) -> Result<(), Ms> {
         let Some(message) = self.calls.get(&no).map(|c| self.guarded(c)) else { return Err(0.0) };
--- a/src/dispatch/take_in.rs
+++ b/src/dispatch/take_in.rs
@@ -38,6 +38,40 @@
     pub body: Vec<u8>,
 }
 
+/// Why a message is not taken on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum NotTaken {
+    /// It makes no sense.
+    Unreadable,
+    /// A lost life may have sent it.
+    Unproven,
+    /// Its tenant is served by another dispatcher.
+    Elsewhere,
+    /// The others have not told yet what became of what this one held.
+    CatchingUp,
+    /// The list names no endpoint of its destination.
+    NotListed,
+    /// Its destination's promised share is used up beyond its time.
+    NotInTime,
+    /// There is no room for it, or the folder takes nothing.
+    NoRoom,
+}
+
+impl NotTaken {
+    /// The word of the log and of the figures.
+    fn name(self) -> &'static str {
+        match self {
+            NotTaken::Unreadable => "unreadable",
+            NotTaken::Unproven => "unproven",
+            NotTaken::Elsewhere => "elsewhere",
+            NotTaken::CatchingUp => "catching_up",
+            NotTaken::NotListed => "not_listed",
+            NotTaken::NotInTime => "not_in_time",
+            NotTaken::NoRoom => "no_room",
+        }
+    }
+}
+
 impl Core {
     /// Takes a call in. The verdict comes as an [`Order::Answer`] of the next [`Core::turn`].
     pub fn submit(&mut self, now: Ms, ticket: Ticket, s: Submission) {
@@ -52,93 +86,128 @@
     fn take_in(&mut self, now: Ms, ticket: Ticket, s: Submission, looked: bool) {
         self.now = now;
         if let Some(verdict) = self.once_verdict(now, &s) {
-            self.counters.repeated += 1;
-            return self.answer_now(&s.class, ticket, verdict);
-        }
-        if let Some(k) = self.known.get(&s.identity) {
-            self.counters.repeated += 1;
-            let no = k.no;
-            if self.asking.iter().any(|a| a.0 == no) {
-                self.asking.push((no, ticket));
-                return;
-            }
-            if self.copy_is_asked(no) && self.copy_asks(now, no, ticket) {
-                return;
-            }
-            let Some(k) = self.known.get(&s.identity) else { return };
-            // The platform hears of an end once; a session asks again because it may have missed it.
-            let told = k.ending.filter(|_| !s.identity.0.is_empty());
-            let (no, verdict) = (k.no, k.verdict.clone());
-            self.answer_now(&s.class, ticket, verdict);
-            if let Some(ending) = told {
-                let until = now + super::ANSWER_KEPT;
-                let told = super::Told { no, identity: s.identity, ending, reply: s.reply, until };
-                self.orders.push(Order::Tell(told));
-            } else {
-                self.move_reply(no, s.reply);
-            }
-            return;
+            return self.repeat_answer(&s, ticket, verdict);
+        }
+        if self.known.contains_key(&s.identity) {
+            return self.answer_known(now, ticket, s);
         }
         if let Some(verdict) = self.copied_verdict(&s.identity) {
-            self.counters.repeated += 1;
-            return self.answer_now(&s.class, ticket, verdict);
+            return self.repeat_answer(&s, ticket, verdict);
         }
         if !looked && self.look_elsewhere(now, ticket, &s) {
             return;
         }
-        let class_name = s.class.clone();
-        let verdict = match self.check(&s) {
-            Err(why) => {
-                self.counters.malformed += 1;
-                Verdict::Failed(why)
+        match self.may_take(now, &s) {
+            Ok((class, left)) => self.take_on(now, ticket, s, class, left),
+            Err((why, verdict)) => self.refuse(&s.class, &s.identity.1, ticket, why, verdict),
+        }
+    }
+
+    /// It was handed in before, by whoever and wherever.
+    fn repeat_answer(&mut self, s: &Submission, ticket: Ticket, verdict: Verdict) {
+        self.counters.repeated += 1;
+        self.answer_now(&s.class, ticket, verdict);
+    }
+
+    /// A client hands in under an id that is known.
+    fn answer_known(&mut self, now: Ms, ticket: Ticket, s: Submission) {
+        let Some(no) = self.known.get(&s.identity).map(|k| k.no) else { return };
+        self.counters.repeated += 1;
+        if self.asking.iter().any(|a| a.0 == no) {
+            self.asking.push((no, ticket));
+            return;
+        }
+        if self.copy_is_asked(no) && self.copy_asks(now, no, ticket) {
+            return;
+        }
+        let Some(k) = self.known.get(&s.identity) else { return };
+        // The platform hears of an end once; a session asks again because it may have missed it.
+        let told = k.ending.filter(|_| !s.identity.0.is_empty());
+        let (no, verdict) = (k.no, k.verdict.clone());
+        self.answer_now(&s.class, ticket, verdict);
+        if let Some(ending) = told {
+            let until = now + super::ANSWER_KEPT;
+            let told = super::Told { no, identity: s.identity, ending, reply: s.reply, until };
+            self.orders.push(Order::Tell(told));
+        } else {
+            self.move_reply(no, s.reply);
+        }
+    }
+
+    /// The class of a message that may be taken on and the time that it has left; else why not, and what its client is told.
+    fn may_take(&mut self, now: Ms, s: &Submission) -> Result<(usize, Ms), (NotTaken, Verdict)> {
+        let busy = |wait: Ms, most: Ms| Verdict::Busy(wait.min(most));
+        let advice = self.settings.max_advice;
+        let class = match self.check(s) {
+            Ok(class) => class,
+            Err(why) => return Err((NotTaken::Unreadable, Verdict::Failed(why))),
+        };
+        // Its first hand-in may have been taken, sent and forgotten with the folder.
+        if self.is_unproven(now, &s.class, s.again) {
+            self.counters.unproven += 1;
+            let why = "it may have taken effect in a lost life, and is not sent again";
+            return Err((NotTaken::Unproven, Verdict::Failed(why.into())));
+        }
+        if self.is_elsewhere(&s.tenant) {
+            return Err((NotTaken::Elsewhere, self.elsewhere(&s.tenant)));
+        }
+        // What it lost may be told it any moment: it says yes to nobody before.
+        if self.is_catching_up() {
+            return Err((NotTaken::CatchingUp, busy(NO_ROOM_ADVICE, advice)));
+        }
+        // Perhaps the client has heard of it first: it may come again. Taken on, the message could only wait.
+        if !self.is_listed(s.dest) {
+            return Err((NotTaken::NotListed, busy(NO_ROOM_ADVICE, advice)));
+        }
+        let deadline = self.settings.classes[class].deadline;
+        let left = s.left.unwrap_or(deadline).min(deadline);
+        match self.door_wait(now, s.dest, left) {
+            Some(wait) => Err((NotTaken::NotInTime, busy(wait, advice))),
+            None => Ok((class, left)),
+        }
+    }
+
+    fn take_on(&mut self, now: Ms, ticket: Ticket, s: Submission, class: usize, left: Ms) {
+        let (name, id) = (s.class.clone(), s.identity.1.clone());
+        let taken = Taken {
+            no: self.next_no,
+            identity: s.identity,
+            key: s.key.filter(|_| self.settings.classes[class].in_order),
+            class: s.class,
+            tenant: s.tenant,
+            idempotency: s.idempotency,
+            dest: s.dest,
+            valid_until: now + left,
+            reply: s.reply,
+            body: s.body,
+        };
+        if let Err(wait) = self.admit(now, class, taken, s.again, ticket) {
+            let verdict = Verdict::Busy(wait.min(self.settings.max_advice));
+            self.refuse(&name, &id, ticket, NotTaken::NoRoom, verdict);
+        }
+    }
+
+    /// A message is not taken on: said to its client, logged and counted by its reason.
+    fn refuse(&mut self, class: &str, id: &str, ticket: Ticket, why: NotTaken, verdict: Verdict) {
+        self.figures.not_taken(why.name());
+        self.counters.busy += u64::from(matches!(verdict, Verdict::Busy(_) | Verdict::Elsewhere { .. }));
+        self.counters.malformed += u64::from(why == NotTaken::Unreadable);
+        match &verdict {
+            _ if why == NotTaken::Unproven => log::warn!(id = id, class = class, outcome = "failed";
+                "{id} was handed in before, and the folder cannot prove that it never went out: it is not sent"),
+            Verdict::Failed(cause) => {
+                log::debug!(id = id, class = class, outcome = "failed", why = why.name(),
+                cause = cause.as_str(); "a call is not taken on")
             }
-            // Its first hand-in may have been taken, sent and forgotten with the folder.
-            Ok(_) if self.is_unproven(now, &s.class, s.again) => {
-                self.counters.unproven += 1;
-                log::warn!(id = s.identity.1.as_str(), class = s.class.as_str(), outcome = "failed";
-                    "{} was handed in before, and the folder cannot prove that it never went out: it is not sent", s.identity.1);
-                Verdict::Failed("it may have taken effect in a lost life, and is not sent again".into())
+            Verdict::Busy(wait) => {
+                log::debug!(id = id, class = class, outcome = "busy", why = why.name(), wait_ms = *wait;
+                "a call is not taken on")
             }
-            Ok(_) if self.is_elsewhere(&s.tenant) => self.elsewhere(&s.tenant),
-            // What it lost may be told it any moment: it says yes to nobody before.
-            Ok(_) if self.is_catching_up() => Verdict::Busy(NO_ROOM_ADVICE.min(self.settings.max_advice)),
-            // Perhaps the client has heard of it first: it may come again. Taken on, the message could only wait.
-            Ok(_) if !self.is_listed(s.dest) => Verdict::Busy(NO_ROOM_ADVICE.min(self.settings.max_advice)),
-            Ok(class) => {
-                let deadline = self.settings.classes[class].deadline;
-                let left = s.left.unwrap_or(deadline).min(deadline);
-                if let Some(wait) = self.door_wait(now, s.dest, left) {
-                    self.counters.busy += 1;
-                    let verdict = Verdict::Busy(wait.min(self.settings.max_advice));
-                    return self.answer_now(&s.class, ticket, verdict);
-                }
-                let taken = Taken {
-                    no: self.next_no,
-                    identity: s.identity,
-                    key: s.key.filter(|_| self.settings.classes[class].in_order),
-                    class: s.class,
-                    tenant: s.tenant,
-                    idempotency: s.idempotency,
-                    dest: s.dest,
-                    valid_until: now + left,
-                    reply: s.reply,
-                    body: s.body,
-                };
-                let id = taken.identity.1.clone();
-                match self.admit(now, class, taken, s.again, ticket) {
-                    Ok(()) => return,
-                    Err(wait) => {
-                        log::debug!(id = id.as_str(), outcome = "busy", wait_ms = wait; "a call is not taken on");
-                        Verdict::Busy(wait.min(self.settings.max_advice))
-                    }
-                }
+            _ => {
+                log::debug!(id = id, class = class, outcome = "elsewhere", why = why.name(); "a call is not taken on")
             }
-        };
-        self.counters.busy += u64::from(matches!(verdict, Verdict::Busy(_) | Verdict::Elsewhere { .. }));
-        if let Verdict::Failed(why) = &verdict {
-            log::debug!(cause = why.as_str(), outcome = "failed"; "a call is not taken on");
         }
-        self.answer_now(&class_name, ticket, verdict);
+        self.answer_now(class, ticket, verdict);
     }
 
     /// A verdict at once, counted in the figures if it ends the message.
--- /dev/null
+++ b/tests/faults.rs
@@ -0,0 +1,38 @@
+//! The schedule of `crates/faults`: what does not read ends the process, so that no test passes for want of its faults.
+
+mod stand;
+use std::process::{Command, Output};
+
+fn run_under(schedule: &str, folder: &str) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_lilacbank"))
+        .arg("--version")
+        .env("LD_PRELOAD", stand::faults::library())
+        .env("LILACBANK_FAULTS", schedule)
+        .env("LILACBANK_FAULTS_FOLDER", folder)
+        .output()
+        .unwrap()
+}
+
+#[test]
+fn a_schedule_that_reads_lets_the_process_run() {
+    let out = run_under("clock 0 1e12 -3600000; enospc 5 10 1; halt 0 9", "/nowhere");
+    assert!(out.status.success() && out.stderr.is_empty(), "{out:?}");
+}
+
+/// Each mistake is named with what to write instead.
+#[test]
+fn a_schedule_that_does_not_read_ends_the_process_and_says_why() {
+    let wrong = [
+        ("enospc", "/nowhere", "'enospc': write KIND FROM UNTIL [ARGUMENT]"),
+        ("clock 0 9; flood 0 10", "/nowhere", "'flood 0 10': the kind is one of clock, enospc,"),
+        ("eio 10 5", "/nowhere", "'eio 10 5': FROM is before UNTIL"),
+        ("clock 0 1e12 back", "/nowhere", "'clock 0 1e12 back': FROM, UNTIL and ARGUMENT are numbers"),
+        ("eio 0 5", "", "set it to the folder whose files fail"),
+    ];
+    for (schedule, folder, says) in wrong {
+        let out = run_under(schedule, folder);
+        let text = String::from_utf8_lossy(&out.stderr).into_owned();
+        assert_eq!(out.status.code(), Some(2), "{schedule}: {text}");
+        assert!(text.starts_with("LILACBANK_FAULTS: ") && text.contains(says), "{schedule}: {text}");
+    }
+}
