--- a/crates/faults/src/lib.rs
+++ b/crates/faults/src/lib.rs
@@ -8,7 +8,7 @@
 //! | --- | --- | --- |
 //! | `clock` | `CLOCK_REALTIME` is off by so much | milliseconds, may be negative |
 //! | `enospc` | writes to files of the folder fail with `ENOSPC` | 1: half of the bytes are written first |
-//! | `eio` | writes, opens, truncations and renames in the folder fail with `EIO` | 1: half of the bytes are written first |
+//! | `eio` | reads, writes, opens, truncations and renames in the folder fail with `EIO` | 1: half of the bytes are written first; 2: only `pwrite` fails |
 //! | `accept` | `accept4` fails with `EMFILE` | - |
 //! | `connect` | `connect` fails with `ENETUNREACH` | - |
 //! | `eintr` | one in so many reads, writes and polls fails with `EINTR` | 3 if absent |
@@ -94,15 +94,23 @@
     path_of(fd).is_some_and(|p| p.starts_with("socket:"))
 }
 
+/// Argument of an `eio` that only `pwrite` meets.
+const POSITIONED_ONLY: f64 = 2.0;
+
+/// The argument of an I/O error that all calls on the folder meet now.
+fn io_error() -> Option<f64> {
+    active(Kind::Io).filter(|argument| *argument != POSITIONED_ONLY)
+}
+
 /// The error that a write to a file of the folder gets now, and whether half of it is written first.
 fn disk_fault(fd: c_int) -> Option<(c_int, bool)> {
     let fault = active(Kind::NoSpace).map(|half| (libc::ENOSPC, half > 0.0));
-    let fault = fault.or_else(|| active(Kind::Io).map(|half| (libc::EIO, half > 0.0)))?;
+    let fault = fault.or_else(|| io_error().map(|half| (libc::EIO, half > 0.0)))?;
     path_of(fd).is_some_and(|p| in_folder(&p)).then_some(fault)
 }
 
 fn path_fault(path: *const c_char) -> bool {
-    if active(Kind::Io).is_none() || path.is_null() {
+    if io_error().is_none() || path.is_null() {
         return false;
     }
     // SAFETY: the caller passes a path, which ends with a zero.
@@ -170,8 +178,10 @@
 /// As the C library's function.
 #[no_mangle]
 pub unsafe extern "C" fn pwrite64(fd: c_int, bytes: *const c_void, count: size_t, at: off_t) -> ssize_t {
-    match disk_fault(fd) {
-        Some((errno, _)) => fail(errno) as ssize_t,
+    let positioned = active(Kind::Io).is_some() && path_of(fd).is_some_and(|p| in_folder(&p));
+    let fault = disk_fault(fd).map(|f| f.0).or(positioned.then_some(libc::EIO));
+    match fault {
+        Some(errno) => fail(errno) as ssize_t,
         None => libc::syscall(libc::SYS_pwrite64, fd, bytes, count, at) as ssize_t,
     }
 }
@@ -181,7 +191,7 @@
 #[no_mangle]
 pub unsafe extern "C" fn read(fd: c_int, bytes: *mut c_void, mut count: size_t) -> ssize_t {
     if !schedule().is_empty() {
-        if active(Kind::Io).is_some() && path_of(fd).is_some_and(|p| in_folder(&p)) {
+        if io_error().is_some() && path_of(fd).is_some_and(|p| in_folder(&p)) {
             return fail(libc::EIO) as ssize_t;
         }
         if is_socket(fd) {
@@ -237,7 +247,7 @@
 /// As the C library's function.
 #[no_mangle]
 pub unsafe extern "C" fn ftruncate64(fd: c_int, length: off_t) -> c_int {
-    if active(Kind::Io).is_some() && path_of(fd).is_some_and(|p| in_folder(&p)) {
+    if io_error().is_some() && path_of(fd).is_some_and(|p| in_folder(&p)) {
         return fail(libc::EIO);
     }
     libc::syscall(libc::SYS_ftruncate, fd, length) as c_int
--- a/src/journal/tests.rs
+++ b/src/journal/tests.rs
@@ -223,3 +223,28 @@
         std::fs::remove_dir_all(dir).unwrap();
     }
 }
+
+/// Guards against a journal that cannot be written anew and grows beyond its folder's limit with new calls.
+#[test]
+fn a_file_that_cannot_be_compacted_takes_no_new_call_beyond_its_share() {
+    let dir = folder("grown");
+    let limit = 20_000;
+    let (mut j, _) = Journal::open(&dir, limit).unwrap();
+    // A folder stands where the fresh file is to be.
+    std::fs::create_dir(dir.join("journal.new")).unwrap();
+    let mut no = 0;
+    while j.has_room(0) {
+        no += 1;
+        j.append(&taken(no)).unwrap();
+        assert!(j.size() < limit, "it grew beyond its limit");
+    }
+    assert!(j.is_full() && j.compact([taken(1)].into_iter()).is_err());
+    assert!(!j.has_room(0), "as it was");
+    j.append(&Record::Ended { no: 1, ending: Ending::Delivered }).unwrap();
+    std::fs::remove_dir(dir.join("journal.new")).unwrap();
+    j.compact([taken(no)].into_iter()).unwrap();
+    assert!(j.has_room(0) && !j.is_full());
+    drop(j);
+    assert_eq!(Journal::open(&dir, limit).unwrap().1, [taken(no)]);
+    std::fs::remove_dir_all(dir).unwrap();
+}
--- a/tests/full_folder.rs
+++ b/tests/full_folder.rs
@@ -113,3 +113,20 @@
         assert_eq!(site.platform.noticed(id), Vec::<String>::new(), "{id} was delivered");
     }
 }
+
+/// Guards against an attempt whose length cannot be written beside the journal and goes out all the same: a cut that takes its
+/// mark would not be seen. It waits, and then goes once.
+#[test]
+fn an_attempt_whose_length_cannot_be_written_waits_and_is_sent_once() {
+    let worker = Worker::start(|_, _| Reply::Answer("200 OK"));
+    let site = Site::new(&[entry("w1", &worker.address.to_string(), "a", 1, "in_service")]);
+    let d = site.start_under("eio 1000 3000 2", &[]);
+    let started = std::time::Instant::now();
+    std::thread::sleep(Duration::from_millis(1_100));
+    assert_eq!(d.client().submit("m1", "c=pay,t=acme,d=15000,dest=1"), "+OK", "the journal takes it on");
+    std::thread::sleep(Duration::from_millis(2_500).saturating_sub(started.elapsed()));
+    assert_eq!(worker.count(), 0, "sent without its length");
+    until("it is sent", || worker.of("m1") == 1);
+    std::thread::sleep(Duration::from_millis(300));
+    assert_eq!((worker.of("m1"), site.platform.noticed("m1")), (1, vec![]));
+}
