--- a/crates/cells/src/wire.rs
+++ b/crates/cells/src/wire.rs
@@ -430,6 +430,19 @@
 }
 
 impl SeatRecord {
+    /// Moves all its times, in milliseconds since 1970: the wall clock was stepped since it was written.
+    pub fn map_times(&mut self, time: impl Fn(u64) -> u64) {
+        let parked = self.contents.iter_mut().flat_map(|c| &mut c.parked).chain(&mut self.parked);
+        parked.for_each(|p| p.until = time(p.until));
+        let Some(contents) = &mut self.contents else { return };
+        contents.still_since = time(contents.still_since);
+        contents.past.iter_mut().for_each(|p| p.until = time(p.until));
+        for held in &mut contents.held {
+            held.valid_until = time(held.valid_until);
+            held.ran_at = held.ran_at.map(&time);
+        }
+    }
+
     /// The seat; `None` if this is no record of one. `node` tells a dispatcher's number, `offered` what stands under the
     /// numbers that were offered.
     pub fn seat(
--- a/src/timeline.rs
+++ b/src/timeline.rs
@@ -8,6 +8,8 @@
 
 use crate::api::Ms;
 use crate::journal::{Record, Sent};
+use lilacbank_cells::wire::SeatRecord;
+use prost::Message as _;
 use serde::{Deserialize, Serialize};
 
 /// The machine's clocks, read together.
@@ -54,7 +56,7 @@
     all
 }
 
-/// The record with its times moved. A seat's times are those of several dispatchers, by the wall clock, and stay.
+/// The record with its times moved.
 fn moved(mut record: Record, time: impl Fn(Ms) -> Ms) -> Record {
     let sent = |s: &mut Option<Sent>| s.iter_mut().for_each(|s| s.at = time(s.at));
     match &mut record {
@@ -68,7 +70,14 @@
         | Record::Known { until, .. }
         | Record::Wait { until, .. } => *until = time(*until),
         Record::Spent(spent) => spent.at = time(spent.at),
-        Record::Ended { .. } | Record::Seat(_) | Record::Clock(_) | Record::Adopted(_) => {}
+        Record::Seat(bytes) => {
+            // One that does not read is complained of where it is taken up.
+            if let Ok(mut seat) = SeatRecord::decode(bytes.as_slice()) {
+                seat.map_times(|at| time(at as Ms).max(0.0) as u64);
+                *bytes = seat.encode_to_vec();
+            }
+        }
+        Record::Ended { .. } | Record::Clock(_) | Record::Adopted(_) => {}
     }
     record
 }
@@ -105,6 +114,29 @@
         assert_eq!(unknown(95.0, 2.0 * HOUR).translate(&unknown(90.0, HOUR), HOUR), 2.0 * HOUR - 5.0);
     }
 
+    /// Guards against a tenant's move that waits for the step: its messages, keys and memories are timed, too.
+    #[test]
+    fn a_seat_is_moved_with_all_its_times() {
+        use lilacbank_cells::wire::{Contents, Held, Parked, Past};
+        let seat = |at: u64| SeatRecord {
+            tenant: "t".into(),
+            contents: Some(Contents {
+                held: vec![Held { valid_until: at + 1, ran_at: Some(at + 2), ..Held::default() }],
+                parked: vec![Parked { key: 7, until: at + 3 }],
+                past: vec![Past { until: at + 4, ..Past::default() }],
+                still_since: at + 5,
+            }),
+            parked: vec![Parked { key: 8, until: at + 6 }],
+            ..SeatRecord::default()
+        };
+        let reading = |since_boot, wall| Reading { boot: 1, since_boot, wall };
+        let written = vec![Record::Clock(reading(0.0, 8e6)), Record::Seat(seat(8_000_000).encode_to_vec())];
+        let moved = translated(written, &reading(500.0, 1e6));
+        assert_eq!(moved, [Record::Seat(seat(999_500).encode_to_vec())]);
+        let nonsense = vec![Record::Clock(reading(0.0, 8e6)), Record::Seat(vec![0xff; 9])];
+        assert_eq!(translated(nonsense, &reading(5.0, 1e6)), [Record::Seat(vec![0xff; 9])]);
+    }
+
     #[test]
     fn records_are_moved_by_the_reading_before_them() {
         let over = |no, until| Record::Over { no, until };
