--- a/crates/rig/src/run.rs
+++ b/crates/rig/src/run.rs
@@ -381,15 +381,18 @@
     thread::sleep(Duration::from_millis(200));
     stage.processes.iter_mut().for_each(Process::kill);
     let logged = soak::logged(&stage.processes.iter().map(|p| p.folder.join("log")).collect::<Vec<_>>());
-    if !keep {
-        let _ = std::fs::remove_dir_all(&folder);
-    }
     let mut report = report(scenario, &stage, &streams, &handed, found, (start, wave, last_start));
     report.hanging = rude::hanging(&rude, |n, from, until| soak::refuses_clients(scenario, n, from, until));
     report.late = late_ends(scenario, &stage, &handed, per, start);
     (report.violations, report.panics) = (logged.violations, logged.panics);
     report.again = again.len();
     report.again_without_call = again.iter().filter(|(_, answer)| failed(answer)).count();
+    // A soak keeps the plays that are worth a look.
+    if keep && !(scenario.rude && report.clean()) {
+        eprintln!("the folders and logs are kept in {}", folder.display());
+    } else {
+        let _ = std::fs::remove_dir_all(&folder);
+    }
     Ok(report)
 }
 
--- a/crates/rig/src/scenario.rs
+++ b/crates/rig/src/scenario.rs
@@ -383,6 +383,7 @@
                 ("flip", &s.flip),
                 ("tear", &s.tear),
                 ("upgrade", &s.upgrade),
+                ("reload", &s.reload),
                 ("of", &s.of),
             ];
             if let Some((key, _)) = all.iter().find(|(_, ns)| ns.iter().any(|n| *n >= scenario.dispatchers)) {
@@ -463,6 +464,9 @@
     fn the_default_reads_and_faults_name_line_and_key() {
         let s = Scenario::parse("default", DEFAULT).unwrap();
         assert_eq!((s.dispatchers, s.timeline().len()), (3, 4));
+        let bad = DEFAULT.replace("kill = [0, 1]", "reload = [3]");
+        let why = Scenario::parse("f", &bad).unwrap_err();
+        assert!(why.contains("key `at.reload`: dispatchers are numbered 0 to 2"), "{why}");
         let bad = DEFAULT.replace("kill = [0, 1]", "kill = [0, 3]");
         let e = Scenario::parse("f.toml", &bad).unwrap_err();
         assert!(e.starts_with("f.toml:22: key `at.kill`"), "{e}");
