Plan messages that no route may take apart from those that wait for a turn

Brain::dispatch counts at most six planned messages of a destination; those that no route may take now (unsafe ones off a shaky route, repeats whose zone has no route) are counted for their class and zone alone, so the others of the destination are still planned.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -989,11 +989,15 @@
         }
         let mut ahead: BTreeMap<RouteId, usize> = BTreeMap::new();
         let mut queued: BTreeMap<DestId, usize> = BTreeMap::new();
+        // Those that no route may take now are counted apart: others of their destination may still go.
+        let mut barred: BTreeMap<(DestId, usize, Option<usize>), usize> = BTreeMap::new();
         let waiting = self.queues();
         waiting.keys().for_each(|dest| self.refill(now, *dest));
         for id in self.ranked(now) {
             let h = &self.held[&id];
-            if !self.can_finish(now, h) || queued.get(&h.m.dest).is_some_and(|n| *n >= PLANS_AHEAD) {
+            let choice = (h.m.dest, h.m.class, h.ran.map(|(_, zone)| zone));
+            let planned = |count: Option<&usize>| count.is_some_and(|n| *n >= PLANS_AHEAD);
+            if !self.can_finish(now, h) || planned(queued.get(&h.m.dest)) || planned(barred.get(&choice)) {
                 continue;
             }
             let free = self.key_free(now, h).max(h.not_before).max(self.next_chance(now, h));
@@ -1003,8 +1007,13 @@
             }
             let (at, route, trial) = self.plan(now, h, &ahead);
             let Some(route) = route.filter(|_| at <= now) else {
-                route.into_iter().for_each(|r| *ahead.entry(r).or_default() += 1);
-                *queued.entry(h.m.dest).or_default() += 1;
+                match route {
+                    Some(r) => {
+                        *ahead.entry(r).or_default() += 1;
+                        *queued.entry(h.m.dest).or_default() += 1;
+                    }
+                    None => *barred.entry(choice).or_default() += 1,
+                }
                 self.wake_at(at);
                 continue;
             };
--- a/tests/incidents.rs
+++ b/tests/incidents.rs
@@ -166,5 +166,13 @@
     let safe = w.arrive(0, 1, None);
     assert!(w.out(safe).is_some(), "a safe message waits behind unsafe ones that may not go");
     w.end(safe, Outcome::Delivered, 0.0);
+    for _ in 0..50 {
+        w.pass(100.0);
+        deliver_all(&mut w);
+    }
+    assert!(
+        held.iter().all(|id| !w.seen[id].attempts.is_empty()),
+        "the unsafe ones go once the route has calmed down"
+    );
     w.all_well();
 }
