Show by failing tests that want of buffers or of the poll's memory loses answers

On this program:

send ENOBUFS: m0233 is closed without an answer at 996.676681ms recv ENOMEM: m0234 is closed without an answer at 996.289384ms epoll_ctl ENOMEM: m0181 is closed without an answer at 987.598282ms

and four of eight starts end at once (pipe2 and epoll_ctl). accept4 with nine errors, socket and connect with nine, and flock hold. Cause: Stream takes every error but EAGAIN and EINTR for the connection's end; Acceptors::accept drops what cannot be registered; handle_signals and the listeners' registration are tried once.

--- a/crates/faults/src/lib.rs
+++ b/crates/faults/src/lib.rs
@@ -15,13 +15,17 @@
 //! | `short` | reads and writes on sockets move so many bytes at most | 7 if absent |
 //! | `halt` | the thread sleeps before one in 64 writes on a socket | milliseconds, 150 if absent |
 //!
+//! `fail FROM UNTIL FUNCTION ERROR` makes one function fail with one error, both by their names in the manual, as in
+//! `fail 500 800 send ENOBUFS`: `accept4`, `connect`, `socket`, `pipe2`, `epoll_ctl`, `send` and `recv` (which stand for `write` and
+//! `read` on a socket, too), `flock`. A removal from a poll never fails.
+//!
 //! The folder is `LILACBANK_FAULTS_FOLDER`, a prefix of paths. A schedule that does not read ends the process with status 2 and
 //! says what is wrong.
 
 mod schedule;
 
 use libc::{c_char, c_int, c_void, mode_t, off_t, size_t, sockaddr, socklen_t, ssize_t, timespec};
-use schedule::{Kind, Schedule};
+use schedule::{Call, Kind, Schedule};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::OnceLock;
 
@@ -66,6 +70,11 @@
     schedule().active(kind, monotonic_ms())
 }
 
+/// The error with which a function fails now.
+fn failure(call: Call) -> Option<c_int> {
+    schedule().failure(call, monotonic_ms())
+}
+
 fn fail(errno: c_int) -> c_int {
     // SAFETY: the C library's own location of this thread's errno.
     unsafe { *libc::__errno_location() = errno };
@@ -147,6 +156,9 @@
         return fail(errno) as ssize_t;
     }
     let socket = is_socket(fd);
+    if let Some(error) = failure(Call::Send).filter(|_| socket) {
+        return fail(error) as ssize_t;
+    }
     if socket && interrupted() {
         return fail(libc::EINTR) as ssize_t;
     }
@@ -195,6 +207,9 @@
             return fail(libc::EIO) as ssize_t;
         }
         if is_socket(fd) {
+            if let Some(error) = failure(Call::Receive) {
+                return fail(error) as ssize_t;
+            }
             if interrupted() {
                 return fail(libc::EINTR) as ssize_t;
             }
@@ -209,6 +224,9 @@
 #[no_mangle]
 pub unsafe extern "C" fn recv(fd: c_int, bytes: *mut c_void, mut count: size_t, flags: c_int) -> ssize_t {
     if !schedule().is_empty() {
+        if let Some(error) = failure(Call::Receive) {
+            return fail(error) as ssize_t;
+        }
         if interrupted() {
             return fail(libc::EINTR) as ssize_t;
         }
@@ -223,6 +241,9 @@
 #[no_mangle]
 pub unsafe extern "C" fn send(fd: c_int, bytes: *const c_void, mut count: size_t, flags: c_int) -> ssize_t {
     if !schedule().is_empty() {
+        if let Some(error) = failure(Call::Send) {
+            return fail(error) as ssize_t;
+        }
         if interrupted() {
             return fail(libc::EINTR) as ssize_t;
         }
@@ -272,8 +293,9 @@
     length: *mut socklen_t,
     flags: c_int,
 ) -> c_int {
-    if active(Kind::Accept).is_some() {
-        return fail(libc::EMFILE);
+    let error = active(Kind::Accept).map(|_| libc::EMFILE).or_else(|| failure(Call::Accept));
+    if let Some(error) = error {
+        return fail(error);
     }
     libc::syscall(libc::SYS_accept4, fd, address, length, flags) as c_int
 }
@@ -282,8 +304,9 @@
 /// As the C library's function.
 #[no_mangle]
 pub unsafe extern "C" fn connect(fd: c_int, address: *const sockaddr, length: socklen_t) -> c_int {
-    if active(Kind::Connect).is_some() {
-        return fail(libc::ENETUNREACH);
+    let error = active(Kind::Connect).map(|_| libc::ENETUNREACH).or_else(|| failure(Call::Connect));
+    if let Some(error) = error {
+        return fail(error);
     }
     libc::syscall(libc::SYS_connect, fd, address, length) as c_int
 }
@@ -303,3 +326,48 @@
     let none = std::ptr::null::<c_void>();
     libc::syscall(libc::SYS_epoll_pwait, poll, events, most, timeout, none, 8usize) as c_int
 }
+
+/// # Safety
+/// As the C library's function.
+#[no_mangle]
+pub unsafe extern "C" fn socket(domain: c_int, kind: c_int, protocol: c_int) -> c_int {
+    match failure(Call::Socket) {
+        Some(error) => fail(error),
+        None => libc::syscall(libc::SYS_socket, domain, kind, protocol) as c_int,
+    }
+}
+
+/// # Safety
+/// As the C library's function.
+#[no_mangle]
+pub unsafe extern "C" fn pipe2(ends: *mut c_int, flags: c_int) -> c_int {
+    match failure(Call::Pipe) {
+        Some(error) => fail(error),
+        None => libc::syscall(libc::SYS_pipe2, ends, flags) as c_int,
+    }
+}
+
+/// # Safety
+/// As the C library's function.
+#[no_mangle]
+pub unsafe extern "C" fn epoll_ctl(
+    poll: c_int,
+    operation: c_int,
+    fd: c_int,
+    event: *mut libc::epoll_event,
+) -> c_int {
+    match failure(Call::Poll).filter(|_| operation != libc::EPOLL_CTL_DEL) {
+        Some(error) => fail(error),
+        None => libc::syscall(libc::SYS_epoll_ctl, poll, operation, fd, event) as c_int,
+    }
+}
+
+/// # Safety
+/// As the C library's function.
+#[no_mangle]
+pub unsafe extern "C" fn flock(fd: c_int, operation: c_int) -> c_int {
+    match failure(Call::Lock) {
+        Some(error) => fail(error),
+        None => libc::syscall(libc::SYS_flock, fd, operation) as c_int,
+    }
+}
--- a/crates/faults/src/schedule.rs
+++ b/crates/faults/src/schedule.rs
@@ -1,5 +1,7 @@
 //! The schedule of faults, as its text says; no system call.
 
+use libc::c_int;
+
 /// What fails.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Kind {
@@ -19,8 +21,53 @@
     Short,
     /// The process is held up.
     Halt,
+    /// One function of the C library fails with one error.
+    Fail(Call, c_int),
+}
+
+/// A function of the C library that can be made to fail.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Call {
+    Accept,
+    Connect,
+    Socket,
+    Pipe,
+    Poll,
+    Send,
+    Receive,
+    Lock,
 }
 
+/// The functions by their names.
+const CALLS: [(&str, Call); 8] = [
+    ("accept4", Call::Accept),
+    ("connect", Call::Connect),
+    ("socket", Call::Socket),
+    ("pipe2", Call::Pipe),
+    ("epoll_ctl", Call::Poll),
+    ("send", Call::Send),
+    ("recv", Call::Receive),
+    ("flock", Call::Lock),
+];
+
+/// The errors by their names.
+const ERRORS: [(&str, c_int); 14] = [
+    ("EAGAIN", libc::EAGAIN),
+    ("ECONNABORTED", libc::ECONNABORTED),
+    ("EINTR", libc::EINTR),
+    ("EMFILE", libc::EMFILE),
+    ("ENETDOWN", libc::ENETDOWN),
+    ("ENFILE", libc::ENFILE),
+    ("ENOBUFS", libc::ENOBUFS),
+    ("ENOLCK", libc::ENOLCK),
+    ("ENOMEM", libc::ENOMEM),
+    ("ENOSPC", libc::ENOSPC),
+    ("EPERM", libc::EPERM),
+    ("EPROTO", libc::EPROTO),
+    ("EADDRNOTAVAIL", libc::EADDRNOTAVAIL),
+    ("ETIMEDOUT", libc::ETIMEDOUT),
+];
+
 /// One fault and when it is on.
 #[derive(Debug, Clone, Copy)]
 struct Fault {
@@ -61,6 +108,16 @@
         self.faults.is_empty()
     }
 
+    /// The error with which a function fails at this time.
+    pub(crate) fn failure(&self, call: Call, now: f64) -> Option<c_int> {
+        let at = now - self.epoch;
+        let on = self.faults.iter().filter(|f| f.from <= at && at < f.until);
+        on.rev().find_map(|f| match f.kind {
+            Kind::Fail(of, error) if of == call => Some(error),
+            _ => None,
+        })
+    }
+
     /// The argument of the last fault of this kind that is on at this time.
     pub(crate) fn active(&self, kind: Kind, now: f64) -> Option<f64> {
         let at = now - self.epoch;
@@ -72,11 +129,31 @@
 fn fault(text: &str) -> Result<Fault, String> {
     let wrong = |what: &str| Err(format!("'{text}': {what}"));
     let words: Vec<&str> = text.split_whitespace().collect();
-    let (kind, from, until, argument) = match words.as_slice() {
-        [kind, from, until] => (*kind, *from, *until, "0"),
-        [kind, from, until, argument] => (*kind, *from, *until, *argument),
-        _ => return wrong("write KIND FROM UNTIL [ARGUMENT], times in milliseconds"),
-    };
+    if let ["fail", from, until, call, error] = words.as_slice() {
+        let call = CALLS.iter().find(|(name, _)| name == call).map(|c| c.1);
+        let error = ERRORS.iter().find(|(name, _)| name == error).map(|e| e.1);
+        return match call.zip(error) {
+            Some((call, error)) => span(text, from, until).map(|(from, until)| Fault {
+                kind: Kind::Fail(call, error),
+                from,
+                until,
+                argument: 0.0,
+            }),
+            None => wrong(&format!(
+                "the function is one of {}, the error one of {}",
+                names(&CALLS),
+                names(&ERRORS)
+            )),
+        };
+    }
+    let (kind, from, until, argument) =
+        match words.as_slice() {
+            [kind, from, until] => (*kind, *from, *until, "0"),
+            [kind, from, until, argument] => (*kind, *from, *until, *argument),
+            _ => return wrong(
+                "write KIND FROM UNTIL [ARGUMENT] or fail FROM UNTIL FUNCTION ERROR, times in milliseconds",
+            ),
+        };
     let kind = match kind {
         "clock" => Kind::Clock,
         "enospc" => Kind::NoSpace,
@@ -86,14 +163,29 @@
         "eintr" => Kind::Interrupt,
         "short" => Kind::Short,
         "halt" => Kind::Halt,
-        _ => return wrong("the kind is one of clock, enospc, eio, accept, connect, eintr, short, halt"),
-    };
-    let number = |text: &str| text.parse::<f64>().ok().filter(|n| n.is_finite());
-    match (number(from), number(until), number(argument)) {
-        (Some(from), Some(until), Some(argument)) if from < until => {
-            Ok(Fault { kind, from, until, argument })
+        _ => {
+            return wrong("the kind is one of clock, enospc, eio, accept, connect, eintr, short, halt, fail")
         }
-        (Some(_), Some(_), Some(_)) => wrong("FROM is before UNTIL"),
-        _ => wrong("FROM, UNTIL and ARGUMENT are numbers"),
+    };
+    let Some(argument) = number(argument) else { return wrong(NOT_NUMBERS) };
+    span(text, from, until).map(|(from, until)| Fault { kind, from, until, argument })
+}
+
+const NOT_NUMBERS: &str = "FROM, UNTIL and ARGUMENT are numbers";
+
+fn number(text: &str) -> Option<f64> {
+    text.parse::<f64>().ok().filter(|n| n.is_finite())
+}
+
+/// The two times of a fault.
+fn span(text: &str, from: &str, until: &str) -> Result<(f64, f64), String> {
+    match number(from).zip(number(until)) {
+        Some((from, until)) if from < until => Ok((from, until)),
+        Some(_) => Err(format!("'{text}': FROM is before UNTIL")),
+        None => Err(format!("'{text}': {NOT_NUMBERS}")),
     }
 }
+
+fn names<T>(table: &[(&str, T)]) -> String {
+    table.iter().map(|(name, _)| *name).collect::<Vec<_>>().join(", ")
+}
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -15,7 +15,7 @@
 
 #[test]
 fn a_schedule_that_reads_lets_the_process_run() {
-    let out = run_under("clock 0 1e12 -3600000; enospc 5 10 1; halt 0 9", "/nowhere");
+    let out = run_under("clock 0 1e12 -3600000; enospc 5 10 1; halt 0 9; fail 1 2 send ENOBUFS", "/nowhere");
     assert!(out.status.success() && out.stderr.is_empty(), "{out:?}");
 }
 
@@ -27,6 +27,12 @@
         ("clock 0 9; flood 0 10", "/nowhere", "'flood 0 10': the kind is one of clock, enospc,"),
         ("eio 10 5", "/nowhere", "'eio 10 5': FROM is before UNTIL"),
         ("clock 0 1e12 back", "/nowhere", "'clock 0 1e12 back': FROM, UNTIL and ARGUMENT are numbers"),
+        (
+            "fail 0 9 sand ENOMEM",
+            "/nowhere",
+            "'fail 0 9 sand ENOMEM': the function is one of accept4, connect,",
+        ),
+        ("fail 9 0 send ENOMEM", "/nowhere", "'fail 9 0 send ENOMEM': FROM is before UNTIL"),
         ("eio 0 5", "", "set it to the folder whose files fail"),
     ];
     for (schedule, folder, says) in wrong {
