Show by a failing test that a log that is not read stops the dispatcher

Cause: the log is written with blocking writes on the one thread. Sources that are retried are a set now.

--- a/src/net/reactor.rs
+++ b/src/net/reactor.rs
@@ -4,6 +4,7 @@
 use mio::event::Source;
 use mio::{Events, Interest, Poll, Token};
 use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::io::{self, ErrorKind};
 use std::time::Duration;
 
@@ -12,7 +13,7 @@
 pub struct Reactor {
     poll: RefCell<Poll>,
     /// Sources to look at again.
-    retries: RefCell<Vec<Token>>,
+    retries: RefCell<BTreeSet<Token>>,
 }
 
 impl Reactor {
@@ -58,10 +59,7 @@
 
     /// The source is to be looked at again soon, with or without an event.
     pub fn retry(&self, token: Token) {
-        let mut retries = self.retries.borrow_mut();
-        if !retries.contains(&token) {
-            retries.push(token);
-        }
+        self.retries.borrow_mut().insert(token);
     }
 
     /// Is any source to be looked at again?
@@ -70,7 +68,7 @@
     }
 
     /// The sources to look at again, once.
-    pub fn take_retries(&self) -> Vec<Token> {
+    pub fn take_retries(&self) -> BTreeSet<Token> {
         self.retries.take()
     }
 }
--- a/tests/failing_calls.rs
+++ b/tests/failing_calls.rs
@@ -154,3 +154,25 @@
     ];
     all_hold(it_starts_under, &faults);
 }
+
+/// Guards against a process that stands still, or ends, over a log that nobody takes: its reader stops or is gone, or its
+/// disk is full.
+#[test]
+fn a_log_that_nobody_takes_holds_nothing_up() {
+    let worker = Worker::start(|_, _| OK);
+    let site = site_of(&worker);
+    let d = site.start_with("127.0.0.1:0", &[("RUST_LOG", "lilacbank=debug")]);
+    d.stop_reading_log();
+    let mut client = d.client();
+    client.0.get_ref().set_read_timeout(Some(Duration::from_secs(2))).unwrap();
+    for n in 0..600 {
+        let id = format!("m{n:04}");
+        let answer = client.try_submit(&id, "c=safe,t=acme,d=6000,dest=1");
+        assert!(!answer.is_empty(), "{id} gets no answer beside a log that is not read");
+    }
+    until("all are delivered", || worker.count() >= 600);
+    d.read_log_again();
+    d.signal("-TERM");
+    let mut d = d;
+    d.logged("leaves with 0 calls");
+}
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -8,6 +8,7 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{channel, Receiver};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -366,8 +367,16 @@
         let mut child = command.stderr(Stdio::piped()).spawn().unwrap();
         let (tell, log) = channel();
         let err = BufReader::new(child.stderr.take().unwrap());
-        thread::spawn(move || err.lines().map_while(Result::ok).all(|line| tell.send(line).is_ok()));
-        let mut d = Dispatcher { child, log, seen: String::new(), address: None, mqtt: None };
+        let log_paused = Arc::new(AtomicBool::new(false));
+        let paused = log_paused.clone();
+        let wait = move || {
+            while paused.load(Ordering::SeqCst) {
+                thread::sleep(Duration::from_millis(10));
+            }
+        };
+        let mut lines = err.lines().map_while(Result::ok).inspect(move |_| wait());
+        thread::spawn(move || lines.all(|line| tell.send(line).is_ok()));
+        let mut d = Dispatcher { child, log, log_paused, seen: String::new(), address: None, mqtt: None };
         if mqtt {
             d.mqtt = d.logged("MQTT clients are served on ").split('"').next().unwrap().parse().ok();
         }
@@ -386,12 +395,24 @@
 pub struct Dispatcher {
     child: Child,
     log: Receiver<String>,
+    /// Its log is not read now.
+    log_paused: Arc<AtomicBool>,
     seen: String,
     address: Option<SocketAddr>,
     pub mqtt: Option<SocketAddr>,
 }
 
 impl Dispatcher {
+    /// Leaves its log unread from now on.
+    pub fn stop_reading_log(&self) {
+        self.log_paused.store(true, Ordering::SeqCst);
+    }
+
+    /// Reads its log again.
+    pub fn read_log_again(&self) {
+        self.log_paused.store(false, Ordering::SeqCst);
+    }
+
     /// What follows the mark in the log.
     pub fn logged(&mut self, mark: &str) -> String {
         loop {
