Let no log that is not read hold the loop up; drop and count what nobody takes

Standard error is asked whether it takes more before each write of at most PIPE_BUF bytes, which then does not wait; a reader that is a little behind is waited for 20 ms, once a second. What is dropped is counted and said before the next record that is taken. A terminal is written to as before.

--- a/src/logging.rs
+++ b/src/logging.rs
@@ -4,7 +4,10 @@
 
 use crate::api::Ms;
 use log::kv::{Error, Key, Value, VisitSource};
-use std::io::Write;
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
+use rustix::io::Errno;
+use std::io::{self, IsTerminal, Write};
+use std::time::{Duration, Instant};
 
 /// What is logged where nothing says so.
 const LEVEL: &str = "info";
@@ -13,6 +16,9 @@
 pub fn start(json: bool, level: &str) {
     let level = if level.is_empty() { LEVEL } else { level };
     let mut builder = env_logger::Builder::from_env(env_logger::Env::default().default_filter_or(level));
+    if !io::stderr().is_terminal() {
+        builder.target(env_logger::Target::Pipe(Box::new(Unblocked::default())));
+    }
     if json {
         builder.format(|out, record| {
             let mut line = serde_json::Map::new();
@@ -29,6 +35,97 @@
     builder.init();
 }
 
+/// A pipe that is ready takes so many bytes at least without waiting (`PIPE_BUF`).
+const PART_MOST: usize = 4096;
+
+/// A reader that is a little behind is waited for so long,
+const READER_PATIENCE: Duration = Duration::from_millis(20);
+/// once in such a span.
+const PATIENCE_EVERY: Duration = Duration::from_secs(1);
+
+/// Standard error, of which no write waits for long: the process has one thread, and a log whose reader stops must not stop
+/// it. What is not taken is dropped and counted.
+#[derive(Debug, Default)]
+struct Unblocked {
+    /// When the reader was waited for last.
+    waited: Option<Instant>,
+    /// Records that were dropped since the last one that was written.
+    dropped: u64,
+    /// The last record was written in part.
+    cut: bool,
+}
+
+impl Unblocked {
+    /// Writes as much as is taken; how much that was.
+    fn write_part(&mut self, bytes: &[u8]) -> usize {
+        let mut written = 0;
+        for part in bytes.chunks(PART_MOST) {
+            if !self.takes_more() || io::stderr().write_all(part).is_err() {
+                break;
+            }
+            written += part.len();
+        }
+        written
+    }
+
+    /// Does standard error take more now, or very soon?
+    fn takes_more(&mut self) -> bool {
+        if is_writable_within(Duration::ZERO) {
+            return true;
+        }
+        if self.waited.is_some_and(|at| at.elapsed() < PATIENCE_EVERY) {
+            return false;
+        }
+        let taken = is_writable_within(READER_PATIENCE);
+        self.waited = Some(Instant::now());
+        taken
+    }
+
+    /// What goes before the next record: the end of one that was cut, and how many are missing.
+    fn gap(&self) -> String {
+        let end = if self.cut { "\n" } else { "" };
+        match self.dropped {
+            0 => end.to_string(),
+            dropped => format!("{end}{dropped} records of the log were dropped: nobody took them\n"),
+        }
+    }
+}
+
+impl Write for Unblocked {
+    /// Takes one record, which is written whole, in part or not at all.
+    fn write(&mut self, record: &[u8]) -> io::Result<usize> {
+        let gap = self.gap();
+        if self.write_part(gap.as_bytes()) < gap.len() {
+            self.dropped += 1;
+            return Ok(record.len());
+        }
+        (self.dropped, self.cut) = (0, false);
+        match self.write_part(record) {
+            0 => self.dropped = 1,
+            written => self.cut = written < record.len(),
+        }
+        Ok(record.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Does standard error take more within this time? One that cannot be asked is taken for one that does.
+fn is_writable_within(patience: Duration) -> bool {
+    let stderr = io::stderr();
+    let mut asked = [PollFd::new(&stderr, PollFlags::OUT)];
+    let patience = Timespec { tv_sec: 0, tv_nsec: patience.subsec_nanos().into() };
+    loop {
+        match poll(&mut asked, Some(&patience)) {
+            Err(Errno::INTR) => {}
+            Ok(ready) => return ready > 0,
+            Err(_) => return true,
+        }
+    }
+}
+
 struct Fields<'a>(&'a mut serde_json::Map<String, serde_json::Value>);
 
 impl<'kvs> VisitSource<'kvs> for Fields<'_> {
--- a/tests/failing_calls.rs
+++ b/tests/failing_calls.rs
@@ -161,7 +161,7 @@
 fn a_log_that_nobody_takes_holds_nothing_up() {
     let worker = Worker::start(|_, _| OK);
     let site = site_of(&worker);
-    let d = site.start_with("127.0.0.1:0", &[("RUST_LOG", "lilacbank=debug")]);
+    let mut d = site.start_with("127.0.0.1:0", &[("RUST_LOG", "lilacbank=debug")]);
     d.stop_reading_log();
     let mut client = d.client();
     client.0.get_ref().set_read_timeout(Some(Duration::from_secs(2))).unwrap();
@@ -173,6 +173,6 @@
     until("all are delivered", || worker.count() >= 600);
     d.read_log_again();
     d.signal("-TERM");
-    let mut d = d;
+    d.logged(" records of the log were dropped: nobody took them");
     d.logged("leaves with 0 calls");
 }
