Show by a failing test that a start ends when its folder cannot be looked at

17 pairs of function and error on the folder in the first 1.5 s of a start that finds 60 messages (tests/full_folder.rs, crates/faults fails open64, read, write, pwrite64, ftruncate64, rename, unlink and statx on the folder only). 15 hold; with statx EIO and ENOMEM:

Cause: create_dir_all finds the folder there (EEXIST), asks whether it is one, and takes a failing statx for no; EEXIST is no error that passes, so the start ends. By reading: disk::look_at_life takes a file whose status cannot be read for one that is not there.

--- a/crates/faults/src/schedule.rs
+++ b/crates/faults/src/schedule.rs
@@ -36,10 +36,19 @@
     Send,
     Receive,
     Lock,
+    /// This and the following ones: on the folder only.
+    Open,
+    Read,
+    Write,
+    WriteAt,
+    Truncate,
+    Rename,
+    Remove,
+    Status,
 }
 
 /// The functions by their names.
-const CALLS: [(&str, Call); 8] = [
+const CALLS: [(&str, Call); 16] = [
     ("accept4", Call::Accept),
     ("connect", Call::Connect),
     ("socket", Call::Socket),
@@ -48,13 +57,24 @@
     ("send", Call::Send),
     ("recv", Call::Receive),
     ("flock", Call::Lock),
+    ("open64", Call::Open),
+    ("read", Call::Read),
+    ("write", Call::Write),
+    ("pwrite64", Call::WriteAt),
+    ("ftruncate64", Call::Truncate),
+    ("rename", Call::Rename),
+    ("unlink", Call::Remove),
+    ("statx", Call::Status),
 ];
 
 /// The errors by their names.
-const ERRORS: [(&str, c_int); 14] = [
+const ERRORS: [(&str, c_int); 17] = [
     ("EAGAIN", libc::EAGAIN),
     ("ECONNABORTED", libc::ECONNABORTED),
+    ("EDQUOT", libc::EDQUOT),
+    ("EFBIG", libc::EFBIG),
     ("EINTR", libc::EINTR),
+    ("EIO", libc::EIO),
     ("EMFILE", libc::EMFILE),
     ("ENETDOWN", libc::ENETDOWN),
     ("ENFILE", libc::ENFILE),
--- a/tests/full_folder.rs
+++ b/tests/full_folder.rs
@@ -54,6 +54,39 @@
     all_are_delivered_by_a_start_under("eio 0 1500");
 }
 
+/// The same for each function on the folder with errors of its manual, one at a time. All plays are waited for first: a process
+/// that outlives the test would keep its output open.
+#[test]
+fn what_a_start_finds_is_delivered_once_each_call_on_the_folder_works_again() {
+    let faults = [
+        "open64 EMFILE",
+        "open64 ENFILE",
+        "open64 ENOMEM",
+        "open64 EDQUOT",
+        "open64 EINTR",
+        "read EIO",
+        "read ENOMEM",
+        "write EDQUOT",
+        "write EFBIG",
+        "write ENOMEM",
+        "pwrite64 ENOSPC",
+        "pwrite64 EDQUOT",
+        "ftruncate64 EIO",
+        "rename ENOSPC",
+        "unlink EIO",
+        "statx EIO",
+        "statx ENOMEM",
+    ];
+    let plays = faults.map(|fault| {
+        (
+            fault,
+            std::thread::spawn(move || all_are_delivered_by_a_start_under(&format!("fail 0 1500 {fault}"))),
+        )
+    });
+    let broken = plays.map(|(fault, play)| play.join().is_err().then_some(fault));
+    assert!(broken.iter().all(Option::is_none), "{:?}", broken.iter().flatten().collect::<Vec<_>>());
+}
+
 /// Guards against half a record, left by a write that failed, taken for a file that was cut off: nothing is missing before
 /// it, and what was never tried is not given up for fear that it may have run.
 #[test]
