--- a/src/disk.rs
+++ b/src/disk.rs
@@ -16,7 +16,7 @@
         let path = Path::new(path);
         match std::fs::metadata(path) {
             Ok(m) if !m.is_dir() => Folder::Impossible("it is not a folder".into()),
-            Ok(_) => match (owner(path), is_writable(path)) {
+            Ok(_) => match (owner(path).ok().flatten(), is_writable(path)) {
                 (Some(other), _) => Folder::Of(other),
                 (None, true) => Folder::Good,
                 (None, false) => Folder::ReadOnly,
@@ -42,9 +42,12 @@
     made
 }
 
-fn owner(folder: &Path) -> Option<String> {
-    let text = std::fs::read_to_string(folder.join(OWNER)).ok()?;
-    Some(text.trim().to_string()).filter(|t| !t.is_empty())
+fn owner(folder: &Path) -> io::Result<Option<String>> {
+    match std::fs::read_to_string(folder.join(OWNER)) {
+        Ok(text) => Ok(Some(text.trim().to_string()).filter(|t| !t.is_empty())),
+        Err(e) if e.kind() == io::ErrorKind::NotFound => Ok(None),
+        Err(e) => Err(e),
+    }
 }
 
 /// Takes a state folder for an application. Guards against two sidecars on one journal after a slip of the pen.
@@ -53,8 +56,8 @@
 ///
 /// Where the folder cannot be made or written to, or is another application's.
 pub fn claim(folder: &Path, application: &str) -> io::Result<()> {
-    std::fs::create_dir_all(folder)?;
-    match owner(folder) {
+    make_folder(folder)?;
+    match owner(folder)? {
         Some(other) if other == application => Ok(()),
         Some(other) => {
             let why = format!("the folder '{}' is that of '{other}' (LB0604)", folder.display());
@@ -84,12 +87,40 @@
         Err(e) if e.kind() == io::ErrorKind::NotFound => None,
         Err(e) => return Err(e),
     };
-    let others = USED.iter().any(|name| {
-        std::fs::metadata(folder.join(name)).is_ok_and(|m| m.len() > 0 || name.ends_with("lock"))
-    });
+    let mut others = false;
+    for name in USED {
+        others |= is_used(&folder.join(name))?;
+    }
     Ok((record, others))
 }
 
+/// Does the file say that a process has used its folder?
+fn is_used(path: &Path) -> io::Result<bool> {
+    let is_lock = path.extension().is_some_and(|e| e == "lock");
+    match std::fs::metadata(path) {
+        Ok(about) => Ok(about.len() > 0 || is_lock),
+        Err(e) if e.kind() == io::ErrorKind::NotFound => Ok(false),
+        Err(e) => Err(e),
+    }
+}
+
+/// Makes the folder if it is not there. Guards against one that is there and cannot be looked at for a moment: that error passes,
+/// and that it exists would not.
+///
+/// # Errors
+///
+/// It cannot be made or looked at, or is something else.
+pub fn make_folder(folder: &Path) -> io::Result<()> {
+    match std::fs::create_dir_all(folder) {
+        Err(e) if e.kind() == io::ErrorKind::AlreadyExists => match std::fs::metadata(folder) {
+            Ok(about) if about.is_dir() => Ok(()),
+            Ok(_) => Err(e),
+            Err(unseen) => Err(unseen),
+        },
+        done => done,
+    }
+}
+
 /// May the same call succeed a little later? A folder may be full or fail for a while, and descriptors may be short.
 pub fn may_pass(error: &io::Error) -> bool {
     use io::ErrorKind::*;
--- a/src/journal.rs
+++ b/src/journal.rs
@@ -324,7 +324,7 @@
     ///
     /// See [`Journal::open`].
     pub fn open_at(folder: &Path, limit: u64, clocks: Option<Reading>) -> io::Result<(Journal, Vec<Record>)> {
-        std::fs::create_dir_all(folder)?;
+        crate::disk::make_folder(folder)?;
         let mut held = None;
         // The other process looks at a file's lock now and then, and holds it for that instant.
         for round in 0..LOCK_ROUNDS {
