--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -106,18 +106,21 @@
     }
 }
 
-/// Guards against a journal that cannot be written anew for a while: it neither grows beyond its limit, nor loses what it
-/// holds, nor forgets which attempts went out.
-#[test]
-fn a_folder_that_fails_while_its_journal_is_written_anew_loses_nothing() {
+/// Messages go through a dispatcher whose folder fails in spans of 300 ms, so that some compactions fall on them; then it is
+/// killed, and the next one ends what is left. Names of faults, of which one span after another has its turn.
+fn a_failing_folder_loses_nothing(faults: &[&str]) {
     let worker = Worker::start(|_, nth| if nth % 5 == 4 { Reply::Break } else { OK });
     let mut site = site_of(&worker);
     site.disk_mb = 0.1;
-    // In spans of 300 ms, so that some compactions fall on them.
-    let faults: Vec<String> = (0..12)
-        .map(|n| format!("{} {} {}", ["eio", "enospc"][n % 2], 600 * n + 400, 600 * n + 700))
-        .collect();
-    let d = site.start_under(&faults.join("; "), &[]);
+    let span = |n: usize| {
+        let (from, until) = (600 * n + 400, 600 * n + 700);
+        match faults[n % faults.len()].split_once(' ') {
+            Some((function, error)) => format!("fail {from} {until} {function} {error}"),
+            None => format!("{} {from} {until}", faults[n % faults.len()]),
+        }
+    };
+    let schedule: Vec<String> = (0..12).map(span).collect();
+    let d = site.start_under(&schedule.join("; "), &[]);
     let mut client = d.client();
     let begun = Instant::now();
     let mut taken = Vec::new();
@@ -125,22 +128,52 @@
     while begun.elapsed() < Duration::from_secs(5) {
         let id = format!("m{:04}", taken.len());
         let class = ["safe", "pay"][taken.len() % 2];
-        if client.submit(&id, &format!("c={class},t=acme,d=6000,dest=1")) == "+OK" {
+        let answer = client.try_submit(&id, &format!("c={class},t=acme,d=6000,dest=1"));
+        assert!(!answer.is_empty(), "{faults:?}: {id} gets no answer");
+        if answer == "+OK" {
             taken.push(id);
         }
         let size = std::fs::metadata(site.dir.join("state").join("journal")).map_or(0, |m| m.len());
         most = most.max(size);
         std::thread::sleep(Duration::from_millis(1));
     }
-    assert!(most < 100_000, "the journal grew to {most} bytes");
-    assert!(taken.len() > 400, "{}", taken.len());
+    assert!(most < 100_000, "{faults:?}: the journal grew to {most} bytes");
+    assert!(taken.len() > 400, "{faults:?}: {}", taken.len());
     d.kill();
     let _next = site.start();
     let ended = |id: &String| worker.of(id) > 0 || !site.platform.noticed(id).is_empty();
     until("each has its end", || taken.iter().all(ended));
     let twice: Vec<&String> =
         taken.iter().enumerate().filter(|(n, id)| n % 2 == 1 && worker.of(id) > 1).map(|t| t.1).collect();
-    assert!(twice.is_empty(), "sent twice: {twice:?}");
+    assert!(twice.is_empty(), "{faults:?}: sent twice: {twice:?}");
+}
+
+/// Guards against a journal that cannot be written anew for a while: it neither grows beyond its limit, nor loses what it
+/// holds, nor forgets which attempts went out.
+#[test]
+fn a_folder_that_fails_while_its_journal_is_written_anew_loses_nothing() {
+    a_failing_folder_loses_nothing(&["eio", "enospc"]);
+}
+
+/// The same for each function that a compaction calls, one at a time.
+#[test]
+fn each_call_that_fails_while_the_journal_is_written_anew_loses_nothing() {
+    let faults = [
+        "open64 EMFILE",
+        "write EDQUOT",
+        "write EFBIG",
+        "pwrite64 ENOSPC",
+        "ftruncate64 EIO",
+        "rename ENOSPC",
+        "rename EIO",
+        "unlink EIO",
+        "statx EIO",
+        "flock ENOLCK",
+    ];
+    let plays = faults.map(|fault| std::thread::spawn(move || a_failing_folder_loses_nothing(&[fault])));
+    // All are waited for first: a process that outlives this test would keep its output open.
+    let broken = plays.map(|play| play.join().is_err());
+    assert!(!broken.contains(&true), "{broken:?} of {faults:?}");
 }
 
 /// Sixteen times the endpoints: the start and the restart serve at once, and what was held is delivered.
