Try a compaction again by time, not only when a record is written

Core::journal_turn tries it in each turn once its time has come, and journal_due wakes the loop for it; a compaction that gained nothing is tried again after 500 ms, too, as one that failed.

--- a/src/dispatch/admit.rs
+++ b/src/dispatch/admit.rs
@@ -14,7 +14,7 @@
 pub(super) const NO_ROOM_ADVICE: Ms = 500.0;
 /// How long an identity is remembered after its call's time is up.
 const MEMORY: Ms = 15_000.0;
-/// After a compaction that failed, the next one is tried so much later.
+/// After a compaction that failed, or gained nothing, the next one is tried so much later.
 const COMPACT_AGAIN: Ms = 500.0;
 /// Share of what the module may hold that is filled with calls of an earlier process; the rest wait in the backlog.
 const BACKLOG_SHARE: f64 = 0.85;
@@ -407,9 +407,11 @@
         records.extend(self.waits.records(self.now));
         records.extend(self.adopted.map(Record::Adopted));
         let done = self.journal.compact(records.into_iter());
-        if let Err(e) = &done {
+        if done.is_err() || self.journal.is_full() {
             // Each try writes all that is held.
             self.compact_at = self.now + COMPACT_AGAIN;
+        }
+        if let Err(e) = &done {
             if let Some(count) = self.uncompacted.raise(self.now) {
                 log::error!(cause:% = e, count = count; "the journal cannot be compacted: {e}");
             }
--- a/src/dispatch/handover.rs
+++ b/src/dispatch/handover.rs
@@ -82,17 +82,21 @@
         !self.outdated && self.journal.flush_deferred().is_ok()
     }
 
-    /// Writes the deferred records of the journal as soon as the folder takes them.
-    pub(super) fn flush_turn(&mut self, now: Ms) {
+    /// Writes the deferred records of the journal as soon as the folder takes them, and the journal anew once it has grown. Guards
+    /// against one that outgrew a compaction that failed: nothing is taken on then, and no record would have it tried again.
+    pub(super) fn journal_turn(&mut self, now: Ms) {
         if self.journal.has_deferred() && now >= self.flush_at {
             self.flush_at = now + FLUSH_AGAIN;
             let _ = self.journal.flush_deferred();
         }
+        self.compact_if_full();
     }
 
-    /// When that is next tried.
-    pub(super) fn flush_due(&self) -> Option<Ms> {
-        self.journal.has_deferred().then_some(self.flush_at)
+    /// When one of them is next tried.
+    pub(super) fn journal_due(&self) -> Option<Ms> {
+        let flush = self.journal.has_deferred().then_some(self.flush_at);
+        let compact = self.journal.is_full().then_some(self.compact_at);
+        flush.into_iter().chain(compact).min_by(f64::total_cmp)
     }
 }
 
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -507,7 +507,7 @@
         outs.chain(self.alarms.iter().map(|a| a.0))
             .chain(own)
             .chain(self.seats_due())
-            .chain(self.flush_due())
+            .chain(self.journal_due())
             .min_by(f64::total_cmp)
     }
 
--- a/src/dispatch/route.rs
+++ b/src/dispatch/route.rs
@@ -39,7 +39,7 @@
         self.fade(now);
         self.once.fade(now);
         self.waits.fade(now);
-        self.flush_turn(now);
+        self.journal_turn(now);
         self.copying_out();
         std::mem::take(&mut self.orders)
     }
