--- a/tests/restarts.rs
+++ b/tests/restarts.rs
@@ -155,7 +155,7 @@
         ("ROUTER_DISCOVERY", address.as_str()),
         ("ROUTER_CONTROL", "127.0.0.1:0"),
     ];
-    let d = site.start_limited(256, &more);
+    let d = site.start_limited("-n 256", &more);
     let silent = registry.next("watch=1");
     let mut idle: Vec<Client> = (0..400).map(|_| d.client()).collect();
     for (n, c) in idle.iter_mut().enumerate() {
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -336,10 +336,10 @@
         self.start_as(Command::new(env!("CARGO_BIN_EXE_lilacbank")), listen, more)
     }
 
-    /// Starts one that may hold so many descriptors.
-    pub fn start_limited(&self, descriptors: usize, more: &[(&str, &str)]) -> Dispatcher {
+    /// Starts one under a limit of the system, as `ulimit` takes it.
+    pub fn start_limited(&self, limit: &str, more: &[(&str, &str)]) -> Dispatcher {
         let mut shell = Command::new("sh");
-        let script = format!("ulimit -n {descriptors} && exec \"$0\"");
+        let script = format!("ulimit {limit} && exec \"$0\"");
         shell.args(["-c", &script, env!("CARGO_BIN_EXE_lilacbank")]);
         self.start_as(shell, "127.0.0.1:0", more)
     }
