--- a/src/journal.rs
+++ b/src/journal.rs
@@ -39,6 +39,8 @@
     limit: u64,
     /// Half a record stands behind the last whole one.
     torn: bool,
+    /// The file took no more the last time, as its disk is full or it may not be larger.
+    takes_no_more: bool,
     /// Held for as long as this process lives; the system lets it go at any end, a kill too.
     _lock: File,
     /// Which of the folder's files is this one's.
@@ -171,6 +173,12 @@
     }
 }
 
+/// Does the error say that a file cannot grow now?
+fn is_out_of_room(error: &io::Error) -> bool {
+    use io::ErrorKind::{FileTooLarge, QuotaExceeded, StorageFull};
+    matches!(error.kind(), StorageFull | QuotaExceeded | FileTooLarge)
+}
+
 /// Records of a file on the timeline of the process that reads them, if it has one.
 fn on_timeline(records: Vec<Record>, clocks: Option<&Reading>) -> Vec<Record> {
     match clocks {
@@ -366,6 +374,7 @@
             size: good as u64,
             limit,
             torn: false,
+            takes_no_more: false,
             slot,
             damaged: damaged.len(),
             cut,
@@ -539,9 +548,10 @@
         }
         if let Err(e) = self.file.write_all(bytes) {
             self.torn = self.file.set_len(self.size).is_err();
+            self.takes_no_more = is_out_of_room(&e);
             return Err(e);
         }
-        self.torn = false;
+        (self.torn, self.takes_no_more) = (false, false);
         self.size += bytes.len() as u64;
         Ok(())
     }
@@ -562,9 +572,9 @@
         (known as f64) < self.limit as f64 * KNOWN_SHARE
     }
 
-    /// The file has grown so far that it should be compacted.
+    /// The file has grown so far that it should be compacted, or takes no more as it is.
     pub fn is_full(&self) -> bool {
-        self.size as f64 > self.limit as f64 * FILE_SHARE
+        self.takes_no_more || self.size as f64 > self.limit as f64 * FILE_SHARE
     }
 
     /// Replaces the file by one with these records only.
@@ -577,7 +587,7 @@
         }
         let (file, size) = done?;
         (self.file, self.size) = (file, size);
-        self.torn = false;
+        (self.torn, self.takes_no_more) = (false, false);
         // All that was deferred is held, and was among the records.
         self.deferred.clear();
         write_mark(&self._lock, self.size)
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -47,6 +47,8 @@
 
 /// After a client could not be accepted, for want of room: how long until it is tried again.
 const ACCEPT_AGAIN: Ms = 25.0;
+/// Clients that went before they were accepted, in one go: others wait meanwhile.
+const ACCEPT_FAILURES_MOST: u32 = 64;
 /// After a call on a connection that the system had no memory for: how long until the connection is looked at again.
 const RETRY_AFTER: Ms = 5.0;
 /// How often the journal of a process that served beside this one is looked for, once that one has ended.
@@ -287,6 +289,7 @@
     }
 
     fn accept(&mut self, now: Ms, which: usize) {
+        let mut failures = 0;
         loop {
             let listener = match which {
                 LISTENS_TO_SESSIONS => self.mqtt_listener.as_ref(),
@@ -310,7 +313,12 @@
             match listener.accept() {
                 Ok((tcp, _)) => self.accepted(now, which, tcp),
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return,
-                Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
+                Err(e)
+                    if failures < ACCEPT_FAILURES_MOST
+                        && matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) =>
+                {
+                    failures += 1;
+                }
                 Err(e) => {
                     self.accept_at = Some(now + ACCEPT_AGAIN);
                     return log::warn!(cause:% = e; "a client cannot be accepted: {e}");
--- a/src/net/start.rs
+++ b/src/net/start.rs
@@ -8,7 +8,10 @@
 use crate::recovery::{Life, LifeRecord};
 use crate::timeline::Reading;
 use lilacbank_replica::keeper::{Keeper, Spec};
+use signal_hook::consts::SIGXFSZ;
 use std::net::SocketAddr;
+use std::sync::atomic::AtomicBool;
+use std::sync::Arc;
 
 /// Descriptors for the listener, the journal, the poll, signals, watch, notices and a margin.
 const SOCKETS_OWN: usize = 40;
@@ -142,6 +145,8 @@
 }
 
 fn handle_signals(reactor: &Reactor, clock: &Clock) -> io::Result<Signals> {
+    // A write beyond the limit on the size of files fails with EFBIG, as on a full disk; its signal would end the process.
+    signal_hook::flag::register(SIGXFSZ, Arc::new(AtomicBool::new(false)))?;
     let mut signals = Vec::new();
     for signal in [SIGTERM, SIGINT, SIGUSR1, SIGHUP] {
         // A pipe, not a socket: some hosts allow sockets of TCP and UDP only.
