--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -156,3 +156,21 @@
         k.each_was_delivered_once();
     }
 }
+
+/// Guards against an upgrade that fails since the one before it has not ended: of the two that serve one was told to leave, and
+/// has up to 3.7 s for that.
+#[test]
+fn a_start_beside_two_waits_for_the_one_that_leaves() {
+    let worker = Worker::start(|_, _| Reply::Silence);
+    let site = Site::new(&[entry("w1", &worker.address.to_string(), "a", 1, "in_service")]);
+    let first = site.start();
+    assert_eq!(first.client().submit("m1", "c=pay,t=acme,d=15000,dest=1"), "+OK");
+    until("it is out", || worker.count() == 1);
+    let mut second = site.start();
+    second.logged("serves beside another process");
+    first.signal("-TERM");
+    let third = site.start();
+    assert_eq!(third.client().submit("m2", "c=safe,t=acme,d=15000,dest=1"), "+OK");
+    until("the third one sends", || worker.of("m2") > 0);
+    assert_eq!(worker.of("m1"), 1, "an unsafe message was sent twice");
+}
