--- a/crates/rig/src/soak.rs
+++ b/crates/rig/src/soak.rs
@@ -31,6 +31,8 @@
 /// A trouble lasts so many milliseconds.
 const LEAST: u64 = 400;
 const MOST: u64 = 3_000;
+/// A function fails for so long at most.
+const FAILS_MOST: u64 = 1_000;
 /// A killed process starts again no sooner.
 const DOWN_LEAST: u64 = 600;
 /// Messages may be delivered for so long: many times are up within a play.
@@ -52,9 +54,11 @@
     OlderList,
     ClockStep,
     Calls(&'static str),
+    /// A function of the C library and the error with which it fails.
+    Fails(&'static str),
 }
 
-const TROUBLES: [Trouble; 24] = [
+const TROUBLES: [Trouble; 31] = [
     Trouble::Kill,
     Trouble::Kill,
     Trouble::Stop,
@@ -79,6 +83,13 @@
     Trouble::Calls("connect"),
     Trouble::Calls("eintr"),
     Trouble::Calls("short"),
+    Trouble::Fails("send ENOBUFS"),
+    Trouble::Fails("recv ENOMEM"),
+    Trouble::Fails("epoll_ctl ENOMEM"),
+    Trouble::Fails("socket EMFILE"),
+    Trouble::Fails("open64 EMFILE"),
+    Trouble::Fails("rename EIO"),
+    Trouble::Fails("pwrite64 ENOSPC"),
 ];
 
 /// Draws a play.
@@ -204,6 +215,13 @@
                     self.schedules[n].push(format!("clock {at} {FOR_GOOD} {by}"));
                 }
             }
+            Trouble::Fails(how) => {
+                // Longer than clients wait for an answer it says nothing of answers that are owed.
+                let until = until.min(at + FAILS_MOST);
+                for n in self.some(self.all()) {
+                    self.schedules[n].push(format!("fail {at} {until} {how}"));
+                }
+            }
             Trouble::Calls(kind) => {
                 let argument = if kind == "enospc" { self.random.random_range(0..2) } else { 0 };
                 for n in self.some(self.all()) {
@@ -250,7 +268,7 @@
     for fault in schedule.iter().flat_map(|s| s.split(';')) {
         if let [kind, from, until, ..] = fault.split_whitespace().collect::<Vec<_>>().as_slice() {
             // Without an open folder no process starts; in a stop of connections no notice goes out.
-            if ["connect", "eio"].contains(kind) {
+            if ["connect", "eio", "fail"].contains(kind) {
                 spans.extend(from.parse().ok().zip(until.parse().ok()));
             }
         }
--- a/src/dispatch/admit.rs
+++ b/src/dispatch/admit.rs
@@ -63,7 +63,9 @@
         self.make_place(now, cell, size)?;
         self.compact_if_full();
         if let Err(e) = self.journal.append(&record) {
-            log::error!(cause:% = e; "the journal takes nothing more: {e}");
+            if let Some(count) = self.unwritten.raise(now) {
+                log::error!(cause:% = e, count = count; "the journal takes nothing more: {e}");
+            }
             self.leave_place(cell, size);
             return Err(NO_ROOM_ADVICE);
         }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -139,6 +139,10 @@
     /// Writings so far.
     kept: usize,
     keeping: Complaint,
+    /// Clients could not be accepted.
+    unaccepted: Complaint,
+    /// The folder's other journal could not be read.
+    unread: Complaint,
     /// Wall-clock milliseconds of the start.
     started: Ms,
     /// As it was last read; the list is the core's.
@@ -321,7 +325,10 @@
                 }
                 Err(e) => {
                     self.accept_at = Some(now + ACCEPT_AGAIN);
-                    return log::warn!(cause:% = e; "a client cannot be accepted: {e}");
+                    if let Some(count) = self.unaccepted.raise(now) {
+                        log::warn!(cause:% = e, count = count; "a client cannot be accepted: {e}");
+                    }
+                    return;
                 }
             }
         }
@@ -493,7 +500,12 @@
                 return self.core.apply_waits_of_other_process(now);
             }
             Ok(Other::Free) => return self.core.beside(now, false),
-            Err(e) => return log::warn!(cause:% = e; "the folder's other journal cannot be read: {e}"),
+            Err(e) => {
+                if let Some(count) = self.unread.raise(now) {
+                    log::warn!(cause:% = e, count = count; "the folder's other journal cannot be read: {e}");
+                }
+                return;
+            }
         };
         let calls = self.core.take_over(now, adopted(&mut orphan));
         log::info!(calls = calls; "took over {calls} calls from the journal of a process that has ended");
--- a/src/net/start.rs
+++ b/src/net/start.rs
@@ -134,6 +134,8 @@
             installation,
             kept: 0,
             keeping: Complaint::default(),
+            unaccepted: Complaint::default(),
+            unread: Complaint::default(),
         };
         // Before any client is read: whether another process serves on the folder decides what is taken.
         server.take_over(now);
