--- a/src/journal.rs
+++ b/src/journal.rs
@@ -349,7 +349,7 @@
         }
         let Some((slot, lock)) = held else {
             let why = "two processes that live serve on this folder already; end one, or give this one another folder";
-            return Err(io::Error::other(why));
+            return Err(io::Error::new(io::ErrorKind::ResourceBusy, why));
         };
         let path = folder.join(SLOTS[slot]);
         // A compaction that was cut short left this; the journal itself is still whole.
--- a/src/net/start.rs
+++ b/src/net/start.rs
@@ -17,6 +17,8 @@
 const SOCKETS_OWN: usize = 40;
 /// What a start cannot do without is tried again for so long, while it fails: a start has 30 s.
 const PATIENCE: Ms = 25_000.0;
+/// A folder on which two processes serve is tried again for so long: one that was told to leave ends within 3.7 s.
+const BUSY_PATIENCE: Ms = 5_000.0;
 /// The time between two such tries.
 const AGAIN: Duration = Duration::from_millis(50);
 
@@ -284,7 +286,7 @@
     loop {
         let now = clock.now();
         let error = match make() {
-            Err(e) if disk::may_pass(&e) && now - begun < PATIENCE => e,
+            Err(e) if disk::may_pass(&e) && now - begun < patience_with(&e) => e,
             done => return done,
         };
         if let Some(count) = complaint.raise(now) {
@@ -297,6 +299,14 @@
     }
 }
 
+/// How long something is tried again that fails so.
+fn patience_with(error: &io::Error) -> Ms {
+    match error.kind() {
+        ErrorKind::ResourceBusy => BUSY_PATIENCE,
+        _ => PATIENCE,
+    }
+}
+
 /// The folder's life record, its journal and the records in it. A folder that fails or is full for a while is tried again: a
 /// process that ends instead leaves what the folder holds without an end.
 fn open_folder(config: &Config, clock: &Clock, signals: &mut Signals) -> io::Result<Opened> {
