--- a/src/journal.rs
+++ b/src/journal.rs
@@ -5,9 +5,14 @@
 //! a second file, which then takes the first one's name; both together stay within the folder's limit.
 
 mod record;
+mod scan;
+mod slot;
 
 use crate::timeline::{self, Reading};
 pub use record::{CallNo, Ending, FileMark, Identity, Record, Sent, Taken};
+pub use scan::{highest, unsure};
+use scan::{scan, set_aside, Scan};
+use slot::{lock, was_cut, write_mark, SLOTS};
 use std::fs::{File, OpenOptions};
 use std::io::{self, Read, Write};
 use std::os::unix::fs::{FileExt, MetadataExt};
@@ -24,9 +29,6 @@
 /// A file that cannot be compacted takes no new call beyond this; what is held still ends in it.
 const GROWN_SHARE: f64 = 0.8;
 
-/// The files of a folder's journal. Each is held by one process at a time, so that a new process can serve beside the
-/// old one during an upgrade; the first name is that of a journal of one file.
-const SLOTS: [&str; 2] = ["journal", "journal.1"];
 /// Times that a start looks for a free file before it gives up.
 const LOCK_ROUNDS: u32 = 8;
 
@@ -135,44 +137,6 @@
     Left(Orphan),
 }
 
-/// Takes the lock of a slot of the folder if nobody holds it.
-fn lock(folder: &Path, slot: usize) -> io::Result<Option<File>> {
-    let file = OpenOptions::new()
-        .read(true)
-        .write(true)
-        .create(true)
-        .truncate(false)
-        .open(folder.join(format!("{}.lock", SLOTS[slot])))?;
-    match file.try_lock() {
-        Ok(()) => Ok(Some(file)),
-        Err(std::fs::TryLockError::WouldBlock) => Ok(None),
-        Err(std::fs::TryLockError::Error(e)) => Err(e),
-    }
-}
-
-/// How long the journal was when an attempt was last begun, in the file of its lock. One that is shorter now was cut off,
-/// if the cut fell between two records, too.
-fn write_mark(lock: &File, size: u64) -> io::Result<()> {
-    let mut bytes = [0; 12];
-    bytes[..8].copy_from_slice(&size.to_le_bytes());
-    let sum = crc32fast::hash(&bytes[..8]);
-    bytes[8..].copy_from_slice(&sum.to_le_bytes());
-    lock.write_all_at(&bytes, 0)
-}
-
-/// See [`write_mark`]; 0 where there is none that reads.
-fn read_mark(lock: &File) -> u64 {
-    let mut bytes = [0; 12];
-    let read = lock.read_exact_at(&mut bytes, 0).is_ok();
-    let (size, sum) = bytes.split_at(8);
-    let number = |b: &[u8]| b.iter().rev().fold(0u64, |n, x| n << 8 | u64::from(*x));
-    if read && u64::from(crc32fast::hash(size)) == number(sum) {
-        number(size)
-    } else {
-        0
-    }
-}
-
 /// Does the error say that a file cannot grow now?
 fn is_out_of_room(error: &io::Error) -> bool {
     use io::ErrorKind::{FileTooLarge, QuotaExceeded, StorageFull};
@@ -187,15 +151,6 @@
     }
 }
 
-/// Was a file of which `good` bytes read whole cut off before the mark that an attempt went out? Half a record behind them
-/// says nothing by itself: a write may fail halfway. Without a length to go by it is taken for a cut.
-fn was_cut(lock: &File, good: usize, length: usize) -> bool {
-    match read_mark(lock) {
-        0 => good < length,
-        mark => (good as u64) < mark,
-    }
-}
-
 /// The file where a compaction writes before it takes the journal's name.
 fn fresh(path: &Path) -> PathBuf {
     let mut name = path.as_os_str().to_owned();
@@ -203,115 +158,6 @@
     PathBuf::from(name)
 }
 
-/// What a reading of the file found.
-#[derive(Debug, Default)]
-struct Scan {
-    records: Vec<Record>,
-    /// Where the last good record ends.
-    good: usize,
-    /// Stretches of bytes between good records that are no record: a flipped bit, a write torn and then written after.
-    damaged: Vec<std::ops::Range<usize>>,
-}
-
-/// The record that starts at `at`, if its length fits, its checksum agrees and its body reads.
-fn record_at(bytes: &[u8], at: usize) -> Option<(Record, usize)> {
-    let head = bytes.get(at..at + 8)?;
-    let number = |b: &[u8]| b.iter().rev().fold(0u32, |n, x| n << 8 | u32::from(*x));
-    let (len, sum) = (number(&head[..4]) as usize, number(&head[4..]));
-    let body = bytes.get(at + 8..(at + 8).checked_add(len)?)?;
-    let record = Some(body).filter(|b| crc32fast::hash(b) == sum).and_then(Record::decode)?;
-    Some((record, at + 8 + len))
-}
-
-/// Reads whole records. Where one does not read, the next that does is looked for byte by byte: what lies between is
-/// damaged and set aside, and reading goes on; with none after it, it is a torn tail.
-fn scan(bytes: &[u8]) -> Scan {
-    let mut found = Scan::default();
-    let mut at = 0;
-    while at < bytes.len() {
-        if let Some((record, end)) = record_at(bytes, at) {
-            found.records.push(record);
-            (at, found.good) = (end, end);
-            continue;
-        }
-        match (at + 1..bytes.len()).find_map(|from| record_at(bytes, from).map(|r| (from, r))) {
-            Some((from, (record, end))) => {
-                found.damaged.push(at..from);
-                found.records.push(record);
-                (at, found.good) = (end, end);
-            }
-            // A kill tears a write short of its length; one whose length is all there and does not read was damaged
-            // after it was written, and may have been the mark that an attempt went out.
-            None if whole_length(bytes, at) => {
-                found.damaged.push(at..bytes.len());
-                (at, found.good) = (bytes.len(), bytes.len());
-            }
-            None => break,
-        }
-    }
-    found
-}
-
-/// The record at `at` has all the bytes that its length says, and more may follow.
-fn whole_length(bytes: &[u8], at: usize) -> bool {
-    let Some(head) = bytes.get(at..at + 8) else { return false };
-    let len = u32::from_le_bytes([head[0], head[1], head[2], head[3]]) as usize;
-    (at + 8).checked_add(len).is_some_and(|end| end <= bytes.len())
-}
-
-/// After damage the journal cannot prove that an open call never went out: each one without a mark of an attempt gets
-/// one, of no building and long ago, so that an unsafe message is never sent again and an approval order is repeated
-/// nowhere. Safe messages go as before. Returns how many were marked.
-pub fn unsure(records: &mut Vec<Record>) -> usize {
-    let mut open: std::collections::BTreeMap<CallNo, (u32, bool)> = std::collections::BTreeMap::new();
-    for r in records.iter() {
-        match r {
-            Record::Taken(t) => drop(open.insert(t.no, (0, false))),
-            Record::State { no, attempts, ran, out } => {
-                if let Some(o) = open.get_mut(no) {
-                    *o = (*attempts, ran.is_some() || out.is_some());
-                }
-            }
-            Record::Ended { no, .. } | Record::Over { no, .. } => drop(open.remove(no)),
-            _ => {}
-        }
-    }
-    let unmarked: Vec<_> = open.into_iter().filter(|(_, (_, marked))| !marked).collect();
-    for (no, (attempts, _)) in &unmarked {
-        let ran = Some(Sent { at: 0.0, zone: String::new() });
-        records.push(Record::State { no: *no, attempts: (*attempts).max(1), ran, out: None });
-    }
-    unmarked.len()
-}
-
-/// The highest call number among the records; 0 for none.
-pub fn highest(records: &[Record]) -> CallNo {
-    records.iter().filter_map(Record::call).max().unwrap_or(0)
-}
-
-/// Bytes of damaged records that a start sets aside at most; more are counted and dropped, for the folder's room.
-const ASIDE_MOST: usize = 64 << 10;
-
-/// Keeps damaged stretches in the folder's file `damaged`, each after a line that says where it stood; returns its bytes.
-fn set_aside(folder: &Path, file: &str, bytes: &[u8], damaged: &[std::ops::Range<usize>]) -> usize {
-    let mut out = Vec::new();
-    for r in damaged {
-        let part = &bytes[r.clone()];
-        let part = &part[..part.len().min(ASIDE_MOST.saturating_sub(out.len()))];
-        out.extend(format!("\n{file} at byte {} of {} bytes:\n", r.start, r.len()).into_bytes());
-        out.extend(part);
-    }
-    let kept = OpenOptions::new()
-        .append(true)
-        .create(true)
-        .open(folder.join("damaged"))
-        .and_then(|mut f| f.write_all(&out));
-    if let Err(e) = kept {
-        log::warn!("the damaged records could not be set aside: {e}");
-    }
-    damaged.iter().map(|r| r.len()).sum()
-}
-
 impl Journal {
     /// Opens the folder's journal and reads what it holds; creates what is missing.
     ///
