Show by a failing test that a process leaves over ends that a full folder owes

A stop on a folder that is full for 2 s: an unsafe message is delivered, the process leaves 0.7 s after SIGTERM as it holds nothing, its record of the end is not written, and the next start tells given_up for it (left: (1, [given_up]), right: (1, [])).

--- a/tests/full_folder.rs
+++ b/tests/full_folder.rs
@@ -147,6 +147,25 @@
     }
 }
 
+/// The same for a process that is told to leave meanwhile: it has 3.3 s, and the folder takes its records before that.
+#[test]
+fn ends_that_came_while_the_folder_was_full_are_written_before_the_process_leaves() {
+    let worker = Worker::start(|_, _| Reply::After(Duration::from_millis(2_500), "200 OK"));
+    let site = Site::new(&[entry("w1", &worker.address.to_string(), "a", 1, "in_service")]);
+    let begun = std::time::Instant::now();
+    let mut d = site.start_under("enospc 2000 4000", &[]);
+    assert_eq!(d.client().submit("m1", "c=pay,t=acme,d=15000,dest=1"), "+OK");
+    until("it is out", || worker.count() == 1);
+    assert!(begun.elapsed() < Duration::from_millis(900), "the machine is too slow for this test");
+    std::thread::sleep(Duration::from_millis(2_200).saturating_sub(begun.elapsed()));
+    d.signal("-TERM");
+    d.ended();
+    assert!(begun.elapsed() < Duration::from_millis(2_200 + 3_700));
+    let _next = site.start();
+    std::thread::sleep(Duration::from_millis(500));
+    assert_eq!((worker.of("m1"), site.platform.noticed("m1")), (1, vec![]), "m1 was delivered");
+}
+
 /// Guards against an attempt whose length cannot be written beside the journal and goes out all the same: a cut that takes its
 /// mark would not be seen. It waits, and then goes once.
 #[test]
