--- a/src/dispatch/handover.rs
+++ b/src/dispatch/handover.rs
@@ -92,6 +92,11 @@
         self.compact_if_full();
     }
 
+    /// Are there records that the folder has not taken yet?
+    pub fn owes_records(&self) -> bool {
+        self.journal.has_deferred()
+    }
+
     /// When one of them is next tried.
     pub(super) fn journal_due(&self) -> Option<Ms> {
         let flush = self.journal.has_deferred().then_some(self.flush_at);
--- a/src/guard.rs
+++ b/src/guard.rs
@@ -39,6 +39,8 @@
     AnswerOwed,
     /// Calls are out or held, and there is time for them.
     Unfinished,
+    /// Ends are not in the folder yet: the next process would not know of them.
+    Unrecorded,
 }
 
 impl Reason {
@@ -58,6 +60,7 @@
             Reason::Leaving => "leaving",
             Reason::AnswerOwed => "answer_owed",
             Reason::Unfinished => "unfinished",
+            Reason::Unrecorded => "unrecorded",
         }
     }
 }
@@ -218,6 +221,8 @@
     pub has_company: bool,
     /// Something was read that is not decided on or answered.
     pub undecided: bool,
+    /// The folder has not taken all records of what became of its calls.
+    pub unrecorded: bool,
 }
 
 /// May the process end now? At [`LEAVE_AFTER`] in any case: what was read is answered then, and the rest is the next one's.
@@ -236,6 +241,9 @@
     if leaving.undecided {
         return Err(Reason::AnswerOwed);
     }
+    if leaving.unrecorded {
+        return Err(Reason::Unrecorded);
+    }
     Ok(())
 }
 
@@ -412,14 +420,21 @@
 
     #[test]
     fn a_process_ends_when_nothing_is_owed_or_its_time_is_up() {
-        let idle =
-            Leaving { told_for: LINGER, held: 0, outstanding: 0, has_company: false, undecided: false };
+        let idle = Leaving {
+            told_for: LINGER,
+            held: 0,
+            outstanding: 0,
+            has_company: false,
+            undecided: false,
+            unrecorded: false,
+        };
         assert_eq!(may_end(&idle), Ok(()));
         let stays = [
             (Leaving { told_for: LINGER - 1.0, ..idle }, Reason::Unfinished),
             (Leaving { held: 1, ..idle }, Reason::Unfinished),
             (Leaving { held: 2, outstanding: 1, has_company: true, ..idle }, Reason::Unfinished),
             (Leaving { undecided: true, ..idle }, Reason::AnswerOwed),
+            (Leaving { unrecorded: true, ..idle }, Reason::Unrecorded),
         ];
         for (leaving, reason) in stays {
             assert_eq!(may_end(&leaving), Err(reason));
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -224,7 +224,8 @@
         }
     }
 
-    /// When leaving is next thought of. Guards against a spin from the first such moment to the last.
+    /// When leaving is next thought of, but for what wakes the loop by itself. Guards against a spin from the first such moment to
+    /// the last.
     fn leave_due(&self, now: Ms) -> Option<Ms> {
         self.leaving.map(|t| if now < t + LINGER { t + LINGER } else { t + LEAVE_AFTER })
     }
@@ -548,6 +549,7 @@
             // With another process beside it, that one takes over what is held here once this one has ended.
             has_company: self.core.has_company(),
             undecided: !self.found.is_empty() || self.core.is_due(),
+            unrecorded: self.core.owes_records(),
         };
         guard::may_end(&leaving).is_ok()
     }
