Show by failing tests that journals may pass their folder's limit for a moment

By reading, and by two unit tests: a file that grew to 80% while it could not be compacted stands beside a fresh one of up to 44%; and each of two processes of an upgrade keeps to 48%, with up to 44% more in a compaction, as if it had the folder alone.

--- a/src/journal.rs
+++ b/src/journal.rs
@@ -39,6 +39,8 @@
     file: File,
     size: u64,
     limit: u64,
+    /// Another process has a file of its own in the folder.
+    shared: bool,
     /// Half a record stands behind the last whole one.
     torn: bool,
     /// The file took no more the last time, as its disk is full or it may not be larger.
@@ -219,6 +221,7 @@
             file,
             size: good as u64,
             limit,
+            shared: false,
             torn: false,
             takes_no_more: false,
             slot,
@@ -402,6 +405,11 @@
         Ok(())
     }
 
+    /// Does another process have a file of its own in the folder, during an upgrade?
+    pub fn share(&mut self, shared: bool) {
+        self.shared = shared;
+    }
+
     /// Would live records of so many bytes still fit? Not in a file that has grown because it could not be compacted.
     pub fn has_room(&self, live: u64) -> bool {
         let fits = |bytes: u64, share: f64| (bytes as f64) < self.limit as f64 * share;
--- a/src/journal/tests.rs
+++ b/src/journal/tests.rs
@@ -248,3 +248,45 @@
     assert_eq!(Journal::open(&dir, limit).unwrap().1, [taken(no)]);
     std::fs::remove_dir_all(dir).unwrap();
 }
+
+/// Guards against a folder over its limit, which counts as a crash: a file that outgrew compactions that failed stands beside
+/// the fresh one for a moment, and that one holds all that is of use.
+#[test]
+fn a_grown_file_and_the_fresh_one_stay_within_the_limit_together() {
+    let dir = folder("together");
+    let limit = 60_000;
+    let (mut j, _) = Journal::open(&dir, limit).unwrap();
+    let mut no = 0;
+    while j.has_room(0) {
+        no += 1;
+        j.append(&taken(no)).unwrap();
+    }
+    let of_use = (limit as f64 * (LIVE_SHARE + KNOWN_SHARE)) as u64;
+    assert!(j.size() + of_use <= limit, "{} and {of_use} of {limit}", j.size());
+    std::fs::remove_dir_all(dir).unwrap();
+}
+
+/// The same while another process serves on the folder, with a file of its own.
+#[test]
+fn two_processes_on_a_folder_keep_to_half_of_its_room_each() {
+    let dir = folder("shared");
+    let limit = 60_000;
+    let (mut j, _) = Journal::open(&dir, limit).unwrap();
+    let mut no = 0;
+    while !j.is_full() {
+        no += 1;
+        j.append(&taken(no)).unwrap();
+    }
+    let alone = j.size();
+    j.compact(std::iter::empty()).unwrap();
+    j.share(true);
+    while !j.is_full() {
+        no += 1;
+        j.append(&taken(no)).unwrap();
+    }
+    assert!(j.size() <= alone / 2 + taken(no).size(), "{} beside {alone}", j.size());
+    assert!(!j.has_room((limit as f64 * LIVE_SHARE * 0.6) as u64), "live records, too");
+    j.share(false);
+    assert!(!j.is_full() && j.has_room((limit as f64 * LIVE_SHARE * 0.6) as u64));
+    std::fs::remove_dir_all(dir).unwrap();
+}
