Keep a folder's files under its limit together, also grown ones and those of two processes

A file that cannot be compacted takes nothing new beyond half of the limit (80% before), the next compaction is tried after 200 ms (500 before) and before a message is refused for want of room; while another process serves on the folder each keeps to half of it.

--- a/src/dispatch/admit.rs
+++ b/src/dispatch/admit.rs
@@ -15,7 +15,7 @@
 /// How long an identity is remembered after its call's time is up.
 const MEMORY: Ms = 15_000.0;
 /// After a compaction that failed, or gained nothing, the next one is tried so much later.
-const COMPACT_AGAIN: Ms = 500.0;
+const COMPACT_AGAIN: Ms = 200.0;
 /// Share of what the module may hold that is filled with calls of an earlier process; the rest wait in the backlog.
 const BACKLOG_SHARE: f64 = 0.85;
 /// What a remembered identity needs beside its own text.
@@ -36,6 +36,8 @@
         again: bool,
         ticket: Ticket,
     ) -> Result<(), Ms> {
+        // A file that has just grown has room again by this.
+        self.compact_if_full();
         let record = Record::Taken(taken);
         let size = record.size() + MARGIN;
         let Record::Taken(t) = &record else { return Err(NO_ROOM_ADVICE) };
@@ -61,7 +63,6 @@
         }
         let cell = self.cells.of(&t.tenant);
         self.make_place(now, cell, size)?;
-        self.compact_if_full();
         if let Err(e) = self.journal.append(&record) {
             if let Some(count) = self.unwritten.raise(now) {
                 log::error!(cause:% = e, count = count; "the journal takes nothing more: {e}");
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -472,6 +472,7 @@
     /// What a look at the folder found: does another process serve on it? Once it has ended, what was held back for it goes
     /// to the module, after what was taken over from it.
     pub fn beside(&mut self, now: Ms, lives: bool) {
+        self.journal.share(lives);
         if !self.beside.seen(now, lives) {
             return;
         }
--- a/src/journal.rs
+++ b/src/journal.rs
@@ -26,8 +26,11 @@
 const FILE_SHARE: f64 = 0.48;
 /// Bytes of records deferred by `defer_bounded` at most.
 const DEFERRED_MOST: usize = 256 << 10;
-/// A file that cannot be compacted takes no new call beyond this; what is held still ends in it.
-const GROWN_SHARE: f64 = 0.8;
+/// A file that cannot be compacted takes no new call beyond this: it and the fresh one that takes its place at last stay under the
+/// limit together. What is held still ends in it.
+const GROWN_SHARE: f64 = 0.5;
+/// Part of the folder's room that each of two processes keeps to.
+const SHARED_PART: f64 = 0.5;
 
 /// Times that a start looks for a free file before it gives up.
 const LOCK_ROUNDS: u32 = 8;
@@ -412,7 +415,7 @@
 
     /// Would live records of so many bytes still fit? Not in a file that has grown because it could not be compacted.
     pub fn has_room(&self, live: u64) -> bool {
-        let fits = |bytes: u64, share: f64| (bytes as f64) < self.limit as f64 * share;
+        let fits = |bytes: u64, share: f64| (bytes as f64) < self.own_room() * share;
         fits(live, LIVE_SHARE) && fits(self.size, GROWN_SHARE)
     }
 
@@ -428,7 +431,12 @@
 
     /// The file has grown so far that it should be compacted, or takes no more as it is.
     pub fn is_full(&self) -> bool {
-        self.takes_no_more || self.size as f64 > self.limit as f64 * FILE_SHARE
+        self.takes_no_more || self.size as f64 > self.own_room() * FILE_SHARE
+    }
+
+    /// Bytes of the folder that this process's files may fill.
+    fn own_room(&self) -> f64 {
+        self.limit as f64 * if self.shared { SHARED_PART } else { 1.0 }
     }
 
     /// Replaces the file by one with these records only.
