--- a/crates/rig/src/bin/lilacbank-rig.rs
+++ b/crates/rig/src/bin/lilacbank-rig.rs
@@ -116,7 +116,7 @@
         };
         plays += 1;
         println!(
-            "seed {}: {} handed in, {} taken, {} delivered, {} told; {} lost, {} late, {} hanging, {} doubled, {} overlapping, {} told twice, \
+            "seed {}: {} handed in, {} taken, {} delivered, {} told; {} lost, {} late, {} hanging, {} over their disk, {} doubled, {} overlapping, {} told twice, \
              {} violations, {} panics, {} failed starts",
             spec.seed,
             report.handed,
@@ -126,6 +126,7 @@
             report.lost.len(),
             report.late.len(),
             report.hanging.len(),
+            report.over_disk.len(),
             report.doubled.len(),
             report.overlapping.len(),
             report.told_twice.len(),
@@ -139,6 +140,7 @@
                 &report.lost,
                 &report.late,
                 &report.hanging,
+                &report.over_disk,
                 &report.doubled,
                 &report.overlapping,
                 &report.told_twice,
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -13,6 +13,7 @@
 mod proxy;
 mod registry;
 pub mod report;
+mod room;
 mod rude;
 pub mod run;
 pub mod scenario;
--- a/crates/rig/src/report.rs
+++ b/crates/rig/src/report.rs
@@ -23,6 +23,8 @@
     pub late: Vec<String>,
     /// Clients that misbehaved and whose connection stayed open beyond its time.
     pub hanging: Vec<String>,
+    /// Dispatchers whose folder held more than its limit at some moment.
+    pub over_disk: Vec<String>,
     /// Lines of the dispatchers' logs that count what their own rules forbid and was done all the same.
     pub violations: Vec<String>,
     /// Lines of their logs that tell of a panic.
@@ -73,6 +75,7 @@
             && self.told_twice.is_empty()
             && self.hanging.is_empty()
             && self.late.is_empty()
+            && self.over_disk.is_empty()
             && self.violations.is_empty()
             && self.panics.is_empty()
             && self.failed_starts == 0
--- a/crates/rig/src/run.rs
+++ b/crates/rig/src/run.rs
@@ -5,7 +5,7 @@
 use crate::process::Process;
 use crate::report::Report;
 use crate::scenario::{FaultName, Faults, MemberStep, PathName, RegistryStep, Scenario, Step};
-use crate::{config, rude, soak, Fault, Proxy, Registry};
+use crate::{config, room, rude, soak, Fault, Proxy, Registry};
 use lilacbank_load::arrivals::{poisson, Intended, Stream};
 use lilacbank_load::client::{drive, hand_in_again, Door, Habits, Handed, Route};
 use lilacbank_load::keyed::{audit, Audit, Sent};
@@ -13,8 +13,8 @@
 use rustix::time::{clock_gettime, ClockId};
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::path::Path;
-use std::sync::atomic::{AtomicU16, AtomicUsize, Ordering};
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, AtomicU16, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -329,7 +329,11 @@
     let (mut last_start, mut wave) = (None, None);
     let seen: Arc<Mutex<Vec<Handed>>> = Arc::default();
     let addresses: Vec<_> = stage.processes.iter().map(|p| p.address.clone()).collect();
-    let (handed, again, rude) = thread::scope(|scope| {
+    let states: Vec<PathBuf> = stage.processes.iter().map(|p| p.folder.join("state")).collect();
+    let limit = (scenario.disk_mb * 1e6) as u64;
+    let played = AtomicBool::new(false);
+    let (handed, again, rude, over_disk) = thread::scope(|scope| {
+        let room = scope.spawn(|| room::over_limit(&states, limit, &played));
         let end = start + Duration::from_millis(scenario.run_ms);
         let rude =
             scenario.rude.then(|| scope.spawn(move || rude::visit(scenario.seed, &addresses, start, end)));
@@ -374,7 +378,9 @@
         }
         let again: Vec<_> = again.into_iter().flat_map(|h| h.join().unwrap_or_default()).collect();
         let rude = rude.and_then(|r| r.join().ok()).unwrap_or_default();
-        (load.join().unwrap_or_default(), again, rude)
+        let handed = load.join().unwrap_or_default();
+        played.store(true, Ordering::Relaxed);
+        (handed, again, rude, room.join().unwrap_or_default())
     });
     let found = settle(scenario, &handed, &again, &stage, per);
     stage.processes.iter().for_each(Process::count);
@@ -384,6 +390,7 @@
     let mut report = report(scenario, &stage, &streams, &handed, found, (start, wave, last_start));
     report.hanging = rude::hanging(&rude, |n, from, until| soak::refuses_clients(scenario, n, from, until));
     report.late = late_ends(scenario, &stage, &handed, per, start);
+    report.over_disk = over_disk;
     (report.violations, report.panics) = (logged.violations, logged.panics);
     report.again = again.len();
     report.again_without_call = again.iter().filter(|(_, answer)| failed(answer)).count();
@@ -536,6 +543,7 @@
         calls: calls.iter().map(|c| measure::buckets(start, run_ms, c)).collect(),
         serving,
         hanging: Vec::new(),
+        over_disk: Vec::new(),
         late: Vec::new(),
         violations: Vec::new(),
         panics: Vec::new(),
--- a/crates/rig/src/soak.rs
+++ b/crates/rig/src/soak.rs
@@ -216,7 +216,7 @@
                 }
             }
             Trouble::Fails(how) => {
-                // Longer than clients wait for an answer it says nothing of answers that are owed.
+                // Much longer, and most messages would only wait for the end of the fault.
                 let until = until.min(at + FAILS_MOST);
                 for n in self.some(self.all()) {
                     self.schedules[n].push(format!("fail {at} {until} {how}"));
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -14,6 +14,7 @@
     let broken = (
         (&report.lost, &report.late, &report.doubled),
         (&report.told_twice, &report.violations, &report.panics),
+        (&report.hanging, &report.over_disk),
         report.failed_starts,
     );
     assert!(report.clean(), "seed {seed}: {broken:?} {:?}", report.overlapping);
