--- a/tests/failing_calls.rs
+++ b/tests/failing_calls.rs
@@ -3,6 +3,7 @@
 
 mod stand;
 use stand::*;
+use std::io::Write;
 use std::time::{Duration, Instant};
 
 const OK: Reply = Reply::Answer("200 OK");
@@ -176,3 +177,44 @@
     d.logged(" records of the log were dropped: nobody took them");
     d.logged("leaves with 0 calls");
 }
+
+/// Guards against a process that uses up its core while something fails for long: each thing is tried again by time.
+#[test]
+fn what_fails_for_long_costs_little() {
+    let faults = [
+        "write ENOSPC",
+        "rename EIO",
+        "open64 EMFILE",
+        "flock ENOLCK",
+        "accept4 EMFILE",
+        "accept4 ECONNABORTED",
+        "epoll_ctl ENOMEM",
+        "socket EMFILE",
+        "send ENOBUFS",
+        "recv ENOMEM",
+    ];
+    fn it_rests_under(fault: &str) -> Result<(), String> {
+        let worker = Worker::start(|_, _| Reply::Silence);
+        let d = site_of(&worker).start_under(&format!("fail 700 1e12 {fault}"), &[]);
+        let mut client = d.client();
+        for n in 0..20 {
+            client.try_submit(&format!("m{n}"), "c=safe,t=acme,d=20000,dest=1");
+        }
+        std::thread::sleep(Duration::from_millis(900));
+        // Some meet the fault with a request, on connections old and new.
+        let begin = |mut client: Client| client.0.get_mut().write_all(&command(&[b"PING"])).map(|()| client);
+        let clients: Vec<_> =
+            (0..20).filter_map(|_| Client::try_connect(d.address()).and_then(begin).ok()).collect();
+        let _ = client.0.get_mut().write_all(&command(&[b"PING"]));
+        let before = d.used();
+        std::thread::sleep(Duration::from_secs(3));
+        let used = d.used() - before;
+        drop(clients);
+        if used < Duration::from_millis(450) {
+            Ok(())
+        } else {
+            Err(format!("{fault}: {used:?} of 3 s"))
+        }
+    }
+    all_hold(it_rests_under, &faults);
+}
