--- /dev/null
+++ b/crates/faults/src/sockets.rs
@@ -0,0 +1,118 @@
+//! Functions on sockets, pipes and the poll.
+
+use crate::schedule::{Call, Kind};
+use crate::{active, fail, failure, halt, interrupted, schedule, shortened};
+use libc::{c_int, c_void, size_t, sockaddr, socklen_t, ssize_t};
+
+/// # Safety
+/// As the C library's function.
+#[no_mangle]
+pub unsafe extern "C" fn recv(fd: c_int, bytes: *mut c_void, mut count: size_t, flags: c_int) -> ssize_t {
+    if !schedule().is_empty() {
+        if let Some(error) = failure(Call::Receive) {
+            return fail(error) as ssize_t;
+        }
+        if interrupted() {
+            return fail(libc::EINTR) as ssize_t;
+        }
+        count = shortened(count);
+    }
+    let none = std::ptr::null_mut::<sockaddr>();
+    libc::syscall(libc::SYS_recvfrom, fd, bytes, count, flags, none, none) as ssize_t
+}
+
+/// # Safety
+/// As the C library's function.
+#[no_mangle]
+pub unsafe extern "C" fn send(fd: c_int, bytes: *const c_void, mut count: size_t, flags: c_int) -> ssize_t {
+    if !schedule().is_empty() {
+        if let Some(error) = failure(Call::Send) {
+            return fail(error) as ssize_t;
+        }
+        if interrupted() {
+            return fail(libc::EINTR) as ssize_t;
+        }
+        count = shortened(count);
+        halt();
+    }
+    let none = std::ptr::null_mut::<sockaddr>();
+    libc::syscall(libc::SYS_sendto, fd, bytes, count, flags, none, 0) as ssize_t
+}
+
+/// # Safety
+/// As the C library's function.
+#[no_mangle]
+pub unsafe extern "C" fn accept4(
+    fd: c_int,
+    address: *mut sockaddr,
+    length: *mut socklen_t,
+    flags: c_int,
+) -> c_int {
+    let error = active(Kind::Accept).map(|_| libc::EMFILE).or_else(|| failure(Call::Accept));
+    if let Some(error) = error {
+        return fail(error);
+    }
+    libc::syscall(libc::SYS_accept4, fd, address, length, flags) as c_int
+}
+
+/// # Safety
+/// As the C library's function.
+#[no_mangle]
+pub unsafe extern "C" fn connect(fd: c_int, address: *const sockaddr, length: socklen_t) -> c_int {
+    let error = active(Kind::Connect).map(|_| libc::ENETUNREACH).or_else(|| failure(Call::Connect));
+    if let Some(error) = error {
+        return fail(error);
+    }
+    libc::syscall(libc::SYS_connect, fd, address, length) as c_int
+}
+
+/// # Safety
+/// As the C library's function.
+#[no_mangle]
+pub unsafe extern "C" fn epoll_wait(
+    poll: c_int,
+    events: *mut libc::epoll_event,
+    most: c_int,
+    timeout: c_int,
+) -> c_int {
+    if !schedule().is_empty() && interrupted() {
+        return fail(libc::EINTR);
+    }
+    let none = std::ptr::null::<c_void>();
+    libc::syscall(libc::SYS_epoll_pwait, poll, events, most, timeout, none, 8usize) as c_int
+}
+
+/// # Safety
+/// As the C library's function.
+#[no_mangle]
+pub unsafe extern "C" fn socket(domain: c_int, kind: c_int, protocol: c_int) -> c_int {
+    match failure(Call::Socket) {
+        Some(error) => fail(error),
+        None => libc::syscall(libc::SYS_socket, domain, kind, protocol) as c_int,
+    }
+}
+
+/// # Safety
+/// As the C library's function.
+#[no_mangle]
+pub unsafe extern "C" fn pipe2(ends: *mut c_int, flags: c_int) -> c_int {
+    match failure(Call::Pipe) {
+        Some(error) => fail(error),
+        None => libc::syscall(libc::SYS_pipe2, ends, flags) as c_int,
+    }
+}
+
+/// # Safety
+/// As the C library's function.
+#[no_mangle]
+pub unsafe extern "C" fn epoll_ctl(
+    poll: c_int,
+    operation: c_int,
+    fd: c_int,
+    event: *mut libc::epoll_event,
+) -> c_int {
+    match failure(Call::Poll).filter(|_| operation != libc::EPOLL_CTL_DEL) {
+        Some(error) => fail(error),
+        None => libc::syscall(libc::SYS_epoll_ctl, poll, operation, fd, event) as c_int,
+    }
+}
