Test the complaints of a full folder; refuse faults on files without a folder

A schedule that fails functions on files without LILACBANK_FAULTS_FOLDER was taken and did nothing; it is refused now (tests/faults.rs).

--- a/crates/faults/src/schedule.rs
+++ b/crates/faults/src/schedule.rs
@@ -97,6 +97,20 @@
     argument: f64,
 }
 
+impl Fault {
+    /// Does it concern files of the folder only?
+    fn is_on_folder(&self) -> bool {
+        use Call::*;
+        match self.kind {
+            Kind::NoSpace | Kind::Io => true,
+            Kind::Fail(call, _) => {
+                matches!(call, Open | Read | Write | WriteAt | Truncate | Rename | Remove | Status)
+            }
+            _ => false,
+        }
+    }
+}
+
 /// All faults of a process.
 #[derive(Debug, Default)]
 pub(crate) struct Schedule {
@@ -115,11 +129,9 @@
     pub(crate) fn parse(text: &str, epoch: f64, folder: String) -> Result<Schedule, String> {
         let parts = text.split(';').map(str::trim).filter(|p| !p.is_empty());
         let faults = parts.map(fault).collect::<Result<Vec<Fault>, String>>()?;
-        let on_folder = |f: &Fault| matches!(f.kind, Kind::NoSpace | Kind::Io);
-        if folder.is_empty() && faults.iter().any(on_folder) {
-            return Err(
-                "enospc and eio need LILACBANK_FAULTS_FOLDER; set it to the folder whose files fail".into()
-            );
+        if folder.is_empty() && faults.iter().any(Fault::is_on_folder) {
+            let why = "enospc, eio and functions on files need LILACBANK_FAULTS_FOLDER; set it to the folder whose files fail";
+            return Err(why.into());
         }
         Ok(Schedule { faults, epoch, folder })
     }
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -33,6 +33,7 @@
             "'fail 0 9 sand ENOMEM': the function is one of accept4, connect,",
         ),
         ("fail 9 0 send ENOMEM", "/nowhere", "'fail 9 0 send ENOMEM': FROM is before UNTIL"),
+        ("fail 0 5 rename EIO", "", "set it to the folder whose files fail"),
         ("eio 0 5", "", "set it to the folder whose files fail"),
     ];
     for (schedule, folder, says) in wrong {
--- a/tests/full_folder.rs
+++ b/tests/full_folder.rs
@@ -205,3 +205,20 @@
     assert_eq!(taken, MESSAGES, "it takes no more");
     until("all are delivered", || worker.count() >= MESSAGES);
 }
+
+/// Guards against a log that is filled by one complaint for each message that a full folder turns away.
+#[test]
+fn a_full_folder_is_complained_of_in_growing_intervals() {
+    let worker = Worker::start(|_, _| Reply::Answer("200 OK"));
+    let site = Site::new(&[entry("w1", &worker.address.to_string(), "a", 1, "in_service")]);
+    let mut d = site.start_under("enospc 700 1e12", &[]);
+    std::thread::sleep(Duration::from_millis(900));
+    let mut client = d.client();
+    for n in 0..200 {
+        assert!(client.submit(&format!("m{n}"), "c=safe,t=acme,d=6000,dest=1").starts_with("-BUSY"));
+    }
+    d.signal("-USR1");
+    d.logged("rules: ");
+    let complaints = d.seen().lines().filter(|line| line.contains("takes nothing more")).count();
+    assert!((1..=3).contains(&complaints), "{complaints} lines for 200 messages");
+}
