Judge attempts strictly, as endpoints see them; show by failing tests that two are out at once

Judged now by attempts (last byte read; answer about to be written, or the connection's end seen), with no tolerance and for each class: crates/load/src/attempts.rs. The eased rule is gone, not replaced by another tolerance. Endpoints of crates/load end, reset and forget connections (connection_fault.rs). The proxy passes half-closes on, behind the bytes, and no longer drops what a half-closed sender had sent; only a reset connection sends nothing again.

--- a/crates/load/src/keyed.rs
+++ b/crates/load/src/keyed.rs
@@ -1,6 +1,7 @@
 //! Clients whose messages have an order: each hands in one after another under one key, follows its tenant to where it
 //! lives, and hands in again, under the same id, what was not answered. And the audit of what came of it.
 
+use crate::attempts::{overlapping, Attempt};
 use crate::client::submit;
 use crate::member::Effect;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -45,8 +46,6 @@
 const PATIENCE: Duration = Duration::from_millis(400);
 /// Before it is tried again where nobody answers.
 const AGAIN: Duration = Duration::from_millis(20);
-/// The end of a connection may be seen so much later than the beginning of the next one.
-const CLOSING: Duration = Duration::from_millis(10);
 /// After so many failures in a row another dispatcher is asked.
 const FAILURES: usize = 5;
 
@@ -119,7 +118,7 @@
     pub doubled: Vec<String>,
     /// Took effect after one that came later under its key.
     pub out_of_order: Vec<String>,
-    /// Called while another call of its key was running.
+    /// Attempts of one key, of the same message or of two, that were out at once in the eyes of their endpoints.
     pub overlapping: Vec<String>,
     /// Given two final answers that differ.
     pub told_twice: Vec<String>,
@@ -138,8 +137,15 @@
     id.rsplit_once('-').map_or(id, |(base, _)| base)
 }
 
-/// Joins what clients handed in with what members did and what was told; `once` tells keys whose class is never repeated.
-pub fn audit(sent: &[Sent], effects: &[Effect], told: &[String], once: impl Fn(u64) -> bool) -> Audit {
+/// Joins what clients handed in with what members saw and did and what was told; `once` tells keys whose class is never
+/// repeated.
+pub fn audit(
+    sent: &[Sent],
+    effects: &[Effect],
+    attempts: &[Attempt],
+    told: &[String],
+    once: impl Fn(u64) -> bool,
+) -> Audit {
     let mut audit = Audit::default();
     let mut of: HashMap<&str, usize> = HashMap::new();
     effects.iter().for_each(|e| *of.entry(base(&e.id)).or_default() += 1);
@@ -177,32 +183,17 @@
             if numbers[base(&pair[1].id)] < numbers[base(&pair[0].id)] {
                 audit.out_of_order.push(pair[1].id.clone());
             }
-            // A call whose caller has closed its connection is over, whatever the endpoint still does about it.
-            let over = pair[0].left.map_or(pair[0].at, |left| left.min(pair[0].at));
-            // Two connections may come to an endpoint in the other order: whose caller had left by then was given up before.
-            if pair[1].left.is_some_and(|left| left <= pair[1].began + CLOSING) {
-                continue;
-            }
-            let seen = pair[0].left.or(pair[0].ended);
-            let gone = seen.is_some_and(|seen| seen <= pair[1].began + CLOSING);
-            if pair[1].began < over && !gone {
-                let (after, ran) = (pair[1].began - pair[0].began, pair[0].at - pair[0].began);
-                audit.overlapping.push(format!(
-                    "{} and {} ({} ms after it began, which took {} ms)",
-                    pair[0].id,
-                    pair[1].id,
-                    after.as_millis(),
-                    ran.as_millis()
-                ));
-            }
         }
     }
+    let key_of: HashMap<&str, u64> = sent.iter().map(|s| (base(&s.id), s.key)).collect();
+    audit.overlapping = overlapping(attempts, |id| key_of.get(base(id)).map(u64::to_string));
     audit
 }
 
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::attempts::EndedBy;
 
     /// Guards against an audit that finds nothing because it looks at nothing.
     #[test]
@@ -215,43 +206,28 @@
             taken: true,
             door: Duration::ZERO,
         };
-        let ran = |id: &str, from: u64, to: u64| Effect {
+        let at = |ms: u64| begun + Duration::from_millis(ms);
+        let ran = |id: &str, from: u64, to: u64| Effect { id: id.into(), began: at(from), at: at(to) };
+        let out = |id: &str, from: u64, to: u64| Attempt {
             id: id.into(),
-            began: begun + Duration::from_millis(from),
-            at: begun + Duration::from_millis(to),
-            left: None,
-            ended: None,
+            began: at(from),
+            ended: Some((at(to), EndedBy::Answer)),
         };
         let all = [sent(0), sent(1), sent(2), sent(3)];
         let effects = [ran("7-0-0", 0, 10), ran("7-2-0", 20, 30), ran("7-1-0", 25, 40), ran("7-0-0", 50, 60)];
+        let attempts = [out("7-0-0", 0, 10), out("7-2-0", 20, 30), out("7-1-0", 25, 40)];
         let told = ["{\"message\":\"7-1-0\",\"outcome\":\"given_up\"}".to_string()];
-        let got = audit(&all, &effects, &told, |_| true);
+        let got = audit(&all, &effects, &attempts, &told, |_| true);
         assert_eq!(got.lost, ["7-3-0"]);
         assert_eq!(got.doubled, ["7-0-0"]);
         assert_eq!(got.out_of_order, ["7-1-0", "7-0-0"]);
-        assert_eq!(got.overlapping, ["7-2-0 and 7-1-0 (5 ms after it began, which took 10 ms)"]);
+        assert_eq!(
+            got.overlapping,
+            ["7-2-0 and 7-1-0, 5.00 ms after it began; the first one ended by Answer 5.00 ms later"]
+        );
         assert_eq!((got.taken, got.delivered, got.told), (4, 3, 1));
         assert!(!got.is_clean());
-        let good = audit(&all[..1], &effects[..1], &[], |_| true);
+        let good = audit(&all[..1], &effects[..1], &attempts[..1], &[], |_| true);
         assert!(good.is_clean() && good.delivered == 1);
-        // Called off after 60 ms and sent again at 65 ms: no overlap, though the endpoint went on. Sent again at 40 ms: one.
-        let left = Some(begun + Duration::from_millis(60));
-        let off = Effect { left, ..ran("7-0-0", 0, 100) };
-        let pairs =
-            |second: Effect| audit(&all[..1], &[off.clone(), second], &[], |_| false).overlapping.len();
-        assert_eq!((pairs(ran("7-0-0", 65, 90)), pairs(ran("7-0-0", 40, 90))), (0, 1));
-        // The call that was given up reaches the endpoint just behind the one that followed it; one that runs on does not pass.
-        let behind = |left: u64| {
-            let left = Some(begun + Duration::from_millis(left));
-            let given_up = Effect { left, ..ran("7-0-0", 1, 6) };
-            audit(&all[..1], &[ran("7-0-0", 0, 5), given_up], &[], |_| false).overlapping.len()
-        };
-        assert_eq!((behind(3), behind(30)), (0, 1));
-        // The end of the first one's connection is seen just after its answer; seen later it was none from before.
-        let after = |ended: u64| {
-            let first = Effect { ended: Some(begun + Duration::from_millis(ended)), ..ran("7-0-0", 0, 22) };
-            audit(&all[..1], &[first, ran("7-0-0", 18, 40)], &[], |_| false).overlapping.len()
-        };
-        assert_eq!((after(26), after(60)), (0, 1));
     }
 }
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -7,7 +7,9 @@
 #![forbid(unsafe_code)]
 
 pub mod arrivals;
+pub mod attempts;
 pub mod client;
+pub mod connection_fault;
 pub mod keyed;
 pub mod member;
 pub mod report;
--- a/crates/load/src/member.rs
+++ b/crates/load/src/member.rs
@@ -1,7 +1,10 @@
 //! A stand-in member: an endpoint over HTTP that records every call and every effect, and a place for notices.
 
-use rustix::event::{poll, PollFd, PollFlags, Timespec};
-use rustix::io::Errno;
+use crate::attempts::{Attempt, AttemptLog, EndedBy, Open};
+use crate::connection_fault::{
+    half_close, reset_on_close, wait_for, wait_for_caller, ConnectionFault, FaultPlan,
+};
+use rustix::event::PollFlags;
 use std::collections::VecDeque;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -75,30 +78,34 @@
     pub began: Instant,
     /// and took effect.
     pub at: Instant,
-    /// Its caller had closed the connection by then: the attempt was over for it, whatever the endpoint still did.
-    pub left: Option<Instant>,
-    /// When its connection was seen to end after it, if nothing else came on it: on a busy machine an end from before may be
-    /// seen so late.
-    pub ended: Option<Instant>,
 }
 
-/// Takes so long; returns when the other side of the connection closed it meanwhile, if it did. Waits for that end itself, so
-/// that it is known as it comes, also on a busy machine.
-fn serve_for(service: Duration, tcp: &TcpStream) -> Option<Instant> {
-    let began = Instant::now();
-    let rest = || service.saturating_sub(began.elapsed());
-    let mut left = None;
-    while left.is_none() && !rest().is_zero() {
-        let mut ends = [PollFd::new(tcp, PollFlags::RDHUP)];
-        let Ok(timeout) = Timespec::try_from(rest()) else { break };
-        match poll(&mut ends, Some(&timeout)) {
-            Ok(0) | Err(Errno::INTR) => {}
-            Ok(_) => left = Some(Instant::now()),
-            Err(_) => break,
+/// While a call waits for its turn its caller is looked for this often.
+const QUEUE_LOOK: Duration = Duration::from_millis(2);
+/// A connection that has been ended or forgotten is held open for its caller's end no longer than this.
+const HELD_MOST: Duration = Duration::from_secs(30);
+/// The part of a call's time after which a fault meets it.
+const FAULT_AFTER: f64 = 0.5;
+
+/// A call that is being served.
+struct Call<'a> {
+    log: &'a AttemptLog,
+    open: Open,
+    tcp: &'a TcpStream,
+    /// Its caller has ended it.
+    left: bool,
+}
+
+impl Call<'_> {
+    /// Lets time pass; the end of the caller is known as it comes, also on a busy machine.
+    fn pass(&mut self, time: Duration) {
+        let began = Instant::now();
+        if !self.left && wait_for_caller(self.tcp, time).is_some() {
+            self.left = true;
+            self.log.end(self.open, EndedBy::Caller);
         }
+        thread::sleep(time.saturating_sub(began.elapsed()));
     }
-    thread::sleep(rest());
-    left
 }
 
 #[derive(Debug, Default)]
@@ -114,6 +121,9 @@
     /// Times of the calls of the last second that it took.
     taken: VecDeque<Instant>,
     falls: usize,
+    /// What it does to its connections, and requests that came since it was told so.
+    faults: Option<FaultPlan>,
+    arrived: usize,
 }
 
 /// What becomes of a call that has come.
@@ -176,6 +186,7 @@
     /// Where it is reached.
     pub address: SocketAddr,
     inner: Arc<(Mutex<Inner>, Condvar)>,
+    attempts: AttemptLog,
     limit: Option<Limit>,
 }
 
@@ -229,7 +240,8 @@
     /// Where no port can be had.
     pub fn limited(manner: Manner, limit: Option<Limit>) -> std::io::Result<Endpoint> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
-        let endpoint = Endpoint { address: listener.local_addr()?, inner: Arc::default(), limit };
+        let (address, attempts) = (listener.local_addr()?, AttemptLog::default());
+        let endpoint = Endpoint { address, inner: Arc::default(), attempts, limit };
         let served = endpoint.clone();
         thread::spawn(move || {
             for tcp in listener.incoming().map_while(Result::ok) {
@@ -240,81 +252,186 @@
         Ok(endpoint)
     }
 
+    /// Serves requests until the connection ends.
     fn serve(&self, tcp: TcpStream, manner: &Manner) -> Option<()> {
         tcp.set_nodelay(true).ok()?;
-        let mut last = None;
-        let ended = self.serve_all(tcp, manner, &mut last);
-        if let (Some(n), Ok(mut i)) = (last, self.inner.0.lock()) {
-            i.effects.get_mut(n).into_iter().for_each(|e: &mut Effect| e.ended = Some(Instant::now()));
-        }
-        ended
-    }
-
-    /// Serves requests until the connection ends; `last` is the place of the last one's effect.
-    fn serve_all(&self, tcp: TcpStream, manner: &Manner, last: &mut Option<usize>) -> Option<()> {
         let mut out = tcp.try_clone().ok()?;
         let mut reader = BufReader::new(tcp);
-        while let Some(r) = request(&mut reader) {
-            *last = None;
-            let probe = r.line.starts_with("GET");
-            let verdict = {
-                let mut i = self.inner.0.lock().ok()?;
-                let now = Instant::now();
-                match &self.limit {
-                    _ if i.away(now) => Verdict::Break,
-                    Some(limit) if !probe => i.comes(now, limit),
-                    None if !probe => {
-                        i.calls.push(now);
-                        Verdict::Serve
-                    }
-                    _ => Verdict::Serve,
+        loop {
+            wait_for(&out, PollFlags::IN | PollFlags::RDHUP, HELD_MOST)?;
+            let fault = self.next_fault();
+            match fault {
+                Some((ConnectionFault::HalfCloseAsCallCrosses, read_later)) => {
+                    half_close(&out);
+                    thread::sleep(read_later);
                 }
-            };
-            let told;
-            let head = match verdict {
-                Verdict::Break => return None,
-                Verdict::Wait(w) => {
-                    told = format!("429 Too Many Requests\r\nRetry-After: {:.3}", w.as_secs_f64());
-                    told.as_str()
+                Some((ConnectionFault::ResetAsCallCrosses, _)) => {
+                    reset_on_close(&out);
+                    return None;
+                }
+                Some((ConnectionFault::Forget, _)) => {
+                    thread::sleep(HELD_MOST);
+                    return None;
                 }
-                Verdict::Serve if probe || self.call(r.id, manner, &out, last) => "200 OK",
-                Verdict::Serve => "503 Full",
+                _ => {}
+            }
+            let r = request(&mut reader)?;
+            let probe = r.line.starts_with("GET");
+            let open = (!probe).then(|| self.attempts.begin(&r.id));
+            let head = self.answer(r, open, manner, &out, fault.map(|f| f.0));
+            let Some(head) = head else {
+                let by = if fault.is_some() { EndedBy::Endpoint } else { EndedBy::Caller };
+                open.into_iter().for_each(|open| self.attempts.end(open, by));
+                return None;
             };
+            open.into_iter().for_each(|open| self.attempts.end(open, EndedBy::Answer));
             out.write_all(format!("HTTP/1.1 {head}\r\nContent-Length: 0\r\n\r\n").as_bytes()).ok()?;
         }
-        None
     }
 
-    /// Serves a call in its turn; false if there was no room for it.
-    fn call(&self, id: String, manner: &Manner, tcp: &TcpStream, last: &mut Option<usize>) -> bool {
+    /// The fault that the request which has just arrived meets, and how much later it is read then.
+    fn next_fault(&self) -> Option<(ConnectionFault, Duration)> {
+        let mut inner = self.inner.0.lock().ok()?;
+        let nth = inner.arrived;
+        inner.arrived += 1;
+        let plan = inner.faults.as_ref()?;
+        Some((plan.fault_of(nth)?, plan.read_later))
+    }
+
+    /// The head that a request is answered with; none where its connection ends without an answer.
+    fn answer(
+        &self,
+        r: Request,
+        open: Option<Open>,
+        manner: &Manner,
+        tcp: &TcpStream,
+        fault: Option<ConnectionFault>,
+    ) -> Option<String> {
+        let verdict = {
+            let mut i = self.inner.0.lock().ok()?;
+            let now = Instant::now();
+            match &self.limit {
+                _ if i.away(now) => Verdict::Break,
+                Some(limit) if open.is_some() => i.comes(now, limit),
+                None if open.is_some() => {
+                    i.calls.push(now);
+                    Verdict::Serve
+                }
+                _ => Verdict::Serve,
+            }
+        };
+        let ok = Some("200 OK".to_string());
+        match (verdict, open) {
+            (Verdict::Break, Some(open)) => {
+                self.attempts.end(open, EndedBy::Endpoint);
+                None
+            }
+            (Verdict::Break, None) => None,
+            (Verdict::Wait(w), _) => {
+                Some(format!("429 Too Many Requests\r\nRetry-After: {:.3}", w.as_secs_f64()))
+            }
+            (Verdict::Serve, None) => ok,
+            (Verdict::Serve, Some(open)) => {
+                let call = Call { log: &self.attempts, open, tcp, left: false };
+                match self.call(r.id, manner, call, fault)? {
+                    true => ok,
+                    false => Some("503 Full".to_string()),
+                }
+            }
+        }
+    }
+
+    /// Serves a call in its turn: false if there was no room for it, none if its connection ends without an answer.
+    fn call(
+        &self,
+        id: String,
+        manner: &Manner,
+        mut call: Call,
+        fault: Option<ConnectionFault>,
+    ) -> Option<bool> {
+        if fault == Some(ConnectionFault::HalfCloseAsCallCrosses) {
+            // It has ended its sending: nothing comes of the call but its caller's end.
+            call.pass(Duration::ZERO);
+            wait_for_caller(call.tcp, HELD_MOST);
+            self.attempts.end(call.open, EndedBy::Caller);
+            return None;
+        }
+        if !self.wait_for_turn(manner, &mut call)? {
+            return Some(false);
+        }
+        let began = Instant::now();
+        let before = match fault {
+            Some(_) => manner.service.mul_f64(FAULT_AFTER),
+            None => Duration::ZERO,
+        };
+        call.pass(before);
+        if fault == Some(ConnectionFault::ResetInCall) {
+            self.leave_turn();
+            self.attempts.end(call.open, EndedBy::Endpoint);
+            reset_on_close(call.tcp);
+            return None;
+        }
+        if fault == Some(ConnectionFault::HalfCloseInCall) {
+            half_close(call.tcp);
+        }
+        call.pass(manner.service.saturating_sub(before));
+        if let Ok(mut i) = self.inner.0.lock() {
+            i.effects.push(Effect { id, began, at: Instant::now() });
+        }
+        self.leave_turn();
+        if fault == Some(ConnectionFault::HalfCloseInCall) {
+            wait_for_caller(call.tcp, HELD_MOST);
+            self.attempts.end(call.open, EndedBy::Caller);
+            return None;
+        }
+        Some(true)
+    }
+
+    /// Waits until a call is served: false if there is no room for it, none if its caller leaves before its turn.
+    fn wait_for_turn(&self, manner: &Manner, call: &mut Call) -> Option<bool> {
         let (inner, free) = &*self.inner;
-        let Ok(mut i) = inner.lock() else { return false };
+        let mut i = inner.lock().ok()?;
         if i.serving >= manner.at_once && i.queue.len() >= manner.queue {
             i.refused += 1;
-            return false;
+            return Some(false);
         }
         let ticket = i.ticket;
         i.ticket += 1;
         i.queue.push_back(ticket);
         while i.serving >= manner.at_once || i.queue.front() != Some(&ticket) {
-            match free.wait(i) {
-                Ok(again) => i = again,
-                Err(_) => return false,
+            i = free.wait_timeout(i, QUEUE_LOOK).ok()?.0;
+            if wait_for_caller(call.tcp, Duration::ZERO).is_some() {
+                self.attempts.end(call.open, EndedBy::Caller);
+                i.queue.retain(|t| *t != ticket);
+                free.notify_all();
+                return None;
             }
         }
         i.queue.pop_front();
         i.serving += 1;
         drop(i);
         free.notify_all();
-        let began = Instant::now();
-        let left = serve_for(manner.service, tcp);
+        Some(true)
+    }
+
+    fn leave_turn(&self) {
+        let (inner, free) = &*self.inner;
         if let Ok(mut i) = inner.lock() {
             i.serving -= 1;
-            *last = Some(i.effects.len());
-            i.effects.push(Effect { id, began, at: Instant::now(), left, ended: None });
         }
         free.notify_all();
-        true
+    }
+
+    /// All attempts so far, as it saw them; probes are none.
+    pub fn attempts(&self) -> Vec<Attempt> {
+        self.attempts.all()
+    }
+
+    /// From now on its connections meet these faults, or none.
+    pub fn set_faults(&self, plan: Option<FaultPlan>) {
+        if let Ok(mut i) = self.inner.0.lock() {
+            (i.faults, i.arrived) = (plan, 0);
+        }
     }
 
     /// All effects so far.
--- a/crates/rig/src/proxy.rs
+++ b/crates/rig/src/proxy.rs
@@ -12,12 +12,12 @@
 pub enum Fault {
     /// Bytes pass as they come.
     Pass,
-    /// Each piece of bytes waits so long before it passes, either way.
+    /// Each piece of bytes, and the end of a sending, waits so long before it passes, either way.
     Delay(Duration),
     /// Connections are cut, the ones open and each new one.
     Reset,
     /// Connections are taken and bytes read, but nothing passes either way until the fault is lifted: a partition, which
-    /// TCP outlives by sending again; what was held then passes late, in order.
+    /// TCP outlives by sending again; what was held then passes late, in order, unless the connection was reset meanwhile.
     Blackhole,
     /// Bytes are read and thrown away; a connection that lost some is cut once the fault is lifted, as one that TCP gave
     /// up on.
@@ -116,7 +116,7 @@
                 break;
             }
             let n = match from.read(&mut buffer) {
-                Ok(0) => break,
+                Ok(0) => return self.pass_end(&to, round),
                 Ok(n) => n,
                 Err(e)
                     if matches!(e.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut) =>
@@ -125,14 +125,8 @@
                 }
                 Err(_) => break,
             };
-            // Held while the path is a black hole; a reset meanwhile cuts it.
-            let mut held = false;
-            while self.fault() == Fault::Blackhole && self.shared.round.load(Ordering::SeqCst) == round {
-                held = true;
-                thread::sleep(Duration::from_millis(5));
-            }
-            // Whose connection was closed meanwhile has given up what it sent: a call on it is none of its any more.
-            if held && matches!(from.peek(&mut [0]), Ok(0)) {
+            // A sender that has reset its connection sends nothing again. One that has only ended its sending still does.
+            if self.hold(round) && was_reset(&from) {
                 break;
             }
             match self.fault() {
@@ -162,6 +156,35 @@
         let _ = from.shutdown(Shutdown::Both);
         let _ = to.shutdown(Shutdown::Both);
     }
+
+    /// Waits while the path is a black hole, unless a reset cuts it; true if it was one.
+    fn hold(&self, round: usize) -> bool {
+        let mut held = false;
+        while self.fault() == Fault::Blackhole && self.shared.round.load(Ordering::SeqCst) == round {
+            held = true;
+            thread::sleep(Duration::from_millis(5));
+        }
+        held
+    }
+
+    /// One side has ended its sending: the other hears of it behind all bytes, and may go on with its own.
+    fn pass_end(&self, to: &TcpStream, round: usize) {
+        self.hold(round);
+        match self.fault() {
+            Fault::Delay(d) => thread::sleep(d),
+            Fault::Drop => return,
+            _ => {}
+        }
+        let _ = to.shutdown(Shutdown::Write);
+    }
+}
+
+/// Has the peer reset the connection?
+fn was_reset(tcp: &TcpStream) -> bool {
+    match tcp.peek(&mut [0]) {
+        Ok(_) => false,
+        Err(e) => !matches!(e.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut),
+    }
 }
 
 #[cfg(test)]
--- a/crates/rig/src/run.rs
+++ b/crates/rig/src/run.rs
@@ -435,7 +435,8 @@
     loop {
         let effects: Vec<_> = stage.members.iter().flat_map(Endpoint::effects).collect();
         let told = [lock(&stage.registry.notices), said.clone()].concat();
-        let found = audit(&sent, &effects, &told, once);
+        let attempts: Vec<_> = stage.members.iter().flat_map(Endpoint::attempts).collect();
+        let found = audit(&sent, &effects, &attempts, &told, once);
         if found.lost.is_empty() || settled.elapsed() > SETTLE_MOST {
             return found;
         }
--- a/tests/moves.rs
+++ b/tests/moves.rs
@@ -300,12 +300,12 @@
     let start = Instant::now();
     // Until all that was taken has an end, or longer than any of it may be delivered.
     while start.elapsed() < Duration::from_secs(25)
-        && !audit(&sent, &member.effects(), &mesh.notices.lines(), once).lost.is_empty()
+        && !audit(&sent, &member.effects(), &member.attempts(), &mesh.notices.lines(), once).lost.is_empty()
     {
         thread::sleep(Duration::from_millis(50));
     }
     thread::sleep(Duration::from_millis(200));
-    let audit = audit(&sent, &member.effects(), &mesh.notices.lines(), once);
+    let audit = audit(&sent, &member.effects(), &member.attempts(), &mesh.notices.lines(), once);
     Outcome { audit, sent, moved, back, killed, stood, flood }
 }
 
--- /dev/null
+++ b/tests/overlaps.rs
@@ -0,0 +1,180 @@
+//! No two attempts of one message are out at once in the eyes of their endpoints: an attempt is over when its endpoint has seen
+//! its end, not when the dispatcher has decided it. The endpoints judge, to the microsecond and for each class.
+
+mod stand;
+use lilacbank::api::{Listing, Ms, Outcome};
+use lilacbank::config::{Config, Worker as Listed, WorkerList};
+use lilacbank::dispatch::{Core, Delegation, End, Order, Parts, Submission};
+use lilacbank::journal::Journal;
+use lilacbank_load::attempts::{overlapping, Attempt, EndedBy};
+use lilacbank_load::connection_fault::{ConnectionFault, FaultPlan};
+use lilacbank_load::member::{Endpoint, Manner};
+use lilacbank_rig::{Fault, Proxy};
+use stand::*;
+use std::net::SocketAddr;
+use std::thread;
+use std::time::Duration;
+
+/// Classes that may be repeated.
+const CLASSES: [&str; 2] = ["safe", "order"];
+/// Clients that hand in one message after another.
+const CLIENTS: usize = 8;
+
+fn manner(service_ms: u64) -> Manner {
+    Manner { service: Duration::from_millis(service_ms), at_once: 64, queue: 256 }
+}
+
+/// A dispatcher in front of these endpoints of one destination.
+fn serve(addresses: &[SocketAddr]) -> (Site, Dispatcher) {
+    let entries: Vec<String> = addresses
+        .iter()
+        .enumerate()
+        .map(|(n, at)| entry(&format!("w{n}"), &at.to_string(), "a", 1, "in_service"))
+        .collect();
+    let site = Site::new(&entries);
+    let dispatcher = site.start();
+    (site, dispatcher)
+}
+
+/// Clients hand so many messages in, one each `gap`.
+fn hand_in(address: SocketAddr, count: usize, gap: Duration) {
+    let clients: Vec<_> = (0..CLIENTS)
+        .map(|who| {
+            thread::spawn(move || {
+                let mut client = Client::connect(address);
+                for n in 0..count / CLIENTS {
+                    let (id, class) = (format!("m{who}-{n}"), CLASSES[n % CLASSES.len()]);
+                    let key = format!("{:x}", who * count + n + 1);
+                    let said = client.keyed(&key, &id, &format!("c={class},d=5000,k={id},dest=1"));
+                    assert!(said.starts_with('+') || said.starts_with("-BUSY"), "{said}");
+                    thread::sleep(gap);
+                }
+            })
+        })
+        .collect();
+    clients.into_iter().for_each(|c| c.join().unwrap());
+}
+
+/// All attempts of these endpoints, once nothing has come for a while.
+fn attempts(endpoints: &[Endpoint]) -> Vec<Attempt> {
+    let all = || -> Vec<Attempt> { endpoints.iter().flat_map(Endpoint::attempts).collect() };
+    let mut seen = all().len();
+    loop {
+        thread::sleep(Duration::from_millis(800));
+        let now = all();
+        if now.len() == seen {
+            return now;
+        }
+        seen = now.len();
+    }
+}
+
+fn assert_one_at_a_time(attempts: &[Attempt]) {
+    let found = overlapping(attempts, |id| Some(id.to_string()));
+    assert!(found.is_empty(), "{} of {} attempts: {found:#?}", found.len(), attempts.len());
+}
+
+fn ended_by(attempts: &[Attempt], by: EndedBy) -> usize {
+    attempts.iter().filter(|a| a.ended.is_some_and(|(_, who)| who == by)).count()
+}
+
+/// Two endpoints whose connections meet this fault at one request in six, the second one behind a longer path.
+struct Faulty {
+    endpoints: Vec<Endpoint>,
+    long: Proxy,
+}
+
+impl Faulty {
+    fn new(fault: ConnectionFault) -> Faulty {
+        let endpoints: Vec<Endpoint> = (0..2).map(|_| Endpoint::start(manner(25)).unwrap()).collect();
+        let plan = FaultPlan { faults: vec![fault], one_in: 6, read_later: Duration::from_millis(10) };
+        endpoints.iter().for_each(|e| e.set_faults(Some(plan.clone())));
+        let long = Proxy::start(endpoints[1].address).unwrap();
+        long.set(Fault::Delay(Duration::from_millis(10)));
+        Faulty { endpoints, long }
+    }
+
+    /// The attempts of 400 messages.
+    fn play(&self) -> Vec<Attempt> {
+        let (_site, dispatcher) = serve(&[self.endpoints[0].address, self.long.address]);
+        hand_in(dispatcher.address(), 400, Duration::from_millis(8));
+        attempts(&self.endpoints)
+    }
+}
+
+/// Guards against a next attempt in the moment in which the endpoint ends its sending: while it still reads the last request, or
+/// in the middle of a call, which goes on.
+#[test]
+fn an_endpoint_that_ends_its_sending_has_one_attempt_of_a_message_at_a_time() {
+    for fault in [ConnectionFault::HalfCloseAsCallCrosses, ConnectionFault::HalfCloseInCall] {
+        let attempts = Faulty::new(fault).play();
+        assert!(ended_by(&attempts, EndedBy::Caller) > 20, "{fault:?}: {}", attempts.len());
+        assert_one_at_a_time(&attempts);
+    }
+}
+
+/// Guards against a reset in the middle of a call that the dispatcher hears of before its endpoint has seen it.
+#[test]
+fn endpoints_that_reset_calls_have_one_attempt_at_a_time() {
+    let attempts = Faulty::new(ConnectionFault::ResetInCall).play();
+    assert!(ended_by(&attempts, EndedBy::Endpoint) > 20, "{}", ended_by(&attempts, EndedBy::Endpoint));
+    assert_one_at_a_time(&attempts);
+}
+
+/// A core of the tests' settings with two endpoints.
+fn core(name: &str) -> Core {
+    let text = lilacbank_rig::config::platform("n0", "0a", 3.0, 1, 1_000, "\"127.0.0.1:1\"");
+    let env = |key: &str| match key {
+        "ROUTER_STATE" => Some("unused".to_string()),
+        "ROUTER_LISTEN" => Some("127.0.0.1:0".to_string()),
+        _ => None,
+    };
+    let config = Config::reread(&text, &env).unwrap();
+    let dir = std::env::temp_dir().join(format!("lilacbank-overlaps-{name}-{}", std::process::id()));
+    let (journal, _) = Journal::open(&dir, 1 << 20).unwrap();
+    std::fs::remove_dir_all(dir).unwrap();
+    let (settings, names) = (config.settings, config.names);
+    let (promises, once, cells) = (Vec::new(), Vec::new(), Vec::new());
+    let mut core = Core::new(Parts { settings, names, journal, promises, once, cells, mesh: None });
+    let listed = |uid: &str| {
+        let (uid, address, listing) = (uid.to_string(), "127.0.0.1:1".to_string(), Listing::Ready);
+        Listed { uid, address, zone: 0, kind: 0, dest: 1, listing, weight: 1.0 }
+    };
+    let workers = vec![listed("w0"), listed("w1")];
+    core.list(0.0, WorkerList { rev: 1, whole: true, workers }, false);
+    core
+}
+
+fn submit(core: &mut Core, now: Ms, id: &str, class: &str) {
+    let identity = (String::new(), id.to_string());
+    let (class, idempotency) = (class.to_string(), id.to_string());
+    core.submit(now, 2, Submission { identity, class, idempotency, dest: 1, ..Submission::default() });
+}
+
+fn delegated(orders: Vec<Order>) -> Option<Delegation> {
+    orders.into_iter().find_map(|o| if let Order::Delegate(d) = o { Some(d) } else { None })
+}
+
+/// Guards against a next attempt in the turn in which the last one is broken off: its request may have been written a moment
+/// before, as its connection came up late.
+#[test]
+fn the_next_attempt_waits_until_the_wire_has_told_the_end_of_the_last() {
+    let mut core = core("broken-off");
+    submit(&mut core, 10.0, "a", "safe");
+    let turns = |core: &mut Core, from: u32, until: u32| {
+        (from..until).find_map(|now| delegated(core.turn(Ms::from(now))))
+    };
+    let first = turns(&mut core, 10, 500).unwrap();
+    let (mut now, mut orders) = (500, Vec::new());
+    while !orders.iter().any(|o| matches!(o, Order::Abandon { .. })) {
+        core.written(Ms::from(now), first.no, first.attempt);
+        orders = core.turn(Ms::from(now));
+        now += 1;
+        assert!(now < 5_000, "it is called off");
+    }
+    assert!(delegated(orders).is_none(), "in the same turn");
+    assert!(turns(&mut core, now, now + 900).is_none(), "while its end is not told");
+    core.outcome(Ms::from(now + 900), first.no, first.attempt, End::of(Outcome::Cancelled));
+    let next = turns(&mut core, now + 900, now + 1_400).expect("once its end is told");
+    assert_eq!((next.no, next.attempt), (first.no, 1));
+}
--- a/tests/together.rs
+++ b/tests/together.rs
@@ -82,15 +82,11 @@
     let ended = || {
         // The member keeps ids in the order of their effects; times beyond that order do not matter for keys of one.
         let now = std::time::Instant::now();
-        let effects: Vec<Effect> = effects
-            .lock()
-            .unwrap()
-            .iter()
-            .map(|id| Effect { id: id.clone(), began: now, at: now, left: None, ended: None })
-            .collect();
+        let effects: Vec<Effect> =
+            effects.lock().unwrap().iter().map(|id| Effect { id: id.clone(), began: now, at: now }).collect();
         let told: Vec<String> =
             sites.iter().flat_map(|s| s.platform.notices.lock().unwrap().clone()).collect();
-        audit(&sent, &effects, &told, |key| key % 2 == 1)
+        audit(&sent, &effects, &[], &told, |key| key % 2 == 1)
     };
     let start = std::time::Instant::now();
     while !ended().lost.is_empty() && start.elapsed() < Duration::from_secs(40) {
