--- a/crates/faults/src/schedule.rs
+++ b/crates/faults/src/schedule.rs
@@ -15,6 +15,8 @@
     Accept,
     /// New connections cannot be made.
     Connect,
+    /// New connections come up late.
+    Late,
     /// Calls are interrupted by signals.
     Interrupt,
     /// Reads and writes on sockets move few bytes.
@@ -192,11 +194,13 @@
         "eio" => Kind::Io,
         "accept" => Kind::Accept,
         "connect" => Kind::Connect,
+        "late" => Kind::Late,
         "eintr" => Kind::Interrupt,
         "short" => Kind::Short,
         "halt" => Kind::Halt,
         _ => {
-            return wrong("the kind is one of clock, enospc, eio, accept, connect, eintr, short, halt, fail")
+            let kinds = "clock, enospc, eio, accept, connect, late, eintr, short, halt, fail";
+            return wrong(&format!("the kind is one of {kinds}"));
         }
     };
     let Some(argument) = number(argument) else { return wrong(NOT_NUMBERS) };
--- a/crates/faults/src/sockets.rs
+++ b/crates/faults/src/sockets.rs
@@ -1,7 +1,7 @@
 //! Functions on sockets, pipes and the poll.
 
 use crate::schedule::{Call, Kind};
-use crate::{active, fail, failure, halt, interrupted, schedule, shortened};
+use crate::{active, fail, failure, halt, interrupted, late, schedule, shortened};
 use libc::{c_int, c_void, size_t, sockaddr, socklen_t, ssize_t};
 
 /// # Safety
@@ -63,6 +63,9 @@
     if let Some(error) = error {
         return fail(error);
     }
+    if late::begin(fd, address, length) {
+        return fail(libc::EINPROGRESS);
+    }
     libc::syscall(libc::SYS_connect, fd, address, length) as c_int
 }
 
--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -1,6 +1,7 @@
 //! One dispatcher of a scenario: its processes one after the other (or two beside each other), its folder, and the damage
 //! that is done to it.
 
+use crate::scenario::Signal;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use std::io::{BufRead, BufReader, Write};
@@ -141,6 +142,14 @@
         Ok(())
     }
 
+    /// Sends it signals one after another.
+    pub(crate) fn signals(&self, series: &[Signal], gap: Duration) {
+        for s in series {
+            self.child.iter().for_each(|c| signal(c, s.option()));
+            thread::sleep(gap);
+        }
+    }
+
     /// Asks it to write its counters to its log.
     pub(crate) fn count(&self) {
         self.child.iter().for_each(|c| signal(c, "-USR1"));
--- a/crates/rig/src/rude.rs
+++ b/crates/rig/src/rude.rs
@@ -66,6 +66,30 @@
     visits.into_inner().unwrap_or_else(|e| e.into_inner())
 }
 
+/// Between two looks of the crowd at its connections.
+const CROWD_LOOK: Duration = Duration::from_millis(250);
+
+/// So many idle clients stay at each dispatcher until the end; one whose connection has ended comes again.
+pub(crate) fn crowd(dispatchers: &[Address], each: usize, end: Instant) {
+    let mut clients: Vec<(usize, Option<TcpStream>)> =
+        (0..dispatchers.len() * each).map(|n| (n % dispatchers.len(), None)).collect();
+    while Instant::now() < end {
+        for (dispatcher, client) in &mut clients {
+            if client.as_ref().is_some_and(is_open) {
+                continue;
+            }
+            let at = *dispatchers[*dispatcher].lock().unwrap_or_else(|e| e.into_inner());
+            *client = at.and_then(|at| TcpStream::connect_timeout(&at, CROWD_LOOK).ok());
+            client.iter().for_each(|c| drop(c.set_nonblocking(true)));
+        }
+        thread::sleep(CROWD_LOOK);
+    }
+}
+
+fn is_open(client: &TcpStream) -> bool {
+    matches!(client.peek(&mut [0]), Err(e) if e.kind() == std::io::ErrorKind::WouldBlock)
+}
+
 fn command(id: &str) -> Vec<u8> {
     let parts = ["SUBMIT", "0", id, "c=safe,t=acme,d=2000,dest=1", "x"];
     let parts: String = parts.iter().map(|p| format!("${}\r\n{p}\r\n", p.len())).collect();
--- a/crates/rig/src/run.rs
+++ b/crates/rig/src/run.rs
@@ -8,6 +8,7 @@
 use crate::{config, room, rude, soak, Fault, Proxy, Registry};
 use lilacbank_load::arrivals::{poisson, Intended, Stream};
 use lilacbank_load::client::{drive, hand_in_again, Door, Habits, Handed, Route};
+use lilacbank_load::connection_fault::FaultPlan;
 use lilacbank_load::keyed::{audit, Audit, Sent};
 use lilacbank_load::member::{Endpoint, Limit, Manner};
 use rustix::time::{clock_gettime, ClockId};
@@ -32,9 +33,18 @@
 /// The wait that a member over its limit tells.
 const LIMIT_WAIT: Duration = Duration::from_millis(300);
 
+/// Of the requests at an endpoint that ends its connections one in so many meets such an end,
+const CONNECTION_FAULT_ONE_IN: usize = 4;
+/// and is read so much later, where it crosses the end.
+const READ_LATER: Duration = Duration::from_millis(15);
+/// Between two signals of a series.
+const SIGNAL_GAP: Duration = Duration::from_millis(30);
+
 /// What stands round the dispatchers of a play.
 struct Stage {
     members: Vec<Endpoint>,
+    /// Endpoints of each member.
+    each: usize,
     registry: Registry,
     /// For each dispatcher: the registry as it sees it, the proxy before it, and one before each member.
     paths: Vec<(Registry, Proxy, Vec<Proxy>)>,
@@ -71,7 +81,7 @@
         let m = &scenario.member;
         let manner =
             Manner { service: Duration::from_millis(m.service_ms), at_once: m.at_once, queue: m.queue };
-        let members = (0..m.count)
+        let members = (0..m.count * m.each)
             .map(|_| Endpoint::limited(manner.clone(), limit_of(scenario)))
             .collect::<std::io::Result<Vec<_>>>()?;
         let registry = Registry::start(&[])?;
@@ -80,7 +90,7 @@
         for n in 0..scenario.dispatchers {
             let proxies =
                 members.iter().map(|e| Proxy::start(e.address)).collect::<std::io::Result<Vec<_>>>()?;
-            let seen = registry.beside(&entries(&proxies))?;
+            let seen = registry.beside(&entries(&proxies, m.each))?;
             let to_registry = Proxy::start(seen.address)?;
             paths.push((seen, to_registry, proxies));
             let (name, dir) = (format!("n{n}"), folder.join(format!("n{n}")));
@@ -100,6 +110,7 @@
         Ok(Stage {
             mates,
             members,
+            each: m.each,
             registry,
             paths,
             processes,
@@ -180,7 +191,10 @@
             }
             for (_, to_registry, to_members) in (0..self.paths.len()).filter(of).map(|n| &self.paths[n]) {
                 match path {
-                    PathName::Member => to_members.iter().for_each(|p| p.set(fault)),
+                    PathName::Member => {
+                        let named = |n: &usize| step.members.is_empty() || step.members.contains(n);
+                        (0..to_members.len()).filter(named).for_each(|n| to_members[n].set(fault));
+                    }
                     PathName::Registry => to_registry.set(fault),
                     PathName::Mate => {}
                 }
@@ -198,10 +212,14 @@
                 }
             }
         }
+        self.play_connections(step);
+        for &d in step.of.iter().filter(|_| !step.signals.is_empty()) {
+            self.processes[d].signals(&step.signals, SIGNAL_GAP);
+        }
         for (seen, _, proxies) in &self.paths {
             match step.registry {
-                Some(RegistryStep::Change) => entries(proxies).iter().for_each(|e| seen.push(e)),
-                Some(RegistryStep::Older) => seen.set_back(Some((1, &entries(proxies)))),
+                Some(RegistryStep::Change) => entries(proxies, self.each).iter().for_each(|e| seen.push(e)),
+                Some(RegistryStep::Older) => seen.set_back(Some((1, &entries(proxies, self.each)))),
                 Some(RegistryStep::Newest) => seen.set_back(None),
                 None => {}
             }
@@ -212,6 +230,28 @@
         }
         self.start(&step.start, program, step);
     }
+
+    /// What endpoints do to their connections, and which of them drain.
+    fn play_connections(&self, step: &Step) {
+        let named = |n: &usize| step.members.is_empty() || step.members.contains(n);
+        for n in (0..self.members.len()).filter(named) {
+            if let Some(faults) = &step.connections {
+                let plan = FaultPlan {
+                    faults: faults.clone(),
+                    one_in: CONNECTION_FAULT_ONE_IN,
+                    read_later: READ_LATER,
+                };
+                self.members[n].set_faults(Some(plan).filter(|p| !p.faults.is_empty()));
+            }
+            if let Some(drains) = step.drain {
+                let state = if drains { "terminating" } else { "in_service" };
+                let tell = |(seen, _, proxies): &(Registry, Proxy, Vec<Proxy>)| {
+                    seen.push(&entry_of(proxies, n, self.each, state));
+                };
+                self.paths.iter().for_each(tell);
+            }
+        }
+    }
 }
 
 /// What loads the faults into a dispatcher's processes; the time of the schedule begins now.
@@ -258,12 +298,15 @@
     Ok(proxies)
 }
 
-/// The list as one dispatcher sees it: a destination of its own for each member, from 1.
-fn entries(proxies: &[Proxy]) -> Vec<String> {
-    let entry = |(n, p): (usize, &Proxy)| {
-        crate::entry(&format!("w{}", n + 1), &p.address.to_string(), "a", n as u64 + 1, "in_service")
-    };
-    proxies.iter().enumerate().map(entry).collect()
+/// The list as one dispatcher sees it: a destination of its own for each member, from 1, with so many endpoints.
+fn entries(proxies: &[Proxy], each: usize) -> Vec<String> {
+    (0..proxies.len()).map(|n| entry_of(proxies, n, each, "in_service")).collect()
+}
+
+/// The `n`th endpoint's entry.
+fn entry_of(proxies: &[Proxy], n: usize, each: usize, state: &str) -> String {
+    let (address, dest) = (proxies[n].address.to_string(), (n / each) as u64 + 1);
+    crate::entry(&format!("w{}", n + 1), &address, "a", dest, state)
 }
 
 /// The load's streams: for each dispatcher and class one for each member, then those of a surge, if there is one.
@@ -335,6 +378,10 @@
     let (handed, again, rude, over_disk) = thread::scope(|scope| {
         let room = scope.spawn(|| room::over_limit(&states, limit, &played));
         let end = start + Duration::from_millis(scenario.run_ms);
+        let crowd = (scenario.crowd > 0).then(|| {
+            let addresses = addresses.clone();
+            scope.spawn(move || rude::crowd(&addresses, scenario.crowd, end))
+        });
         let rude =
             scenario.rude.then(|| scope.spawn(move || rude::visit(scenario.seed, &addresses, start, end)));
         let load = scope.spawn(|| {
@@ -378,6 +425,7 @@
         }
         let again: Vec<_> = again.into_iter().flat_map(|h| h.join().unwrap_or_default()).collect();
         let rude = rude.and_then(|r| r.join().ok()).unwrap_or_default();
+        crowd.into_iter().for_each(|c| drop(c.join()));
         let handed = load.join().unwrap_or_default();
         played.store(true, Ordering::Relaxed);
         (handed, again, rude, room.join().unwrap_or_default())
--- a/crates/rig/src/scenario.rs
+++ b/crates/rig/src/scenario.rs
@@ -1,6 +1,7 @@
 //! A scenario of the rig: how many dispatchers, the member, the load, and a timeline of faults. TOML, read with serde
 //! and checked in one place; a fault names the file, line and key and says what to do.
 
+use lilacbank_load::connection_fault::ConnectionFault;
 use serde::Deserialize;
 use std::path::Path;
 
@@ -71,6 +72,9 @@
     pub member: Member,
     /// Messages handed in.
     pub load: Load,
+    /// Idle clients at each dispatcher, which stay and hand in nothing.
+    #[serde(skip)]
+    pub crowd: usize,
     /// Clients that misbehave come all the time, drawn from the seed; see `crate::rude`.
     #[serde(skip)]
     pub rude: bool,
@@ -107,6 +111,9 @@
     /// How many there are; the load is spread evenly over them.
     #[serde(default = "one")]
     pub count: usize,
+    /// Endpoints of each, every one with paths of its own: those of the first member, then those of the second, and so on.
+    #[serde(skip, default = "one")]
+    pub each: usize,
     /// Calls a second that each takes of all dispatchers together; beyond them it answers 429 with a wait. Without it
     /// there is no limit, no cold return and no fall.
     #[serde(default)]
@@ -268,6 +275,37 @@
     /// What the registry tells from now on.
     #[serde(default)]
     pub registry: Option<RegistryStep>,
+    /// What the endpoints named in `members` (all where none is named) do to their connections from now on; nothing if empty.
+    #[serde(skip)]
+    pub connections: Option<Vec<ConnectionFault>>,
+    /// The registry tells of the endpoints named in `members` (all where none is named) that they drain, or serve again.
+    #[serde(skip)]
+    pub drain: Option<bool>,
+    /// Signals that the dispatchers named in `of` get one after another, this many milliseconds apart.
+    #[serde(skip)]
+    pub signals: Vec<Signal>,
+}
+
+/// A signal of a series.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Signal {
+    /// Read the configuration again.
+    Hangup,
+    /// Write the counters to the log.
+    Count,
+    /// Leave.
+    Terminate,
+}
+
+impl Signal {
+    /// The option of `kill`.
+    pub(crate) fn option(self) -> &'static str {
+        match self {
+            Signal::Hangup => "-HUP",
+            Signal::Count => "-USR1",
+            Signal::Terminate => "-TERM",
+        }
+    }
 }
 
 /// Line of a byte of the text, from 1.
--- a/crates/rig/src/soak.rs
+++ b/crates/rig/src/soak.rs
@@ -3,7 +3,10 @@
 //! A trouble is a few steps of a timeline, or a span in the schedule of failing system calls of some dispatchers
 //! (`crates/faults`). All are over a while before the load ends, so that what was taken on has to get its end.
 
-use crate::scenario::{FaultName, Faults, Load, Member, MemberStep, PathName, RegistryStep, Scenario, Step};
+use crate::scenario::{
+    FaultName, Faults, Load, Member, MemberStep, PathName, RegistryStep, Scenario, Signal, Step, Surge,
+};
+use lilacbank_load::connection_fault::CONNECTION_FAULTS;
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
@@ -35,6 +38,20 @@
 const FAILS_MOST: u64 = 1_000;
 /// A killed process starts again no sooner.
 const DOWN_LEAST: u64 = 600;
+/// SIGKILL comes so long behind SIGTERM: as early as the platform may.
+const KILL_AFTER: u64 = 3_700;
+/// A process that was stopped has this behind it, with its kill and the next start.
+const STOP_SPAN: u64 = KILL_AFTER + DOWN_LEAST + 200;
+/// Endpoints of each member,
+const ENDPOINTS_EACH: usize = 2;
+/// and members.
+const MEMBERS: usize = 2;
+/// Milliseconds that a call takes at the endpoints of a play, drawn from these.
+const SERVICE_MS: [u64; 3] = [5, 20, 45];
+/// One play in so many has a crowd: that many times the load in its middle, and idle clients at each dispatcher.
+const CROWD_EACH: u64 = 4;
+const CROWD_TIMES: f64 = 5.0;
+const CROWD_IDLE: usize = 60;
 /// Messages may be delivered for so long: many times are up within a play.
 const DEADLINE: u64 = 4_000;
 const HOUR_MS: i64 = 3_600_000;
@@ -46,8 +63,16 @@
 enum Trouble {
     Kill,
     Stop,
+    /// The same within a series of signals.
+    Signals,
     Upgrade,
     Reload,
+    /// Endpoints end, reset or forget connections.
+    Connections,
+    /// Endpoints drain, and serve again.
+    Drain,
+    /// The path to one endpoint of each member is longer than the others.
+    LongPath,
     MemberPath(FaultName),
     RegistryPath(FaultName),
     MemberDown,
@@ -58,7 +83,19 @@
     Fails(&'static str),
 }
 
-const TROUBLES: [Trouble; 31] = [
+const TROUBLES: [Trouble; 43] = [
+    Trouble::Signals,
+    Trouble::Connections,
+    Trouble::Connections,
+    Trouble::Connections,
+    Trouble::Connections,
+    Trouble::Drain,
+    Trouble::Drain,
+    Trouble::LongPath,
+    Trouble::LongPath,
+    Trouble::Calls("late"),
+    Trouble::Calls("late"),
+    Trouble::Calls("late"),
     Trouble::Kill,
     Trouble::Kill,
     Trouble::Stop,
@@ -119,6 +156,10 @@
         at += draw.random.random_range(1..2 * gap.max(2));
     }
     let schedules = draw.schedules.iter().map(|s| s.join("; ")).collect();
+    let service_ms = SERVICE_MS[draw.random.random_range(0..SERVICE_MS.len())];
+    let crowded = spec.seed.is_multiple_of(CROWD_EACH);
+    let (from_ms, until_ms) = (spec.run_ms / 3, spec.run_ms / 2);
+    let surge = crowded.then_some(Surge { from_ms, until_ms, times: CROWD_TIMES });
     Scenario {
         seed: spec.seed,
         dispatchers: spec.dispatchers,
@@ -128,12 +169,17 @@
         recovery: false,
         replication: false,
         ack: false,
-        member: Member { service_ms: 5, at_once: 32, queue: 256, count: 2, per_second: None, cold_ms: 1_000 },
-        load: Load {
-            per_second: 12.0,
-            classes: vec!["safe".into(), "order".into(), "pay".into()],
-            surge: None,
+        member: Member {
+            service_ms,
+            at_once: 32,
+            queue: 256,
+            count: MEMBERS,
+            each: ENDPOINTS_EACH,
+            per_second: None,
+            cold_ms: 1_000,
         },
+        load: Load { per_second: 12.0, classes: vec!["safe".into(), "order".into(), "pay".into()], surge },
+        crowd: if crowded { CROWD_IDLE } else { 0 },
         rude: true,
         deadline_ms: Some(DEADLINE),
         faults: spec.library.clone().map(|library| Faults { library, schedules }),
@@ -163,6 +209,13 @@
         which
     }
 
+    /// The kill behind SIGTERM, and the next start.
+    fn kill_and_start(&mut self, which: Vec<usize>, at: u64) {
+        let step = |ms: u64| Step { ms, ..Step::default() };
+        self.steps.push(Step { kill: which.clone(), ..step(at + KILL_AFTER) });
+        self.steps.push(Step { start: which, spread_ms: 100, ..step(at + KILL_AFTER + DOWN_LEAST) });
+    }
+
     fn all(&self) -> Vec<usize> {
         (0..self.busy_until.len()).collect()
     }
@@ -177,10 +230,38 @@
                 self.steps.extend([kill, Step { start: which, spread_ms: 50, ..step(down) }]);
             }
             Trouble::Stop => {
-                // A process that was told to leave has 3.7 s.
-                let which = self.free(at, at + 4_500);
-                let stop = Step { term: which.clone(), ..step(at) };
-                self.steps.extend([stop, Step { start: which, spread_ms: 100, ..step(at + 3_800) }]);
+                let which = self.free(at, at + STOP_SPAN);
+                self.steps.push(Step { term: which.clone(), ..step(at) });
+                self.kill_and_start(which, at);
+            }
+            Trouble::Signals => {
+                use Signal::{Count, Hangup, Terminate};
+                let which = self.free(at, at + STOP_SPAN);
+                let signals = vec![Hangup, Count, Hangup, Terminate, Hangup, Terminate, Count];
+                self.steps.push(Step { signals, of: which.clone(), ..step(at) });
+                self.kill_and_start(which, at);
+            }
+            Trouble::Connections => {
+                let members = self.some((0..MEMBERS * ENDPOINTS_EACH).collect());
+                let mut faults = CONNECTION_FAULTS.to_vec();
+                faults.shuffle(&mut self.random);
+                let begin = Step { connections: Some(faults), members: members.clone(), ..step(at) };
+                self.steps.extend([begin, Step { connections: Some(Vec::new()), members, ..step(until) }]);
+            }
+            Trouble::Drain => {
+                let members = vec![self.random.random_range(0..MEMBERS * ENDPOINTS_EACH)];
+                let tell = |ms, drains| Step { drain: Some(drains), members: members.clone(), ..step(ms) };
+                self.steps.extend([tell(at, true), tell(until, false)]);
+            }
+            Trouble::LongPath => {
+                let path = Some(PathName::Member);
+                let (of, members) = (self.some(self.all()), vec![0, ENDPOINTS_EACH]);
+                let delay_ms = Some(self.random.random_range(10..120));
+                let fault = Some(FaultName::Delay);
+                let begin =
+                    Step { fault, path, of: of.clone(), members: members.clone(), delay_ms, ..step(at) };
+                let end = Step { fault: Some(FaultName::Pass), path, of, members, ..step(until) };
+                self.steps.extend([begin, end]);
             }
             Trouble::Upgrade => {
                 let which = self.free(at, at + 4_500);
@@ -200,7 +281,7 @@
                 self.steps.extend([begin, Step { fault: Some(FaultName::Pass), path, of, ..step(until) }]);
             }
             Trouble::MemberDown => {
-                let members = vec![self.random.random_range(0..2)];
+                let members = vec![self.random.random_range(0..MEMBERS * ENDPOINTS_EACH)];
                 let event = |ms, what| Step { member: Some(what), members: members.clone(), ..step(ms) };
                 self.steps.extend([event(at, MemberStep::Down), event(until, MemberStep::Up)]);
             }
@@ -268,7 +349,7 @@
     for fault in schedule.iter().flat_map(|s| s.split(';')) {
         if let [kind, from, until, ..] = fault.split_whitespace().collect::<Vec<_>>().as_slice() {
             // Without an open folder no process starts; in a stop of connections no notice goes out.
-            if ["connect", "eio", "fail"].contains(kind) {
+            if ["connect", "late", "eio", "fail"].contains(kind) {
                 spans.extend(from.parse().ok().zip(until.parse().ok()));
             }
         }
@@ -349,7 +430,7 @@
             let (a, b) = (scenario(&spec), scenario(&spec));
             assert_eq!(format!("{a:?}"), format!("{b:?}"));
             assert!(a.steps.len() + a.faults.iter().flat_map(|f| &f.schedules).count() > 4);
-            let paths = |s: &Step| (s.path.map(|p| p as usize), s.of.clone());
+            let paths = |s: &Step| (s.path.map(|p| p as usize), s.of.clone(), s.members.clone());
             let mut cut = std::collections::BTreeSet::new();
             for step in a.timeline().iter().filter(|s| s.fault.is_some()) {
                 match step.fault {
--- a/src/api.rs
+++ b/src/api.rs
@@ -294,13 +294,27 @@
     pub heard: bool,
     /// Nothing of it went out, for a reason on this side: it does not count among the message's attempts.
     pub unspent: bool,
+    /// For so long the message goes nowhere else: the endpoint may not count the attempt as over yet.
+    pub rest: Ms,
 }
 
 impl Ended {
     /// An end of which nothing more is known: at once, no wait, no report, nothing of an answer.
     pub fn of(id: MsgId, attempt: u32, route: RouteId, outcome: Outcome) -> Ended {
-        let (took, over, wait, heard, unspent) = (0.0, false, 0.0, false, false);
-        Ended { id, attempt, route, outcome, took, over, wait, report: Report::default(), heard, unspent }
+        let (took, over, wait, heard, unspent, rest) = (0.0, false, 0.0, false, false, 0.0);
+        Ended {
+            id,
+            attempt,
+            route,
+            outcome,
+            took,
+            over,
+            wait,
+            report: Report::default(),
+            heard,
+            unspent,
+            rest,
+        }
     }
 }
 
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -446,19 +446,20 @@
         if over {
             self.forget(e.id);
         } else if !e.outcome.never_ran() {
-            self.after_run(now, e.id, &flight, out);
+            self.after_run(now, e, &flight, out);
         }
     }
 
     /// What follows an attempt that may have run: further attempts out of the retry budget, or the end. An
-    /// empty budget delays them, so that failures set off no storm.
-    fn after_run(&mut self, now: Ms, id: MsgId, flight: &Flight, out: &mut Vec<Action>) {
-        if self.last_send(&self.held[&id]) <= now {
-            return self.give_up(now, id, out);
+    /// empty budget delays them, so that failures set off no storm. While an endpoint may not know of the end, none follows.
+    fn after_run(&mut self, now: Ms, e: &Ended, flight: &Flight, out: &mut Vec<Action>) {
+        if self.last_send(&self.held[&e.id]) <= now + e.rest {
+            return self.give_up(now, e.id, out);
         }
         self.retry.level -= 1.0;
-        let not_before = now + (-self.retry.level).max(0.0) * 1000.0 / RETRY_DRIP;
-        self.held.entry(id).and_modify(|h| {
+        let drip = (-self.retry.level).max(0.0) * 1000.0 / RETRY_DRIP;
+        let not_before = now + drip.max(e.rest);
+        self.held.entry(e.id).and_modify(|h| {
             h.failed_over |= flight.watchdog || h.cancelled;
             (h.cancelled, h.not_before) = (false, not_before);
         });
--- a/src/dispatch/admit.rs
+++ b/src/dispatch/admit.rs
@@ -5,6 +5,7 @@
 use super::{Call, Core, Frozen, Known, Once, Ticket, Verdict};
 use crate::api::*;
 use crate::config::place;
+use crate::guard::CONFIRM_INHERITED;
 use crate::journal::{CallNo, Ending, Identity, Record, Sent, Taken};
 use std::collections::BTreeMap;
 
@@ -262,6 +263,9 @@
                 }
                 _ => None,
             };
+            if cut_off {
+                self.unconfirmed.inherit(no, now + CONFIRM_INHERITED);
+            }
             self.hold_again(now, call);
             self.tell(no);
         }
--- a/src/dispatch/book.rs
+++ b/src/dispatch/book.rs
@@ -62,7 +62,7 @@
         let doubtful = c.unheard.is_some();
         if ending == Ending::Delivered && !doubtful {
             // The next of its key may go, though its client has not confirmed that it heard.
-            self.order.leave(&c.taken);
+            self.order.leave(no, c.taken.key);
         }
         self.note(&Record::Ended { no, ending });
         self.copy_answered(no);
@@ -125,7 +125,10 @@
     /// A call is held no more.
     pub(super) fn take_out(&mut self, now: Ms, no: CallNo) -> Option<Call> {
         let c = self.calls.remove(&no)?;
-        self.order.leave(&c.taken);
+        // Guards against the next of its key beside an attempt of it whose endpoint does not know of the end yet.
+        if !self.unconfirmed.is_over(no) {
+            self.order.leave(no, c.taken.key);
+        }
         self.backlog.remove(no);
         self.live_bytes -= c.size;
         if c.ending.is_none() {
--- a/src/dispatch/copying.rs
+++ b/src/dispatch/copying.rs
@@ -418,7 +418,7 @@
         let Some(no) = self.call_named(name) else { return };
         self.stands_still(no, false);
         if let Some(attempt) = self.calls.get(&no).and_then(|c| Some(c.out.as_ref()?.attempt)) {
-            self.cancel(now, no, attempt);
+            self.cancel_at_once(now, no, attempt);
         }
         let Some(call) = self.take_out(now, no) else { return };
         log::info!(id = call.taken.identity.1.as_str(); "{} is another dispatcher's now", call.taken.identity.1);
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -25,6 +25,7 @@
 mod seats;
 mod send;
 mod take_in;
+mod unconfirmed;
 mod waits;
 
 use crate::api::*;
@@ -118,12 +119,20 @@
     pub heard: bool,
     /// The rule by which the wire did not write it.
     pub refused: Option<guard::Reason>,
+    /// How it is known that its endpoint counts it as over.
+    pub confirmed: Option<guard::Confirmation>,
+    /// That is not known yet, and is told by a second end of the same delegation.
+    pub pending: bool,
+    /// When it ended here, where it was then waited for its endpoint to know.
+    pub at: Option<Ms>,
 }
 
 impl End {
     /// An end of which nothing more is known.
     pub fn of(outcome: Outcome) -> End {
-        End { outcome, wait: 0.0, report: Report::default(), over: false, heard: false, refused: None }
+        let (wait, report, refused) = (0.0, Report::default(), None);
+        let (over, heard, confirmed, pending, at) = (false, false, None, false, None);
+        End { outcome, wait, report, over, heard, refused, confirmed, pending, at }
     }
 }
 
@@ -154,12 +163,14 @@
     },
     /// Start a delegation; its end is told by [`Core::outcome`].
     Delegate(Delegation),
-    /// Break a delegation off; nothing more is to be told of it.
+    /// Break a delegation off. Its end is told by [`Core::outcome`], once its endpoint knows of it.
     Abandon {
         /// The call.
         no: CallNo,
         /// Which delegation.
         attempt: u32,
+        /// How it ends if it was written and no answer comes after all.
+        outcome: Outcome,
     },
     /// What shares this wait is told to wait: delegations that were not written yet must not go out.
     Hold {
@@ -224,10 +235,19 @@
     marked: bool,
     /// Its last byte has been written: from then on it may run.
     written: bool,
+    /// It was broken off then, and its wire is to tell how it ended.
+    broken_off: Option<(Ms, Outcome)>,
     /// Where it is counted.
     charge: Option<pace::Charge>,
 }
 
+impl Out {
+    /// When it ends by itself, of a call that may be delivered until `valid_until`.
+    fn due(&self, valid_until: Ms) -> Ms {
+        self.broken_off.map_or(self.until, |_| valid_until)
+    }
+}
+
 /// Why the module does not have a call that has not ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Frozen {
@@ -348,6 +368,8 @@
     waits: waits::Waits,
     /// Calls of ordered keys that are not over.
     order: order::KeyOrder,
+    /// Attempts that have ended here while their endpoints may not know yet.
+    unconfirmed: unconfirmed::Unconfirmed,
     /// What the rules on sending and closing did not allow.
     pub guard: guard::Counts,
     /// The last file that was taken over: it may still be there.
@@ -416,6 +438,7 @@
             beside: beside::Beside::default(),
             waits: waits::Waits::default(),
             order: order::KeyOrder::default(),
+            unconfirmed: unconfirmed::Unconfirmed::default(),
             guard: guard::Counts::default(),
             adopted: None,
             outdated: false,
@@ -502,13 +525,15 @@
             return Some(0.0);
         }
         let room = self.ceilings.next_due().filter(|_| !self.ceilings.is_empty() || self.hints.climbs());
-        let outs = self.calls.values().filter_map(|c| c.out.as_ref()).map(|o| o.until);
+        let due = |c: &Call| Some(c.out.as_ref()?.due(c.taken.valid_until));
+        let outs = self.calls.values().filter_map(due);
         let own =
             room.into_iter().chain(self.hints_due()).chain(self.backlog.next_due()).chain(self.copying_due());
         outs.chain(self.alarms.iter().map(|a| a.0))
             .chain(own)
             .chain(self.seats_due())
             .chain(self.journal_due())
+            .chain(self.unconfirmed.next_due())
             .min_by(f64::total_cmp)
     }
 
--- a/src/dispatch/order.rs
+++ b/src/dispatch/order.rs
@@ -16,10 +16,10 @@
     }
 
     /// A call is over.
-    pub fn leave(&mut self, taken: &Taken) {
-        let Some(key) = taken.key else { return };
+    pub fn leave(&mut self, no: CallNo, key: Option<u64>) {
+        let Some(key) = key else { return };
         if let Some(calls) = self.0.get_mut(&key) {
-            calls.remove(&taken.no);
+            calls.remove(&no);
             if calls.is_empty() {
                 self.0.remove(&key);
             }
@@ -45,9 +45,9 @@
         [&b, &a, &other, &free].into_iter().for_each(|t| order.enter(t));
         assert!(!order.has_earlier(&a) && order.has_earlier(&b));
         assert!(!order.has_earlier(&other) && !order.has_earlier(&free));
-        order.leave(&a);
+        order.leave(a.no, a.key);
         assert!(!order.has_earlier(&b));
-        order.leave(&b);
+        order.leave(b.no, b.key);
         assert_eq!(order.0.len(), 1);
     }
 }
--- a/src/dispatch/relay.rs
+++ b/src/dispatch/relay.rs
@@ -1,17 +1,52 @@
 //! Relay: the outcome of a delegation goes back to the module, and into the journal.
 
+use super::unconfirmed::Unheard;
 use super::{Core, End, Order};
 use crate::api::*;
+use crate::guard::CONFIRM_MOST;
 use crate::journal::{CallNo, Ending, Sent};
 
 /// An answer that came so shortly before a call's time was up, by this side's clock, may have come after it by the
 /// platform's, which counts from the request's last byte: on its way and in the socket the request took a while.
 const DOUBT: Ms = 100.0;
 
+/// A wire tells that an end is confirmed so soon after it is.
+const TOLD_WITHIN: Ms = 5.0;
+
 impl Core {
-    /// A delegation ended. Exactly one outcome counts for each; later ones are passed over.
+    /// A delegation ended, for its endpoint too. Exactly one outcome counts for each; of what was counted before only the
+    /// word of its endpoint is still of interest.
     pub fn outcome(&mut self, now: Ms, no: CallNo, attempt: u32, end: End) {
-        let End { outcome, wait, report, over, heard, refused } = end;
+        let rest = if end.outcome.never_ran() { 0.0 } else { self.settings.key_quiet };
+        if let Some(unheard) = self.unconfirmed.confirm(no, attempt, now + rest) {
+            return self.confirm_late(now, unheard, &end);
+        }
+        end.confirmed.into_iter().for_each(|how| self.guard.confirmed(how));
+        let unheard = self.unheard(no, attempt).filter(|_| end.pending);
+        if let Some(unheard) = unheard {
+            self.ended_unheard(now, no, attempt, unheard, end);
+        } else {
+            self.ended_here(now, no, attempt, end);
+        }
+    }
+
+    /// The attempt that is out, as one whose endpoint does not know of its end yet.
+    fn unheard(&self, no: CallNo, attempt: u32) -> Option<Unheard> {
+        let c = self.calls.get(&no)?;
+        let out = c.out.as_ref().filter(|o| o.attempt == attempt)?;
+        Some(Unheard::new(out.route, c.taken.key, c.taken.tenant.clone()))
+    }
+
+    /// Books the end of a delegation of which its endpoint may not know yet: nothing else of the message goes out before.
+    fn ended_unheard(&mut self, now: Ms, no: CallNo, attempt: u32, unheard: Unheard, end: End) {
+        self.unconfirmed.insert(no, attempt, unheard.clone());
+        self.ended_here(now, no, attempt, end);
+        self.rest_key(now, &unheard, now + CONFIRM_MOST + self.settings.key_quiet);
+    }
+
+    /// Books the end of a delegation.
+    fn ended_here(&mut self, now: Ms, no: CallNo, attempt: u32, end: End) {
+        let End { outcome, wait, report, over, heard, refused, confirmed, pending, at } = end;
         if let Some(reason) = refused {
             let _ = self.guard.note(Err(reason));
         }
@@ -27,25 +62,28 @@
             let (member, worker) = w.map_or((0, ""), |w| (w.dest, w.uid.as_str()));
             let id = self.calls.get(&no).map_or("", |c| c.taken.identity.1.as_str());
             let (left, limit) = (report.left.unwrap_or(-1.0), report.limit.unwrap_or(-1.0));
+            let confirmed = confirmed.map_or("not_yet", |how| how.name());
             log::debug!(id = id, member = member, worker = worker, outcome:? = outcome, wait_ms = wait, took_ms = now - out.sent,
-                attempt = attempt, left = left, limit = limit; "a delegation ended");
+                attempt = attempt, left = left, limit = limit, confirmed = confirmed; "a delegation ended");
         }
         let route = out.route;
         let delivered = outcome == Outcome::Delivered;
         // Guards against messages that spend all their attempts on this side, without a call: kept back by a wait, by a
         // promise or by a folder that takes no record.
         let unspent = outcome == Outcome::NotSent && !heard && !over;
-        self.calls.entry(no).and_modify(|c| c.last = Some(outcome));
-        if unspent {
-            self.calls.entry(no).and_modify(|c| c.attempts = attempt);
-        }
+        self.calls.entry(no).and_modify(|c| match unspent {
+            true => c.attempts = attempt,
+            // What was kept back on this side is no reason for the next one.
+            false => c.last = Some(outcome),
+        });
         let ended = Ended {
-            took: now - out.sent,
+            took: at.unwrap_or(now) - out.sent,
             over: over || delivered,
             wait,
             report,
             heard,
             unspent,
+            rest: if pending { CONFIRM_MOST + TOLD_WITHIN } else { 0.0 },
             ..Ended::of(no, attempt, route, outcome)
         };
         let doubtful = delivered && self.is_doubtful(now, no);
@@ -107,27 +145,65 @@
         self.orders.push(Order::Hold { dest, route });
     }
 
-    /// The module calls a delegation off: its connection is closed, and it may have run.
+    /// The module calls a delegation off: its connection is ended, and it may have run.
     pub(super) fn cancel(&mut self, now: Ms, no: CallNo, attempt: u32) {
         self.break_off(now, no, attempt, Outcome::Cancelled);
     }
 
-    /// Delegations whose time is up.
+    /// The same where its end cannot be waited for.
+    pub(super) fn cancel_at_once(&mut self, now: Ms, no: CallNo, attempt: u32) {
+        self.break_off(now, no, attempt, Outcome::Cancelled);
+        self.conclude(now, no, attempt);
+    }
+
+    /// Delegations whose time is up. Those whose message's time is up end at once: nothing follows them, and their client is
+    /// owed the end.
     pub(super) fn expire(&mut self, now: Ms) {
         let up = |(no, c): (&CallNo, &super::Call)| {
-            c.out.as_ref().filter(|o| o.until <= now).map(|o| (*no, o.attempt))
+            let over = c.taken.valid_until <= now;
+            let out = c.out.as_ref().filter(|o| o.due(c.taken.valid_until) <= now)?;
+            Some((*no, out.attempt, over))
         };
         let due: Vec<_> = self.calls.iter().filter_map(up).collect();
-        due.into_iter().for_each(|(no, attempt)| self.break_off(now, no, attempt, Outcome::Late));
+        for (no, attempt, over) in due {
+            self.break_off(now, no, attempt, Outcome::Late);
+            if over {
+                self.conclude(now, no, attempt);
+            }
+        }
     }
 
+    /// Orders the end of a delegation. It stays out until its wire has told how it ended: until then its endpoint may not know
+    /// of it, and nothing else of the message may be sent.
     fn break_off(&mut self, now: Ms, no: CallNo, attempt: u32, outcome: Outcome) {
-        let out = self.calls.get(&no).and_then(|c| c.out.as_ref()).filter(|o| o.attempt == attempt);
-        if let Some(out) = out {
-            // What was not written to the end cannot have run.
-            let outcome = if out.written { outcome } else { Outcome::NoConnection };
-            self.orders.push(Order::Abandon { no, attempt });
-            self.outcome(now, no, attempt, End::of(outcome));
+        let out = self.calls.get_mut(&no).and_then(|c| c.out.as_mut()).filter(|o| o.attempt == attempt);
+        let Some(out) = out.filter(|o| o.broken_off.is_none()) else { return };
+        out.broken_off = Some((now, outcome));
+        self.orders.push(Order::Abandon { no, attempt, outcome });
+    }
+
+    /// Books the end of a delegation that was broken off before its wire has told it.
+    pub(super) fn conclude(&mut self, now: Ms, no: CallNo, attempt: u32) {
+        let Some(unheard) = self.unheard(no, attempt) else { return };
+        let out = self.calls.get(&no).and_then(|c| c.out.as_ref());
+        let Some((written, Some((at, outcome)))) = out.map(|o| (o.written, o.broken_off)) else { return };
+        // What was not written to the end cannot have run.
+        let outcome = if written { outcome } else { Outcome::NoConnection };
+        let end = End { at: Some(at), pending: true, ..End::of(outcome) };
+        self.ended_unheard(now, no, attempt, unheard, end);
+    }
+
+    /// A wire tells of a delegation whose end was booked before.
+    fn confirm_late(&mut self, now: Ms, unheard: Unheard, end: &End) {
+        end.confirmed.into_iter().for_each(|how| self.guard.confirmed(how));
+        self.rest_key(now, &unheard, now + self.settings.key_quiet);
+        self.told_wait(now, unheard.route, end.wait);
+    }
+
+    /// Frees the keys of messages whose attempts are over for their endpoints, too.
+    pub(super) fn unconfirmed_turn(&mut self, now: Ms) {
+        for freed in self.unconfirmed.fade(now) {
+            self.order.leave(freed.no, freed.key);
         }
     }
 }
--- a/src/dispatch/route.rs
+++ b/src/dispatch/route.rs
@@ -14,6 +14,7 @@
         self.now = now;
         self.expire(now);
         self.lapse(now);
+        self.unconfirmed_turn(now);
         self.ring(now);
         self.seats_turn(now);
         self.hints_turn(now);
--- a/src/dispatch/seats.rs
+++ b/src/dispatch/seats.rs
@@ -6,9 +6,11 @@
 //! it must have ended. So no move waits for a silent member. What was offered stays in this journal until the other side
 //! serves it, and only then is it struck out: first the messages, then the seat.
 
+use super::unconfirmed::Unheard;
 use super::{Call, Core, Frozen, Order, Verdict};
 use crate::api::*;
 use crate::config::place;
+use crate::guard::CONFIRM_MOST;
 use crate::journal::{CallNo, Ending, Record, Sent, Taken};
 use lilacbank_cells::moving::{self, Faults, Input, Node, Phase, Refused, Seat, Word};
 use lilacbank_cells::placement::{lives, Area};
@@ -82,6 +84,8 @@
     pause: Ms,
     /// Draining ends at the latest then.
     drain_until: Option<Ms>,
+    /// Then endpoints know of all that was cut off.
+    confirm_until: Option<Ms>,
     /// An offer is taken back then.
     offer_until: Ms,
     /// Since when messages stand still.
@@ -191,6 +195,7 @@
         tick_at: now,
         pause: AGAIN_FIRST,
         drain_until: None,
+        confirm_until: None,
         offer_until: f64::MAX,
         still_since: now,
         stood: 0.0,
@@ -621,7 +626,7 @@
     /// Takes a tenant's messages out of the module; what is out may end.
     fn drain_tenant(&mut self, now: Ms, tenant: &str) {
         let Some(p) = self.seats.of.get_mut(tenant).filter(|p| p.drain_until.is_none()) else { return };
-        p.drain_until = Some(now + DRAIN_PATIENCE);
+        (p.drain_until, p.confirm_until) = (Some(now + DRAIN_PATIENCE), None);
         p.still_since = now;
         let mut gone = Vec::new();
         for (no, c) in self.calls.iter_mut().filter(|(_, c)| c.taken.tenant == tenant && c.ending.is_none()) {
@@ -647,6 +652,7 @@
         for no in self.those(moving) {
             // What was left holds its key in the module until it has ended.
             if self.cut_or_leave(now, no) {
+                self.conclude_any(now, no);
                 self.calls.entry(no).and_modify(|c| c.frozen = Some(Frozen::Parked));
                 self.thaw_if_free(no);
             }
@@ -671,6 +677,33 @@
         !leave
     }
 
+    /// Cuts off what is out of these.
+    fn cut_off(&mut self, calls: &[CallNo], now: Ms) {
+        for no in calls {
+            self.cut_or_leave(now, *no);
+        }
+    }
+
+    fn is_broken_off(&self, no: CallNo) -> bool {
+        let out = self.calls.get(&no).and_then(|c| c.out.as_ref());
+        out.is_some_and(|o| o.broken_off.is_some())
+    }
+
+    /// A tenant that drains stays for as long as endpoints may need to know of ends; false once it has.
+    fn wait_once_more(&mut self, now: Ms, tenant: &str) -> bool {
+        let Some(place) = self.seats.of.get_mut(tenant) else { return false };
+        let until = *place.confirm_until.get_or_insert(now + CONFIRM_MOST);
+        place.drain_until = Some(until);
+        now < until
+    }
+
+    /// What was cut off here has ended, whether or not its endpoint knows yet: the rules keep it back until then.
+    fn conclude_any(&mut self, now: Ms, no: CallNo) {
+        if let Some(attempt) = self.calls.get(&no).and_then(|c| Some(c.out.as_ref()?.attempt)) {
+            self.conclude(now, no, attempt);
+        }
+    }
+
     /// Gives a call back to the module, unless others of its key must end first.
     fn thaw_if_free(&mut self, no: CallNo) {
         if self.calls.get(&no).is_some_and(|c| c.ending.is_none() && !self.is_parked(c.taken.key)) {
@@ -696,9 +729,15 @@
             return;
         }
         let Some(c) = self.calls.get(&no) else { return };
-        if let Some(key) = c.taken.key {
+        let unheard = Unheard::new(0, c.taken.key, c.taken.tenant.clone());
+        self.rest_key(now, &unheard, now + self.settings.key_quiet);
+    }
+
+    /// The key of an attempt rests until then, also where its tenant goes.
+    pub(super) fn rest_key(&mut self, now: Ms, unheard: &Unheard, until: Ms) {
+        if let (Some(key), true) = (unheard.key, self.seats.spec.is_some()) {
             self.seats.rests.retain(|_, r| r.0 > now);
-            self.seats.rests.insert(key, (now + self.settings.key_quiet, c.taken.tenant.clone()));
+            self.seats.rests.insert(key, (until, unheard.tenant.clone()));
         }
     }
 
@@ -743,8 +782,9 @@
                 continue;
             }
             if let Some(key) = t.key {
-                // Until its end is known and heard it may come before what follows it.
-                let until = ms(t.valid_until.max(now) + self.settings.key_quiet);
+                // Until its end is known and heard, by its endpoint too, it may come before what follows it.
+                let unconfirmed = if c.out.is_some() { CONFIRM_MOST } else { 0.0 };
+                let until = ms(t.valid_until.max(now) + unconfirmed + self.settings.key_quiet);
                 parked.entry(key).and_modify(|u| *u = (*u).max(until)).or_insert(until);
             }
             let until = ms(t.valid_until + self.once.span(&t.class));
@@ -912,14 +952,21 @@
     }
 
     fn drain_on(&mut self, now: Ms, tenant: &str, until: Ms) {
-        let out = |c: &Call| c.taken.tenant == tenant && c.frozen == Some(Frozen::Moving) && c.out.is_some();
-        let left = self.those(out);
-        if !left.is_empty() && now < until {
+        let goes =
+            |c: &Call| c.taken.tenant == tenant && c.frozen == Some(Frozen::Moving) && c.ending.is_none();
+        let going = self.those(goes);
+        let is_out = |no: &CallNo| self.calls.get(no).is_some_and(|c| c.out.is_some());
+        let left: Vec<CallNo> = going.iter().copied().filter(is_out).collect();
+        if now < until && !left.is_empty() {
             return;
         }
-        for no in left {
-            self.cut_or_leave(now, no);
+        // Another dispatcher sends them once it has them: their endpoints have to know of the end before.
+        self.cut_off(&left, now);
+        let unheard = |no: &CallNo| self.unconfirmed.is_of(*no, now) || self.is_broken_off(*no);
+        if going.iter().any(unheard) && self.wait_once_more(now, tenant) {
+            return;
         }
+        left.into_iter().for_each(|no| self.conclude_any(now, no));
         let since = self.seats.of.get(tenant).map_or(now, |p| p.still_since);
         let contents = self.contents_of(now, tenant, since);
         if contents.encoded_len() + 4_096 > wire::FRAME_MOST {
--- a/src/dispatch/send.rs
+++ b/src/dispatch/send.rs
@@ -43,8 +43,8 @@
         let left = c.taken.valid_until - now;
         let until = now + cap.map_or(left, |cap| cap.min(left)).max(0.0);
         c.attempts += 1;
-        let (marked, written, charge) = (false, false, None);
-        c.out = Some(Out { attempt, route, sent: now, until, marked, written, charge });
+        let (marked, written, broken_off, charge) = (false, false, None, None);
+        c.out = Some(Out { attempt, route, sent: now, until, marked, written, broken_off, charge });
         Some(attempt)
     }
 
@@ -132,6 +132,7 @@
         guard::Message {
             ended: c.ending.is_some(),
             outstanding: c.out.is_some(),
+            unconfirmed: self.unconfirmed.is_of(c.taken.no, self.now),
             valid_until: c.taken.valid_until,
             attempts: c.attempts,
             effect: class.map_or(Effect::Unsafe, |class| class.effect),
--- a/src/guard.rs
+++ b/src/guard.rs
@@ -4,8 +4,8 @@
 //! first, whatever it decided before: a decision may be older than an event that has crossed it. What is not allowed is not
 //! done, and counted by its reason ([`Counts`]). What was found done although it was not allowed is a violation.
 //!
-//! Connections to endpoints are closed without asking: an idle one owes nothing, and one with a request out gives that request
-//! up, which is booked. An MQTT client's connection, too: its session outlives it, with what is owed to it.
+//! Idle connections to endpoints are closed without asking: they owe nothing. One with a request out gives that request up, and
+//! the next attempt waits until its endpoint counts the last one as over ([`Confirmation`]). An MQTT client's connection, too: its session outlives it, with what is owed to it.
 
 use crate::api::{Effect, Listing, Ms};
 use std::collections::BTreeMap;
@@ -17,6 +17,8 @@
     Ended,
     /// An attempt of the message is out.
     Outstanding,
+    /// An attempt of the message has ended here, and its endpoint may not know yet.
+    Unconfirmed,
     /// Its time is up.
     Expired,
     /// It has had all its attempts.
@@ -49,6 +51,7 @@
         match self {
             Reason::Ended => "ended",
             Reason::Outstanding => "outstanding",
+            Reason::Unconfirmed => "unconfirmed",
             Reason::Expired => "expired",
             Reason::Exhausted => "exhausted",
             Reason::MayHaveRun => "may_have_run",
@@ -72,6 +75,8 @@
     pub ended: bool,
     /// An attempt of it is out.
     pub outstanding: bool,
+    /// An attempt of it has ended here, and its endpoint may not know yet.
+    pub unconfirmed: bool,
     /// It may be delivered until then.
     pub valid_until: Ms,
     /// Attempts that went out.
@@ -117,6 +122,7 @@
     let against = [
         (message.ended, Reason::Ended),
         (message.outstanding, Reason::Outstanding),
+        (message.unconfirmed, Reason::Unconfirmed),
         (now >= message.valid_until, Reason::Expired),
         (message.attempts >= process.most_attempts, Reason::Exhausted),
         (process.closing.is_some_and(|at| now >= at), Reason::Leaving),
@@ -203,6 +209,60 @@
     broken.iter().find(|(holds, _)| *holds).map(|(_, reason)| *reason)
 }
 
+/// Who ended the connection of an attempt that was written and not answered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EndedFirst {
+    /// This process: it has ended its sending, and the endpoint answers that with an end of its own.
+    Dispatcher,
+    /// The endpoint, or whatever stands for it on the path: no further sign of it can come.
+    Endpoint,
+}
+
+impl EndedFirst {
+    /// The word of the log.
+    pub fn name(self) -> &'static str {
+        match self {
+            EndedFirst::Dispatcher => "dispatcher",
+            EndedFirst::Endpoint => "endpoint",
+        }
+    }
+}
+
+/// How it is known that an endpoint counts an attempt as over. Before that the message goes out nowhere else: two connections
+/// have no order, so that the end on one may be seen behind the request on the other.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Confirmation {
+    /// Its last byte was not written: no endpoint has begun it.
+    NeverBegun,
+    /// The endpoint has answered.
+    Answered,
+    /// The endpoint has ended the connection after this side did.
+    EndedByEndpoint,
+    /// No sign can come or came: the time has passed in which the end gets there.
+    TimedOut,
+}
+
+impl Confirmation {
+    /// The word of the log and of the figures.
+    pub fn name(self) -> &'static str {
+        match self {
+            Confirmation::NeverBegun => "never_begun",
+            Confirmation::Answered => "answered",
+            Confirmation::EndedByEndpoint => "ended_by_endpoint",
+            Confirmation::TimedOut => "timed_out",
+        }
+    }
+}
+
+/// The end of an attempt that was written and not answered is waited for no longer than this, before it counts as known to its
+/// endpoint: one that hangs or is cut off never tells, and where it ended the connection first no further sign can come. Longer
+/// than any path delays bytes one way; the end takes the path once. What the last answers took tells nothing of a path that has
+/// become slow meanwhile.
+pub const CONFIRM_MOST: Ms = 1_000.0;
+/// The same for what a process had out as it ended: the system ends its connections at once, and the next process has taken a
+/// while to start.
+pub const CONFIRM_INHERITED: Ms = 500.0;
+
 /// After SIGTERM: calls that are out may end until then,
 pub const LEAVE_AFTER: Ms = 3_300.0;
 /// and with nothing held the process leaves after this; until then clients still come.
@@ -306,6 +366,8 @@
     pub refused: BTreeMap<Reason, u64>,
     /// Clients' connections closed, by cause.
     pub closed: BTreeMap<Close, u64>,
+    /// Attempts that ended, by how it is known that their endpoints count them as over.
+    pub confirmed: BTreeMap<Confirmation, u64>,
     /// What was done although it was not allowed; 0 unless this program is wrong.
     pub violations: BTreeMap<Reason, u64>,
 }
@@ -328,6 +390,11 @@
         *self.closed.entry(why).or_default() += 1;
     }
 
+    /// An attempt is over, for its endpoint too.
+    pub fn confirmed(&mut self, how: Confirmation) {
+        *self.confirmed.entry(how).or_default() += 1;
+    }
+
     /// Something was done that this rule forbids.
     pub fn violated(&mut self, reason: Reason) {
         *self.violations.entry(reason).or_default() += 1;
@@ -344,7 +411,14 @@
         };
         let closed: serde_json::Map<_, _> =
             self.closed.iter().map(|(c, n)| (c.name().to_string(), (*n).into())).collect();
-        serde_json::json!({ "refused": by(&self.refused), "closed": closed, "violations": by(&self.violations) })
+        let confirmed: serde_json::Map<_, _> =
+            self.confirmed.iter().map(|(c, n)| (c.name().to_string(), (*n).into())).collect();
+        serde_json::json!({
+            "refused": by(&self.refused),
+            "closed": closed,
+            "confirmed": confirmed,
+            "violations": by(&self.violations)
+        })
     }
 }
 
@@ -359,6 +433,7 @@
         Message {
             ended: false,
             outstanding: false,
+            unconfirmed: false,
             valid_until: 1_000.0,
             attempts: 1,
             effect,
@@ -375,6 +450,7 @@
         let stopped = [
             (Message { ended: true, ..m }, ENDPOINT, PROCESS, Reason::Ended),
             (Message { outstanding: true, ..m }, ENDPOINT, PROCESS, Reason::Outstanding),
+            (Message { unconfirmed: true, ..m }, ENDPOINT, PROCESS, Reason::Unconfirmed),
             (Message { valid_until: 0.0, ..m }, ENDPOINT, PROCESS, Reason::Expired),
             (Message { attempts: 8, ..m }, ENDPOINT, PROCESS, Reason::Exhausted),
             (Message { has_earlier: true, ..m }, ENDPOINT, PROCESS, Reason::OutOfTurn),
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -1,12 +1,13 @@
 //! Connections to workers over HTTP: one request at a time on each, kept open while they are of use.
 
+use super::closing::Closing;
 use super::head::{head, status, Head, HEAD_MOST};
 use super::reactor::Reactor;
 use super::stream::{Fill, Stream};
 use super::{token, Kind};
 use crate::api::*;
 use crate::dispatch::{Delegation, End};
-use crate::guard::{self, Reason};
+use crate::guard::{self, Confirmation, EndedFirst, Reason};
 use crate::journal::CallNo;
 use slab::Slab;
 use std::collections::HashMap;
@@ -25,9 +26,6 @@
 /// A kept connection that breaks so soon after a call was written to it had been dropped unseen while it was idle; the
 /// others to that worker are as old and no better, and each would cost a call.
 const STALE_WITHIN: Ms = 10.0;
-/// A call that was given up on has ended this side's sending. An answer may have been on its way already, and the wait that it
-/// tells is told: the connection is read for so long, which is a few trips through the network.
-const LAST_WORD: Ms = 250.0;
 /// Answers of status 1xx in front of one answer at most.
 const INTERIM_MOST: u32 = 16;
 
@@ -54,8 +52,6 @@
         /// How.
         end: End,
     },
-    /// A worker told a wait on a connection whose task had been given up.
-    Waits(RouteId, Ms),
 }
 
 #[derive(Debug)]
@@ -69,17 +65,39 @@
     task: Option<(Task, Ms)>,
     /// Later than this its request is not written.
     write_by: Ms,
+    /// The id of its message, for the log.
+    id: String,
+    /// Bytes of its request.
+    size: usize,
     written: bool,
     /// When the first byte of the answer came.
     heard: Option<Ms>,
     interim: u32,
-    /// Its task was given up: only a wait is still of interest, until then.
-    given_up: Option<Ms>,
+    /// Its task has ended without an answer, and its endpoint may not know yet.
+    closing: Option<Closing>,
     /// The head of an answer whose body is still to come.
     head: Option<Head>,
     idle_since: Ms,
 }
 
+impl Conn {
+    /// It had been dropped unseen while it was idle: it broke as soon as a request was written to it.
+    fn is_stale(&self, now: Ms, started: Ms) -> bool {
+        let at_once = now - started < STALE_WITHIN && self.heard.is_none();
+        at_once && started > self.opened
+    }
+}
+
+/// A request that is to be written, and its task.
+struct Request<'a> {
+    task: Task,
+    /// The id of its message.
+    id: &'a str,
+    bytes: &'a [u8],
+    /// Later than this it is not written.
+    write_by: Ms,
+}
+
 /// All connections to workers.
 #[derive(Debug)]
 pub struct Workers {
@@ -125,7 +143,8 @@
         let mut bytes = text.into_bytes();
         bytes.extend_from_slice(&d.body);
         let task = Task::Delegation(d.no, d.attempt);
-        self.start(now, task, &d.address, (d.dest, d.route), (&bytes, d.write_by), reactor, found);
+        let request = Request { task, id: &d.id, bytes: &bytes, write_by: d.write_by };
+        self.start(now, request, &d.address, (d.dest, d.route), reactor, found);
     }
 
     /// Starts a probe.
@@ -140,21 +159,21 @@
         let text = format!("GET /health HTTP/1.1\r\nHost: {address}\r\n\r\n");
         let task = Task::Probe(unit.1);
         if !self.busy.contains_key(&task) {
-            self.start(now, task, address, unit, (text.as_bytes(), f64::MAX), reactor, found);
+            let request = Request { task, id: "", bytes: text.as_bytes(), write_by: f64::MAX };
+            self.start(now, request, address, unit, reactor, found);
         }
     }
 
-    #[allow(clippy::too_many_arguments)]
     fn start(
         &mut self,
         now: Ms,
-        task: Task,
+        request: Request,
         address: &str,
         unit: (DestId, RouteId),
-        (bytes, write_by): (&[u8], Ms),
         reactor: &Rc<Reactor>,
         found: &mut Vec<Finding>,
     ) {
+        let Request { task, id, bytes, write_by } = request;
         let at = match self.rested(unit.1) {
             Some(at) => at,
             None => match self.open(now, address, unit, reactor) {
@@ -164,8 +183,9 @@
         };
         let Some(c) = self.conns.get_mut(at) else { return };
         (c.task, c.written, c.heard, c.interim) = (Some((task, now)), false, None, 0);
-        c.write_by = write_by;
+        (c.write_by, c.id, c.size) = (write_by, id.to_string(), bytes.len());
         c.stream.queue(bytes);
+        log::debug!(id = id, task:? = task, conn = at, bytes = bytes.len(), kept = c.up; "a request goes out");
         self.busy.insert(task, at);
         if self.conns[at].up {
             self.push(now, at, found);
@@ -217,10 +237,12 @@
             opened: now,
             task: None,
             write_by: f64::MAX,
+            id: String::new(),
+            size: 0,
             written: false,
             heard: None,
             interim: 0,
-            given_up: None,
+            closing: None,
             head: None,
             idle_since: now,
         });
@@ -242,30 +264,39 @@
         }
     }
 
-    /// Breaks a task off by ending its connection; nothing is found out any more but a wait.
-    pub fn abandon(&mut self, now: Ms, task: Task) {
-        let Some(at) = self.busy.remove(&task) else { return };
+    /// Breaks a task off: this side's sending on its connection ends. Its end is told once the endpoint knows of it, or at once
+    /// if its request was not written; an answer that comes meanwhile counts.
+    pub fn abandon(&mut self, now: Ms, task: Task, outcome: Outcome, found: &mut Vec<Finding>) {
+        let Some(at) = self.busy.get(&task).copied() else { return };
         let Some(c) = self.conns.get_mut(at) else { return };
-        c.task = None;
-        if !c.up || !c.written || c.head.is_some() {
-            return self.close(at);
+        if !c.up || !c.written {
+            return self.end(now, at, Outcome::NoConnection, found);
+        }
+        if c.closing.is_none() {
+            c.stream.finish();
+            self.await_end(now, at, End::of(outcome), EndedFirst::Dispatcher);
         }
-        c.stream.finish();
-        c.given_up = Some(now + LAST_WORD);
     }
 
-    /// Guards against a wait that was told while its call was being given up: who has told it counts on it.
-    fn last_word(&mut self, at: usize, fill: Fill, found: &mut Vec<Finding>) {
+    /// A written attempt has ended here: its endpoint is to know before that is told.
+    fn await_end(&mut self, now: Ms, at: usize, end: End, first: EndedFirst) {
+        let Some(c) = self.conns.get_mut(at) else { return };
+        log::debug!(id = c.id.as_str(), conn = at, bytes = c.size, ended_by = first.name();
+            "an attempt ends, its endpoint is to know");
+        c.closing = Some(Closing::new(now, end, first));
+    }
+
+    /// The endpoint counts an attempt as over, too.
+    fn confirm(&mut self, now: Ms, at: usize, how: Confirmation, found: &mut Vec<Finding>) {
         let Some(c) = self.conns.get_mut(at) else { return };
-        match head(&c.stream.inbox) {
-            Ok(Some(h)) if (100..200).contains(&h.code) && c.interim < INTERIM_MOST => {
-                c.interim += 1;
-                c.stream.inbox.drain(..h.size);
-                return self.last_word(at, fill, found);
+        if let (Some(closing), Some((task, started))) = (&c.closing, c.task) {
+            log::debug!(id = c.id.as_str(), conn = at, confirmed = how.name(), ended_by = closing.first.name();
+                "the end of an attempt is known to its endpoint");
+            if how == Confirmation::TimedOut {
+                // Nobody waits any more for what the system still holds of it.
+                c.stream.reset_on_close();
             }
-            Ok(Some(h)) if h.wait > 0.0 => found.push(Finding::Waits(c.unit.1, h.wait)),
-            Ok(None) if fill == Fill::Blocked => return,
-            _ => {}
+            found.push(Finding::Ended { task, took: now - started, end: closing.confirmed(how) });
         }
         self.close(at);
     }
@@ -313,10 +344,11 @@
             c.written = true;
             found.push(Finding::Written(task));
         }
-        let fill = c.stream.fill(HEAD_MOST + BODY_MOST as usize);
-        if c.given_up.is_some() {
-            return self.last_word(at, fill, found);
+        if c.closing.as_ref().is_some_and(|closing| closing.first == EndedFirst::Endpoint) {
+            // It has ended its sending: nothing more comes.
+            return;
         }
+        let fill = c.stream.fill(HEAD_MOST + BODY_MOST as usize);
         if c.task.is_none() && c.head.is_none() {
             // Idle: whatever comes now, the connection is of no more use.
             if fill != Fill::Blocked || !c.stream.inbox.is_empty() {
@@ -367,7 +399,7 @@
         if !whole {
             return self.broke(now, at, found);
         }
-        let reusable = h.reusable && c.written && open;
+        let reusable = h.reusable && c.written && open && c.closing.is_none();
         if let Some((task, started)) = c.task.take() {
             found.push(answered(task, h, now - started));
             self.busy.remove(&task);
@@ -383,24 +415,32 @@
     /// The connection carries nothing any more: how that is to be taken hangs on what was written and what came. An
     /// answer that was spoilt may have run whatever its head said, but the wait that it told is kept.
     fn broke(&mut self, now: Ms, at: usize, found: &mut Vec<Finding>) {
-        let Some(c) = self.conns.get(at) else { return };
+        let Some(c) = self.conns.get_mut(at) else { return };
+        let Some((task, started)) = c.task else { return self.close(at) };
         let (outcome, wait) = match (&c.head, status(&c.stream.inbox)) {
             (None, Some(200)) => (Outcome::Delivered, 0.0),
             (h, _) if c.written => (Outcome::Reset, h.as_ref().map_or(0.0, |h| h.wait)),
             (_, _) => (Outcome::NoConnection, 0.0),
         };
-        let (route, stale) = match c.task {
-            Some((_, started)) => {
-                let at_once = now - started < STALE_WITHIN && c.heard.is_none();
-                (c.unit.1, at_once && started > c.opened)
-            }
-            None => (c.unit.1, false),
-        };
-        if let Some((task, started)) = c.task {
-            let end = End { wait, heard: c.heard.is_some(), ..End::of(outcome) };
-            found.push(Finding::Ended { task, took: now - started, end });
+        if c.closing.is_some() && outcome == Outcome::Reset {
+            return self.confirm(now, at, Confirmation::EndedByEndpoint, found);
+        }
+        let (route, stale) = (c.unit.1, c.is_stale(now, started));
+        let end = End { wait, heard: c.heard.is_some(), ..End::of(outcome) };
+        if outcome == Outcome::Reset && matches!(task, Task::Delegation(..)) {
+            // Its slot at the endpoint is free, but the call may run on: another attempt of the message has to wait.
+            c.stream.finish();
+            self.await_end(now, at, end.clone(), EndedFirst::Endpoint);
+            found.push(Finding::Ended { task, took: now - started, end: End { pending: true, ..end } });
+        } else {
+            let how = if c.written { Confirmation::Answered } else { Confirmation::NeverBegun };
+            found.push(Finding::Ended {
+                task,
+                took: now - started,
+                end: End { confirmed: Some(how), ..end },
+            });
+            self.close(at);
         }
-        self.close(at);
         if stale {
             self.close_idle(route);
         }
@@ -427,6 +467,9 @@
     }
 
     fn due(&self, c: &Conn) -> Option<Ms> {
+        if let Some(closing) = &c.closing {
+            return Some(closing.until);
+        }
         let heard = c.heard.map(|t| t + ANSWER_PATIENCE);
         match c.task {
             Some(_) if !c.up => Some((c.opened + self.connect_timeout).min(c.write_by)),
@@ -437,7 +480,6 @@
                 Some((started + PROBE_PATIENCE).min(heard.unwrap_or(f64::MAX)))
             }
             Some(_) => heard,
-            None if c.given_up.is_some() => c.given_up,
             None => heard.or(Some(c.idle_since + self.keep_idle)).filter(|t| *t < f64::MAX),
         }
     }
@@ -449,7 +491,7 @@
         let due: Vec<usize> = self.conns.iter().filter(|(_, c)| due(c)).map(|(at, _)| at).collect();
         for at in due {
             match &self.conns[at] {
-                c if c.given_up.is_some() => self.close(at),
+                c if c.closing.is_some() => self.confirm(now, at, Confirmation::TimedOut, found),
                 c if c.task.is_some() && !c.written && c.write_by <= now => {
                     self.refuse(now, at, Reason::WindowOver, found);
                 }
@@ -462,11 +504,13 @@
 }
 
 pub(super) fn ended(task: Task, outcome: Outcome, took: Ms) -> Finding {
-    Finding::Ended { task, took, end: End::of(outcome) }
+    let confirmed = Some(Confirmation::NeverBegun).filter(|_| outcome.never_ran());
+    Finding::Ended { task, took, end: End { confirmed, ..End::of(outcome) } }
 }
 
 pub(super) fn refused(task: Task, reason: Reason, took: Ms) -> Finding {
-    let end = End { refused: Some(reason), ..End::of(Outcome::NotSent) };
+    let confirmed = Some(Confirmation::NeverBegun);
+    let end = End { refused: Some(reason), confirmed, ..End::of(Outcome::NotSent) };
     Finding::Ended { task, took, end }
 }
 
@@ -483,6 +527,7 @@
         }
     };
     let wait = if outcome == Outcome::Refused { h.wait } else { 0.0 };
-    let end = End { outcome, wait, report: h.report, over, heard: true, refused: None };
+    let confirmed = Some(Confirmation::Answered);
+    let end = End { wait, report: h.report, over, heard: true, confirmed, ..End::of(outcome) };
     Finding::Ended { task, took, end }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,6 +1,7 @@
 //! The wires round the core: one thread, one poll loop.
 
 pub mod clock;
+mod closing;
 pub mod control;
 pub mod head;
 pub mod http;
@@ -616,7 +617,6 @@
                 Finding::Ended { task: Task::Delegation(no, attempt), end, .. } => {
                     self.core.outcome(now, no, attempt, end);
                 }
-                Finding::Waits(route, wait) => self.core.told_wait(now, route, wait),
                 Finding::Ended { task: Task::Probe(route), took, end } => {
                     self.core.told_wait(now, route, end.wait);
                     self.core.probed(now, route, end.outcome, took, end.report);
@@ -641,9 +641,10 @@
             }
             // By the clock of this moment: the turn may have taken a while, and a request has a time by which it is written.
             Order::Delegate(d) => self.workers.delegate(self.clock.now(), &d, reactor, &mut self.found),
-            Order::Abandon { no, attempt } => {
-                self.workers.abandon(now, Task::Delegation(no, attempt));
-                self.brokers.abandon(Task::Delegation(no, attempt));
+            Order::Abandon { no, attempt, outcome } => {
+                let task = Task::Delegation(no, attempt);
+                self.workers.abandon(now, task, outcome, &mut self.found);
+                self.brokers.abandon(now, task, outcome, &mut self.found);
             }
             Order::Hold { dest, route } => {
                 self.workers.hold(now, dest, route, &mut self.found);
--- a/src/net/mqtt/broker.rs
+++ b/src/net/mqtt/broker.rs
@@ -7,8 +7,9 @@
 use super::super::reactor::Reactor;
 use super::{publish, Extras, Session};
 use crate::api::*;
-use crate::dispatch::Delegation;
-use crate::guard::{self, Reason};
+use crate::dispatch::{Delegation, End};
+use crate::guard::{self, Confirmation, EndedFirst, Reason};
+use crate::net::closing::Closing;
 use crate::net::head::{report, Head};
 use crate::net::http::{answered, ended, refused, Finding, Task, PROBE_PATIENCE};
 use crate::net::stream::Stream;
@@ -60,10 +61,18 @@
     idle_since: Ms,
 }
 
+/// An attempt whose session is closed. No endpoint behind a broker sees that, so that its end is told only after a while.
+struct Ending {
+    task: Task,
+    started: Ms,
+    closing: Closing,
+}
+
 /// All sessions with brokers.
 pub struct Brokers {
     conns: Slab<Conn>,
     busy: HashMap<Task, usize>,
+    endings: Vec<Ending>,
     most: usize,
     connect_timeout: Ms,
     keep_idle: Ms,
@@ -80,6 +89,7 @@
         Brokers {
             conns: Slab::new(),
             busy: HashMap::new(),
+            endings: Vec::new(),
             most,
             connect_timeout,
             keep_idle,
@@ -206,10 +216,37 @@
     }
 
     /// Breaks a task off by closing its session.
-    pub fn abandon(&mut self, task: Task) {
-        if let Some(at) = self.busy.get(&task) {
-            self.close(*at);
+    pub fn abandon(&mut self, now: Ms, task: Task, outcome: Outcome, found: &mut Vec<Finding>) {
+        if let Some(at) = self.busy.get(&task).copied() {
+            self.break_off(now, at, outcome, EndedFirst::Dispatcher, found);
+        }
+    }
+
+    /// Closes a session. The end of what it has published is told after a while, and of what it has not at once.
+    fn break_off(
+        &mut self,
+        now: Ms,
+        at: usize,
+        outcome: Outcome,
+        first: EndedFirst,
+        found: &mut Vec<Finding>,
+    ) {
+        let job = self.conns.get(at).and_then(|c| c.job.as_ref());
+        let Some(job) = job.filter(|j| j.written && matches!(j.task, Task::Delegation(..))) else {
+            let written = job.is_some_and(|j| j.written);
+            return self.end(now, at, if written { outcome } else { Outcome::NoConnection }, found);
+        };
+        let closing = Closing::new(now, End::of(outcome), first);
+        let (task, started) = (job.task, job.started);
+        if first == EndedFirst::Endpoint {
+            found.push(Finding::Ended {
+                task,
+                took: now - started,
+                end: End { pending: true, ..End::of(outcome) },
+            });
         }
+        self.close(at);
+        self.endings.push(Ending { task, started, closing });
     }
 
     /// Ends delegations that are not written yet and share a wait.
@@ -266,8 +303,7 @@
         }
         self.push(now, at, found);
         if self.conns.get(at).is_some_and(|c| c.session.over) {
-            let written = self.conns[at].job.as_ref().is_some_and(|j| j.written);
-            self.end(now, at, if written { Outcome::Reset } else { Outcome::NoConnection }, found);
+            self.break_off(now, at, Outcome::Reset, EndedFirst::Endpoint, found);
         }
     }
 
@@ -379,11 +415,24 @@
 
     /// When [`Brokers::tick`] has something to do.
     pub fn next_due(&self) -> Option<Ms> {
-        self.conns.iter().filter_map(|(_, c)| self.due(c)).min_by(f64::total_cmp)
+        let endings = self.endings.iter().map(|e| e.closing.until);
+        self.conns.iter().filter_map(|(_, c)| self.due(c)).chain(endings).min_by(f64::total_cmp)
+    }
+
+    /// Tells the ends that endpoints count as over by now.
+    fn tell_endings(&mut self, now: Ms, found: &mut Vec<Finding>) {
+        let (over, open) =
+            std::mem::take(&mut self.endings).into_iter().partition(|e| e.closing.until <= now);
+        self.endings = open;
+        for e in Vec::into_iter(over) {
+            let end = e.closing.confirmed(Confirmation::TimedOut);
+            found.push(Finding::Ended { task: e.task, took: now - e.started, end });
+        }
     }
 
     /// Gives up sessions that do not come up and probes without an answer; closes what was idle too long.
     pub fn tick(&mut self, now: Ms, found: &mut Vec<Finding>) {
+        self.tell_endings(now, found);
         let due = |c: &Conn| self.due(c).is_some_and(|t| t <= now);
         let due: Vec<usize> = self.conns.iter().filter(|(_, c)| due(c)).map(|(at, _)| at).collect();
         for at in due {
--- a/src/net/stream.rs
+++ b/src/net/stream.rs
@@ -3,10 +3,11 @@
 use super::reactor::{is_shortage, Reactor};
 use mio::net::{TcpListener, TcpStream};
 use mio::{Interest, Token};
-use socket2::{Domain, Socket, Type};
+use socket2::{Domain, SockRef, Socket, Type};
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr};
 use std::rc::Rc;
+use std::time::Duration;
 
 /// Clients that the system keeps until they are accepted. The usual 128 overflow when hundreds connect at once, and who
 /// finds no place tries again after a second, too late for its request.
@@ -160,6 +161,16 @@
         Fill::Full
     }
 
+    /// Bytes that the system has taken since the last time that nothing was left to write.
+    pub fn written(&self) -> usize {
+        self.written
+    }
+
+    /// Has the connection reset once it is closed: what the system still holds of it is thrown away and never arrives.
+    pub fn reset_on_close(&self) {
+        let _ = SockRef::from(&self.tcp).set_linger(Some(Duration::ZERO));
+    }
+
     /// Ends this side's sending; what was written still arrives.
     pub fn finish(&self) {
         let _ = self.tcp.shutdown(Shutdown::Write);
--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -5,7 +5,7 @@
 use lilacbank::api::{Listing, Ms, Outcome};
 use lilacbank::config::{Config, Worker as Listed, WorkerList};
 use lilacbank::dispatch::{Core, Delegation, End, Order, Parts, Submission};
-use lilacbank::guard::Reason;
+use lilacbank::guard::{Confirmation, Reason};
 use lilacbank::journal::{Journal, Record};
 use lilacbank::net::http::{Finding, Task, Workers};
 use lilacbank::net::mqtt::broker::Brokers;
@@ -322,7 +322,8 @@
     brokers.delegate(0.0, &delegation, &reactor, &mut found);
     assert_eq!(brokers.next_due(), Some(40.0));
     brokers.tick(40.0, &mut found);
-    let end = End { refused: Some(Reason::WindowOver), ..End::of(Outcome::NotSent) };
+    let (refused, confirmed) = (Some(Reason::WindowOver), Some(Confirmation::NeverBegun));
+    let end = End { refused, confirmed, ..End::of(Outcome::NotSent) };
     assert_eq!(found, [Finding::Ended { task: Task::Delegation(1, 1), took: 40.0, end }]);
     assert!(brokers.is_empty());
 }
--- a/tests/mesh.rs
+++ b/tests/mesh.rs
@@ -101,7 +101,7 @@
 enum Later {
     Word { to: usize, envelope: Box<Envelope> },
     Written { node: usize, life: u64, no: CallNo, attempt: u32 },
-    Outcome { node: usize, life: u64, no: CallNo, attempt: u32, outcome: Outcome },
+    Outcome { node: usize, life: u64, no: CallNo, attempt: u32, outcome: Outcome, runs: bool },
     Confirm { node: usize, life: u64, no: CallNo },
 }
 
@@ -354,10 +354,11 @@
                 }
                 self.later(1.0, Later::Written { node: n, life, no, attempt });
                 if let Some(outcome) = outcome {
-                    self.later(service + 1.0, Later::Outcome { node: n, life, no, attempt, outcome });
+                    let runs = false;
+                    self.later(service + 1.0, Later::Outcome { node: n, life, no, attempt, outcome, runs });
                 }
             }
-            Order::Abandon { no, attempt } => {
+            Order::Abandon { no, attempt, outcome } => {
                 let mut begun = true;
                 self.later.retain(|(_, l)| match l {
                     Later::Written { node, no: x, attempt: a, .. } => {
@@ -368,7 +369,10 @@
                     Later::Outcome { node, no: x, attempt: a, .. } => (*node, *x, *a) != (n, no, attempt),
                     _ => true,
                 });
-                self.ends(n, no, attempt, begun);
+                // The member hears of the end a while later, and the dispatcher after that.
+                let outcome = if begun { outcome } else { Outcome::NoConnection };
+                let heard = 2.0 + (no * 7 + u64::from(attempt) * 13 + n as u64 * 5) as f64 % 38.0;
+                self.later(heard, Later::Outcome { node: n, life, no, attempt, outcome, runs: begun });
                 // The member goes on with what it has begun; what it never had to the end has not begun.
                 if !begun {
                     let at = self.runs.iter().rposition(|r| (r.node, r.no, r.attempt) == (n, no, attempt));
@@ -428,6 +432,11 @@
     /// A message that was taken on comes again, late: nobody has heard the answer.
     fn echo(&mut self, c: usize) {
         let Some((id, options)) = self.clients[c].last.clone() else { return };
+        // What was handed back comes again as a new message, behind those of its key that came meanwhile.
+        let handed_back = |e: &Ending| matches!(e, Ending::HandedBack(_));
+        if self.told.get(&id).is_some_and(|(endings, _)| endings.iter().any(handed_back)) {
+            return;
+        }
         // Much later it would be a new message: identities are remembered for a while only.
         if self.now > self.clients[c].last_at + DEADLINE {
             return;
@@ -489,8 +498,10 @@
                 Later::Written { node, life, no, attempt } if self.nodes[node].conns == life => {
                     self.act(node, |c| c.written(now, no, attempt));
                 }
-                Later::Outcome { node, life, no, attempt, outcome } if self.nodes[node].conns == life => {
-                    self.ends(node, no, attempt, false);
+                Later::Outcome { node, life, no, attempt, outcome, runs }
+                    if self.nodes[node].conns == life =>
+                {
+                    self.ends(node, no, attempt, runs);
                     let end = lilacbank::dispatch::End::of(outcome);
                     self.act(node, |c| c.outcome(now, no, attempt, end));
                 }
--- a/tests/overlaps.rs
+++ b/tests/overlaps.rs
@@ -121,6 +121,21 @@
     assert_one_at_a_time(&attempts);
 }
 
+/// Guards against a call that is called off on a long path and goes out again on a short one: its end needs as long as it
+/// did.
+#[test]
+fn a_call_that_is_called_off_on_a_long_path_is_not_out_beside_the_next() {
+    // So slow that its calls are called off; the other one answers at once.
+    let endpoints = [Endpoint::start(manner(3_000)).unwrap(), Endpoint::start(manner(8)).unwrap()];
+    let long = Proxy::start(endpoints[0].address).unwrap();
+    long.set(Fault::Delay(Duration::from_millis(30)));
+    let (_site, dispatcher) = serve(&[long.address, endpoints[1].address]);
+    hand_in(dispatcher.address(), 160, Duration::from_millis(20));
+    let attempts = attempts(&endpoints);
+    assert!(ended_by(&attempts, EndedBy::Caller) > 0, "no call was called off");
+    assert_one_at_a_time(&attempts);
+}
+
 /// A core of the tests' settings with two endpoints.
 fn core(name: &str) -> Core {
     let text = lilacbank_rig::config::platform("n0", "0a", 3.0, 1, 1_000, "\"127.0.0.1:1\"");
