Wait behind the endpoint's own end, too; tell the module of it at once; judge late ends by when faults were played

The endpoint's end had crossed this side's: it ended its sending as the request arrived and read it 15 ms later. An end of the endpoint behind this side's does not prove that it has seen that. Change: behind the endpoint's end the message rests CONFIRM_CROSSED (100 ms); the module hears at once, the slot is free. CONFIRM_MOST is 700 ms instead of 1 s: longer than any path of the soak delays bytes one way (600 ms).

--- a/crates/rig/src/proxy.rs
+++ b/crates/rig/src/proxy.rs
@@ -179,12 +179,10 @@
     }
 }
 
-/// Has the peer reset the connection?
+/// Has the peer reset the connection? After a reset the system knows no peer any more; reading tells nothing of one behind
+/// an end of sending.
 fn was_reset(tcp: &TcpStream) -> bool {
-    match tcp.peek(&mut [0]) {
-        Ok(_) => false,
-        Err(e) => !matches!(e.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut),
-    }
+    tcp.peer_addr().is_err()
 }
 
 #[cfg(test)]
--- a/crates/rig/src/run.rs
+++ b/crates/rig/src/run.rs
@@ -58,6 +58,9 @@
     direct: Vec<bool>,
     /// Dispatchers whose folder was wiped and that have not started since.
     wiped: Vec<usize>,
+    /// When each step of the timeline had been played, in milliseconds from the start of the load: one that starts a process
+    /// waits for it, and what is behind it comes later than it says.
+    played: Vec<u64>,
 }
 
 /// Messages taken within so long before a folder was lost are handed in again.
@@ -118,6 +121,7 @@
             failed_starts: 0,
             direct: vec![false; scenario.dispatchers],
             wiped: Vec::new(),
+            played: Vec::new(),
         })
     }
 
@@ -406,6 +410,7 @@
                 wave = Some(Instant::now());
             }
             stage.play(&step, program, scenario.seed);
+            stage.played.push(start.elapsed().as_millis() as u64);
             let back: Vec<usize> = stage.wiped.iter().copied().filter(|d| step.start.contains(d)).collect();
             stage.wiped.retain(|d| !back.contains(d));
             for d in back {
@@ -525,7 +530,7 @@
         let lives = &stage.processes[n].lives;
         lives.windows(2).filter_map(|w| Some((since(w[0].1?), since(w[1].0)))).collect()
     };
-    soak::late(&endings, |n| soak::excuses(scenario, n, &away(n)))
+    soak::late(&endings, |n| soak::excuses(scenario, &stage.played, n, &away(n)))
 }
 
 fn report(
--- a/crates/rig/src/soak.rs
+++ b/crates/rig/src/soak.rs
@@ -332,15 +332,20 @@
 }
 
 /// Spans in which a dispatcher cannot be asked to end messages in time: its process is away, or its path to the platform, or
-/// none of its connections comes up.
-pub(crate) fn excuses(scenario: &Scenario, dispatcher: usize, away: &[(u64, u64)]) -> Vec<(u64, u64)> {
+/// none of its connections comes up. `played` says when each step of the timeline had been played.
+pub(crate) fn excuses(
+    scenario: &Scenario,
+    played: &[u64],
+    dispatcher: usize,
+    away: &[(u64, u64)],
+) -> Vec<(u64, u64)> {
     let mut spans = away.to_vec();
     let mut since = None;
-    for step in scenario.timeline() {
+    for (step, played) in scenario.timeline().into_iter().zip(played) {
         let named = step.of.is_empty() || step.of.contains(&dispatcher);
         match step.fault {
             Some(_) if step.path != Some(PathName::Registry) || !named => {}
-            Some(FaultName::Pass) => spans.extend(since.take().map(|from| (from, step.ms))),
+            Some(FaultName::Pass) => spans.extend(since.take().map(|from| (from, *played))),
             Some(_) => since = since.or(Some(step.ms)),
             None => {}
         }
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -121,8 +121,8 @@
     pub refused: Option<guard::Reason>,
     /// How it is known that its endpoint counts it as over.
     pub confirmed: Option<guard::Confirmation>,
-    /// That is not known yet, and is told by a second end of the same delegation.
-    pub pending: bool,
+    /// That is not known yet: a second end of the same delegation tells of it within this time.
+    pub pending: Option<Ms>,
     /// When it ended here, where it was then waited for its endpoint to know.
     pub at: Option<Ms>,
 }
@@ -131,7 +131,7 @@
     /// An end of which nothing more is known.
     pub fn of(outcome: Outcome) -> End {
         let (wait, report, refused) = (0.0, Report::default(), None);
-        let (over, heard, confirmed, pending, at) = (false, false, None, false, None);
+        let (over, heard, confirmed, pending, at) = (false, false, None, None, None);
         End { outcome, wait, report, over, heard, refused, confirmed, pending, at }
     }
 }
--- a/src/dispatch/relay.rs
+++ b/src/dispatch/relay.rs
@@ -22,7 +22,7 @@
             return self.confirm_late(now, unheard, &end);
         }
         end.confirmed.into_iter().for_each(|how| self.guard.confirmed(how));
-        let unheard = self.unheard(no, attempt).filter(|_| end.pending);
+        let unheard = self.unheard(no, attempt).filter(|_| end.pending.is_some());
         if let Some(unheard) = unheard {
             self.ended_unheard(now, no, attempt, unheard, end);
         } else {
@@ -39,9 +39,10 @@
 
     /// Books the end of a delegation of which its endpoint may not know yet: nothing else of the message goes out before.
     fn ended_unheard(&mut self, now: Ms, no: CallNo, attempt: u32, unheard: Unheard, end: End) {
+        let within = end.pending.unwrap_or(CONFIRM_MOST);
         self.unconfirmed.insert(no, attempt, unheard.clone());
         self.ended_here(now, no, attempt, end);
-        self.rest_key(now, &unheard, now + CONFIRM_MOST + self.settings.key_quiet);
+        self.rest_key(now, &unheard, now + within + self.settings.key_quiet);
     }
 
     /// Books the end of a delegation.
@@ -83,7 +84,7 @@
             report,
             heard,
             unspent,
-            rest: if pending { CONFIRM_MOST + TOLD_WITHIN } else { 0.0 },
+            rest: pending.map_or(0.0, |within| within + TOLD_WITHIN),
             ..Ended::of(no, attempt, route, outcome)
         };
         let doubtful = delivered && self.is_doubtful(now, no);
@@ -189,7 +190,7 @@
         let Some((written, Some((at, outcome)))) = out.map(|o| (o.written, o.broken_off)) else { return };
         // What was not written to the end cannot have run.
         let outcome = if written { outcome } else { Outcome::NoConnection };
-        let end = End { at: Some(at), pending: true, ..End::of(outcome) };
+        let end = End { at: Some(at), pending: Some(CONFIRM_MOST), ..End::of(outcome) };
         self.ended_unheard(now, no, attempt, unheard, end);
     }
 
--- a/src/guard.rs
+++ b/src/guard.rs
@@ -258,9 +258,12 @@
 /// endpoint: one that hangs or is cut off never tells, and where it ended the connection first no further sign can come. Longer
 /// than any path delays bytes one way; the end takes the path once. What the last answers took tells nothing of a path that has
 /// become slow meanwhile.
-pub const CONFIRM_MOST: Ms = 1_000.0;
-/// The same for what a process had out as it ended: the system ends its connections at once, and the next process has taken a
-/// while to start.
+pub const CONFIRM_MOST: Ms = 700.0;
+/// The endpoint's own end may have crossed this side's, and does not prove that it has seen that. So long after it the endpoint
+/// has.
+pub const CONFIRM_CROSSED: Ms = 100.0;
+/// The same as [`CONFIRM_MOST`] for what a process had out as it ended: the system ends its connections at once, and the next
+/// process has taken a while to start.
 pub const CONFIRM_INHERITED: Ms = 500.0;
 
 /// After SIGTERM: calls that are out may end until then,
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -7,7 +7,7 @@
 use super::{token, Kind};
 use crate::api::*;
 use crate::dispatch::{Delegation, End};
-use crate::guard::{self, Confirmation, EndedFirst, Reason};
+use crate::guard::{self, Confirmation, Reason};
 use crate::journal::CallNo;
 use slab::Slab;
 use std::collections::HashMap;
@@ -274,29 +274,37 @@
         }
         if c.closing.is_none() {
             c.stream.finish();
-            self.await_end(now, at, End::of(outcome), EndedFirst::Dispatcher);
+            self.await_end(at, Closing::by_dispatcher(now, End::of(outcome)));
         }
     }
 
-    /// A written attempt has ended here: its endpoint is to know before that is told.
-    fn await_end(&mut self, now: Ms, at: usize, end: End, first: EndedFirst) {
+    /// A written attempt has ended here: its endpoint is to know before another one of its message goes out.
+    fn await_end(&mut self, at: usize, closing: Closing) {
         let Some(c) = self.conns.get_mut(at) else { return };
-        log::debug!(id = c.id.as_str(), conn = at, bytes = c.size, ended_by = first.name();
+        log::debug!(id = c.id.as_str(), conn = at, bytes = c.size, ended_by = closing.first.name();
             "an attempt ends, its endpoint is to know");
-        c.closing = Some(Closing::new(now, end, first));
+        c.closing = Some(closing);
+    }
+
+    /// The end of an attempt is told, though its endpoint may not know yet: its slot there is free.
+    fn tell_pending(&self, now: Ms, at: usize, found: &mut Vec<Finding>) {
+        let Some(c) = self.conns.get(at) else { return };
+        if let (Some(closing), Some((task, started))) = (&c.closing, c.task) {
+            found.push(Finding::Ended { task, took: now - started, end: closing.pending(now) });
+        }
     }
 
     /// The endpoint counts an attempt as over, too.
-    fn confirm(&mut self, now: Ms, at: usize, how: Confirmation, found: &mut Vec<Finding>) {
+    fn confirm(&mut self, now: Ms, at: usize, found: &mut Vec<Finding>) {
         let Some(c) = self.conns.get_mut(at) else { return };
         if let (Some(closing), Some((task, started))) = (&c.closing, c.task) {
-            log::debug!(id = c.id.as_str(), conn = at, confirmed = how.name(), ended_by = closing.first.name();
+            log::debug!(id = c.id.as_str(), conn = at, ended_by = closing.first.name(), confirmed = closing.confirmation().name();
                 "the end of an attempt is known to its endpoint");
-            if how == Confirmation::TimedOut {
+            if closing.confirmation() == Confirmation::TimedOut {
                 // Nobody waits any more for what the system still holds of it.
                 c.stream.reset_on_close();
             }
-            found.push(Finding::Ended { task, took: now - started, end: closing.confirmed(how) });
+            found.push(Finding::Ended { task, took: now - started, end: closing.confirmed() });
         }
         self.close(at);
     }
@@ -344,8 +352,7 @@
             c.written = true;
             found.push(Finding::Written(task));
         }
-        if c.closing.as_ref().is_some_and(|closing| closing.first == EndedFirst::Endpoint) {
-            // It has ended its sending: nothing more comes.
+        if c.closing.as_ref().is_some_and(|closing| closing.is_ended) {
             return;
         }
         let fill = c.stream.fill(HEAD_MOST + BODY_MOST as usize);
@@ -422,16 +429,16 @@
             (h, _) if c.written => (Outcome::Reset, h.as_ref().map_or(0.0, |h| h.wait)),
             (_, _) => (Outcome::NoConnection, 0.0),
         };
-        if c.closing.is_some() && outcome == Outcome::Reset {
-            return self.confirm(now, at, Confirmation::EndedByEndpoint, found);
+        if let Some(closing) = c.closing.as_mut().filter(|_| outcome == Outcome::Reset) {
+            closing.endpoint_ends(now);
+            return self.tell_pending(now, at, found);
         }
         let (route, stale) = (c.unit.1, c.is_stale(now, started));
         let end = End { wait, heard: c.heard.is_some(), ..End::of(outcome) };
         if outcome == Outcome::Reset && matches!(task, Task::Delegation(..)) {
-            // Its slot at the endpoint is free, but the call may run on: another attempt of the message has to wait.
             c.stream.finish();
-            self.await_end(now, at, end.clone(), EndedFirst::Endpoint);
-            found.push(Finding::Ended { task, took: now - started, end: End { pending: true, ..end } });
+            self.await_end(at, Closing::by_endpoint(now, end));
+            self.tell_pending(now, at, found);
         } else {
             let how = if c.written { Confirmation::Answered } else { Confirmation::NeverBegun };
             found.push(Finding::Ended {
@@ -491,7 +498,7 @@
         let due: Vec<usize> = self.conns.iter().filter(|(_, c)| due(c)).map(|(at, _)| at).collect();
         for at in due {
             match &self.conns[at] {
-                c if c.closing.is_some() => self.confirm(now, at, Confirmation::TimedOut, found),
+                c if c.closing.is_some() => self.confirm(now, at, found),
                 c if c.task.is_some() && !c.written && c.write_by <= now => {
                     self.refuse(now, at, Reason::WindowOver, found);
                 }
--- a/src/net/mqtt/broker.rs
+++ b/src/net/mqtt/broker.rs
@@ -8,7 +8,7 @@
 use super::{publish, Extras, Session};
 use crate::api::*;
 use crate::dispatch::{Delegation, End};
-use crate::guard::{self, Confirmation, EndedFirst, Reason};
+use crate::guard::{self, EndedFirst, Reason};
 use crate::net::closing::Closing;
 use crate::net::head::{report, Head};
 use crate::net::http::{answered, ended, refused, Finding, Task, PROBE_PATIENCE};
@@ -236,14 +236,13 @@
             let written = job.is_some_and(|j| j.written);
             return self.end(now, at, if written { outcome } else { Outcome::NoConnection }, found);
         };
-        let closing = Closing::new(now, End::of(outcome), first);
         let (task, started) = (job.task, job.started);
-        if first == EndedFirst::Endpoint {
-            found.push(Finding::Ended {
-                task,
-                took: now - started,
-                end: End { pending: true, ..End::of(outcome) },
-            });
+        let closing = match first {
+            EndedFirst::Dispatcher => Closing::by_dispatcher(now, End::of(outcome)),
+            EndedFirst::Endpoint => Closing::by_endpoint(now, End::of(outcome)),
+        };
+        if closing.is_ended {
+            found.push(Finding::Ended { task, took: now - started, end: closing.pending(now) });
         }
         self.close(at);
         self.endings.push(Ending { task, started, closing });
@@ -425,8 +424,7 @@
             std::mem::take(&mut self.endings).into_iter().partition(|e| e.closing.until <= now);
         self.endings = open;
         for e in Vec::into_iter(over) {
-            let end = e.closing.confirmed(Confirmation::TimedOut);
-            found.push(Finding::Ended { task: e.task, took: now - e.started, end });
+            found.push(Finding::Ended { task: e.task, took: now - e.started, end: e.closing.confirmed() });
         }
     }
 
