--- a/src/net/notice.rs
+++ b/src/net/notice.rs
@@ -115,6 +115,8 @@
             }
         }
         let Some(stream) = &mut self.stream else { return };
+        log::debug!(owed = self.owed.len(), patience_ms = self.patience, first = self.owed.front().map_or("", |t| t.identity.1.as_str());
+            "notices go out");
         self.out = self.owed.len().min(if self.single { 1 } else { BATCH_MOST });
         self.since = now;
         let body: String = self.owed.iter().take(self.out).map(line).collect();
@@ -130,6 +132,8 @@
     }
 
     fn lost(&mut self, now: Ms) {
+        log::debug!(out = self.out, up = self.stream.as_mut().is_some_and(|s| s.is_up().unwrap_or(false)), waited_ms = now - self.since;
+            "notices were not answered, and go again");
         (self.stream, self.out) = (None, 0);
         self.open_at = now + self.again;
         self.again = (self.again * 2.0).min(AGAIN_MOST);
@@ -180,6 +184,7 @@
                     self.lost(now);
                 } else {
                     (self.again, self.open_at, self.patience) = (AGAIN_FIRST, now, PATIENCE);
+                    log::debug!(count = told.len(), took_ms = now - self.since; "notices were answered");
                 }
                 told
             }
