--- a/tests/overlaps.rs
+++ b/tests/overlaps.rs
@@ -5,13 +5,18 @@
 use lilacbank::api::{Listing, Ms, Outcome};
 use lilacbank::config::{Config, Worker as Listed, WorkerList};
 use lilacbank::dispatch::{Core, Delegation, End, Order, Parts, Submission};
+use lilacbank::guard::{Confirmation, CONFIRM_CROSSED, CONFIRM_MOST};
 use lilacbank::journal::Journal;
+use lilacbank::net::http::{Finding, Task, Workers};
+use lilacbank::net::reactor::Reactor;
 use lilacbank_load::attempts::{overlapping, Attempt, EndedBy};
 use lilacbank_load::connection_fault::{ConnectionFault, FaultPlan};
 use lilacbank_load::member::{Endpoint, Manner};
 use lilacbank_rig::{Fault, Proxy};
 use stand::*;
-use std::net::SocketAddr;
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
 use std::thread;
 use std::time::Duration;
 
@@ -274,6 +279,122 @@
     assert!(refused.as_u64() >= Some(1), "the guard keeps it back and counts it: {refused}");
 }
 
+/// A wire with one attempt that is written and then broken off at 100 ms, and its endpoint's side.
+struct BrokenOff {
+    workers: Workers,
+    reactor: Rc<Reactor>,
+    endpoint: TcpStream,
+    found: Vec<Finding>,
+}
+
+impl BrokenOff {
+    fn new() -> BrokenOff {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let reactor = Rc::new(Reactor::new().unwrap());
+        let mut workers = Workers::new(core("wire").settings(), 8);
+        let delegation = Delegation {
+            no: 1,
+            attempt: 0,
+            route: 0,
+            address: listener.local_addr().unwrap().to_string(),
+            dest: 1,
+            id: "a".into(),
+            idempotency: String::new(),
+            body: b"x".to_vec(),
+            patience: 5_000.0,
+            write_by: 5_000.0,
+        };
+        let mut found = Vec::new();
+        workers.delegate(0.0, &delegation, &reactor, &mut found);
+        let (mut endpoint, _) = listener.accept().unwrap();
+        let mut wire = BrokenOff { workers, reactor, endpoint: endpoint.try_clone().unwrap(), found };
+        wire.look(10.0);
+        assert!(matches!(wire.found.as_slice(), [Finding::Written(_)]), "{:?}", wire.found);
+        wire.found.clear();
+        wire.workers.abandon(100.0, Task::Delegation(1, 0), Outcome::Late, &mut wire.found);
+        assert!(wire.found.is_empty(), "{:?}", wire.found);
+        let mut request = Vec::new();
+        endpoint.read_to_end(&mut request).unwrap();
+        assert!(request.starts_with(b"POST /inbox"), "its sending has ended behind the request");
+        wire
+    }
+
+    /// Waits for something to happen on the connection.
+    fn look(&mut self, now: Ms) {
+        let mut events = mio::Events::with_capacity(8);
+        self.reactor.wait(&mut events, PATIENCE).unwrap();
+        self.workers.ready(now, 0, &mut self.found);
+    }
+
+    /// The ends that were told since the last look: outcome, confirmation, and for how long that is pending.
+    fn ends(&mut self) -> Vec<(Outcome, Option<Confirmation>, Option<Ms>)> {
+        let told = std::mem::take(&mut self.found);
+        let end = |f| match f {
+            Finding::Ended { end, .. } => Some((end.outcome, end.confirmed, end.pending)),
+            Finding::Written(_) => None,
+        };
+        told.into_iter().filter_map(end).collect()
+    }
+}
+
+/// Guards against an end that is told before the endpoint knows of it, or never, and against an answer that is lost with it.
+#[test]
+fn the_wire_tells_the_end_of_an_attempt_once_its_endpoint_knows() {
+    let mut answered = BrokenOff::new();
+    answered.endpoint.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").unwrap();
+    answered.look(150.0);
+    assert_eq!(answered.ends(), [(Outcome::Delivered, Some(Confirmation::Answered), None)]);
+
+    let mut ended = BrokenOff::new();
+    ended.endpoint.shutdown(Shutdown::Both).unwrap();
+    ended.look(150.0);
+    assert_eq!(ended.ends(), [(Outcome::Late, None, Some(CONFIRM_CROSSED))], "its slot is free");
+    assert_eq!(ended.workers.next_due(), Some(150.0 + CONFIRM_CROSSED));
+    ended.workers.tick(150.0 + CONFIRM_CROSSED, &mut ended.found);
+    assert_eq!(ended.ends(), [(Outcome::Late, Some(Confirmation::EndedByEndpoint), None)]);
+
+    let mut silent = BrokenOff::new();
+    assert_eq!(silent.workers.next_due(), Some(100.0 + CONFIRM_MOST));
+    silent.workers.tick(99.0 + CONFIRM_MOST, &mut silent.found);
+    assert!(silent.ends().is_empty());
+    silent.workers.tick(100.0 + CONFIRM_MOST, &mut silent.found);
+    assert_eq!(silent.ends(), [(Outcome::Late, Some(Confirmation::TimedOut), None)]);
+    until("it is reset", || silent.endpoint.peer_addr().is_err());
+}
+
+/// The same for an attempt that was not written: no endpoint knows of it, and its end is told at once.
+#[test]
+fn the_wire_tells_at_once_the_end_of_an_attempt_that_was_not_written() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let reactor = Rc::new(Reactor::new().unwrap());
+    let mut workers = Workers::new(core("unwritten").settings(), 8);
+    let address = listener.local_addr().unwrap().to_string();
+    let (id, idempotency, body) = ("a".to_string(), String::new(), b"x".to_vec());
+    let (patience, write_by) = (5_000.0, 5_000.0);
+    let delegation = Delegation {
+        no: 1,
+        attempt: 0,
+        route: 0,
+        address,
+        dest: 1,
+        id,
+        idempotency,
+        body,
+        patience,
+        write_by,
+    };
+    let mut found = Vec::new();
+    workers.delegate(0.0, &delegation, &reactor, &mut found);
+    // Whoever wrote it is asked, not who has been told: nothing was seen of the connection yet.
+    workers.abandon(5.0, Task::Delegation(1, 0), Outcome::Late, &mut found);
+    let ended = |f: &Finding| match f {
+        Finding::Ended { end, .. } => (end.outcome, end.confirmed),
+        Finding::Written(_) => panic!("written"),
+    };
+    let ends: Vec<_> = found.iter().map(ended).collect();
+    assert_eq!(ends, [(Outcome::NoConnection, Some(Confirmation::NeverBegun))]);
+}
+
 /// Milliseconds from the beginning of each message's first attempt to that of its second one, at this quantile.
 fn failover_ms(attempts: &[Attempt], quantile: f64) -> f64 {
     let mut all: Vec<f64> = Vec::new();
