--- a/src/dispatch/seats.rs
+++ b/src/dispatch/seats.rs
@@ -649,13 +649,23 @@
             p.stood = now - p.still_since;
         }
         let moving = |c: &Call| c.taken.tenant == tenant && c.frozen == Some(Frozen::Moving);
-        for no in self.those(moving) {
-            // What was left holds its key in the module until it has ended.
-            if self.cut_or_leave(now, no) {
-                self.conclude_any(now, no);
-                self.calls.entry(no).and_modify(|c| c.frozen = Some(Frozen::Parked));
-                self.thaw_if_free(no);
-            }
+        let mut back = self.those(moving);
+        // What was left holds its key in the module until it has ended.
+        back.retain(|no| self.cut_or_leave(now, *no));
+        back.iter().for_each(|no| self.conclude_any(now, *no));
+        self.park_resting(now, tenant);
+        for no in back {
+            self.calls.entry(no).and_modify(|c| c.frozen = Some(Frozen::Parked));
+            self.thaw_if_free(no);
+        }
+    }
+
+    /// Keys of a tenant that rest go on resting: the module did not have their calls, and knows of no rest.
+    fn park_resting(&mut self, now: Ms, tenant: &str) {
+        let rests = self.seats.rests.iter().filter(|(_, rest)| rest.0 > now && rest.1 == tenant);
+        for (key, rest) in rests.map(|(key, rest)| (*key, rest.clone())).collect::<Vec<_>>() {
+            let parked = self.seats.parked.entry(key).or_insert_with(|| rest.clone());
+            parked.0 = parked.0.max(rest.0);
         }
     }
 
