--- a/src/dispatch/admit.rs
+++ b/src/dispatch/admit.rs
@@ -5,7 +5,6 @@
 use super::{Call, Core, Frozen, Known, Once, Ticket, Verdict};
 use crate::api::*;
 use crate::config::place;
-use crate::guard::CONFIRM_INHERITED;
 use crate::journal::{CallNo, Ending, Identity, Record, Sent, Taken};
 use std::collections::BTreeMap;
 
@@ -264,7 +263,7 @@
                 _ => None,
             };
             if cut_off {
-                self.unconfirmed.inherit(no, now + CONFIRM_INHERITED);
+                self.inherit_attempt(now, no, call.taken.key);
             }
             self.hold_again(now, call);
             self.tell(no);
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -369,7 +369,7 @@
     /// Calls of ordered keys that are not over.
     order: order::KeyOrder,
     /// Attempts that have ended here while their endpoints may not know yet.
-    unconfirmed: unconfirmed::Unconfirmed,
+    unconfirmed: unconfirmed::Attempts,
     /// What the rules on sending and closing did not allow.
     pub guard: guard::Counts,
     /// The last file that was taken over: it may still be there.
@@ -438,7 +438,7 @@
             beside: beside::Beside::default(),
             waits: waits::Waits::default(),
             order: order::KeyOrder::default(),
-            unconfirmed: unconfirmed::Unconfirmed::default(),
+            unconfirmed: unconfirmed::Attempts::default(),
             guard: guard::Counts::default(),
             adopted: None,
             outdated: false,
--- a/src/dispatch/relay.rs
+++ b/src/dispatch/relay.rs
@@ -1,9 +1,9 @@
 //! Relay: the outcome of a delegation goes back to the module, and into the journal.
 
-use super::unconfirmed::Unheard;
+use super::unconfirmed::Unconfirmed;
 use super::{Core, End, Order};
 use crate::api::*;
-use crate::guard::CONFIRM_MOST;
+use crate::guard::{self, CONFIRM_MOST};
 use crate::journal::{CallNo, Ending, Sent};
 
 /// An answer that came so shortly before a call's time was up, by this side's clock, may have come after it by the
@@ -18,31 +18,25 @@
     /// word of its endpoint is still of interest.
     pub fn outcome(&mut self, now: Ms, no: CallNo, attempt: u32, end: End) {
         let rest = if end.outcome.never_ran() { 0.0 } else { self.settings.key_quiet };
-        if let Some(unheard) = self.unconfirmed.confirm(no, attempt, now + rest) {
-            return self.confirm_late(now, unheard, &end);
-        }
         end.confirmed.into_iter().for_each(|how| self.guard.confirmed(how));
-        let unheard = self.unheard(no, attempt).filter(|_| end.pending.is_some());
-        if let Some(unheard) = unheard {
-            self.ended_unheard(now, no, attempt, unheard, end);
-        } else {
-            self.ended_here(now, no, attempt, end);
+        if let Some(unconfirmed) = self.unconfirmed.confirm(now, no, attempt, rest) {
+            return self.confirmed_late(now, &unconfirmed, end.wait);
+        }
+        match end.pending {
+            Some(within) => self.ended_unconfirmed(now, no, attempt, within, end),
+            None => self.ended_here(now, no, attempt, end),
         }
     }
 
-    /// The attempt that is out, as one whose endpoint does not know of its end yet.
-    fn unheard(&self, no: CallNo, attempt: u32) -> Option<Unheard> {
-        let c = self.calls.get(&no)?;
-        let out = c.out.as_ref().filter(|o| o.attempt == attempt)?;
-        Some(Unheard::new(out.route, c.taken.key, c.taken.tenant.clone()))
-    }
-
-    /// Books the end of a delegation of which its endpoint may not know yet: nothing else of the message goes out before.
-    fn ended_unheard(&mut self, now: Ms, no: CallNo, attempt: u32, unheard: Unheard, end: End) {
-        let within = end.pending.unwrap_or(CONFIRM_MOST);
-        self.unconfirmed.insert(no, attempt, unheard.clone());
+    /// Books the end of a delegation of which its endpoint may not know for so long: nothing else of the message goes out before.
+    fn ended_unconfirmed(&mut self, now: Ms, no: CallNo, attempt: u32, within: Ms, end: End) {
+        let Some(c) = self.calls.get(&no) else { return };
+        let Some(out) = c.out.as_ref().filter(|o| o.attempt == attempt) else { return };
+        let unconfirmed = Unconfirmed::new(out.route, c.taken.key, c.taken.tenant.clone());
+        self.unconfirmed.insert(no, attempt, unconfirmed.clone());
         self.ended_here(now, no, attempt, end);
-        self.rest_key(now, &unheard, now + within + self.settings.key_quiet);
+        let until = now + within + self.settings.key_quiet;
+        self.rest_key(now, unconfirmed.key, &unconfirmed.tenant, until);
     }
 
     /// Books the end of a delegation.
@@ -185,20 +179,25 @@
 
     /// Books the end of a delegation that was broken off before its wire has told it.
     pub(super) fn conclude(&mut self, now: Ms, no: CallNo, attempt: u32) {
-        let Some(unheard) = self.unheard(no, attempt) else { return };
-        let out = self.calls.get(&no).and_then(|c| c.out.as_ref());
+        let out = self.calls.get(&no).and_then(|c| c.out.as_ref()).filter(|o| o.attempt == attempt);
         let Some((written, Some((at, outcome)))) = out.map(|o| (o.written, o.broken_off)) else { return };
         // What was not written to the end cannot have run.
         let outcome = if written { outcome } else { Outcome::NoConnection };
         let end = End { at: Some(at), pending: Some(CONFIRM_MOST), ..End::of(outcome) };
-        self.ended_unheard(now, no, attempt, unheard, end);
+        self.ended_unconfirmed(now, no, attempt, CONFIRM_MOST, end);
     }
 
     /// A wire tells of a delegation whose end was booked before.
-    fn confirm_late(&mut self, now: Ms, unheard: Unheard, end: &End) {
-        end.confirmed.into_iter().for_each(|how| self.guard.confirmed(how));
-        self.rest_key(now, &unheard, now + self.settings.key_quiet);
-        self.told_wait(now, unheard.route, end.wait);
+    fn confirmed_late(&mut self, now: Ms, unconfirmed: &Unconfirmed, wait: Ms) {
+        let until = now + self.settings.key_quiet;
+        self.rest_key(now, unconfirmed.key, &unconfirmed.tenant, until);
+        self.told_wait(now, unconfirmed.route, wait);
+    }
+
+    /// What another process had out as it ended is not known to its endpoint yet.
+    pub(super) fn inherit_attempt(&mut self, now: Ms, no: CallNo, key: Option<u64>) {
+        let known_at = guard::inherited_by(now);
+        self.unconfirmed.inherit(no, key, known_at, self.settings.key_quiet);
     }
 
     /// Frees the keys of messages whose attempts are over for their endpoints, too.
--- a/src/dispatch/seats.rs
+++ b/src/dispatch/seats.rs
@@ -6,11 +6,10 @@
 //! it must have ended. So no move waits for a silent member. What was offered stays in this journal until the other side
 //! serves it, and only then is it struck out: first the messages, then the seat.
 
-use super::unconfirmed::Unheard;
 use super::{Call, Core, Frozen, Order, Verdict};
 use crate::api::*;
 use crate::config::place;
-use crate::guard::CONFIRM_MOST;
+use crate::guard::{self, CONFIRM_MOST};
 use crate::journal::{CallNo, Ending, Record, Sent, Taken};
 use lilacbank_cells::moving::{self, Faults, Input, Node, Phase, Refused, Seat, Word};
 use lilacbank_cells::placement::{lives, Area};
@@ -687,13 +686,6 @@
         !leave
     }
 
-    /// Cuts off what is out of these.
-    fn cut_off(&mut self, calls: &[CallNo], now: Ms) {
-        for no in calls {
-            self.cut_or_leave(now, *no);
-        }
-    }
-
     fn is_broken_off(&self, no: CallNo) -> bool {
         let out = self.calls.get(&no).and_then(|c| c.out.as_ref());
         out.is_some_and(|o| o.broken_off.is_some())
@@ -702,7 +694,7 @@
     /// A tenant that drains stays for as long as endpoints may need to know of ends; false once it has.
     fn wait_once_more(&mut self, now: Ms, tenant: &str) -> bool {
         let Some(place) = self.seats.of.get_mut(tenant) else { return false };
-        let until = *place.confirm_until.get_or_insert(now + CONFIRM_MOST);
+        let until = *place.confirm_until.get_or_insert(guard::confirmed_by(now));
         place.drain_until = Some(until);
         now < until
     }
@@ -738,16 +730,17 @@
         {
             return;
         }
-        let Some(c) = self.calls.get(&no) else { return };
-        let unheard = Unheard::new(0, c.taken.key, c.taken.tenant.clone());
-        self.rest_key(now, &unheard, now + self.settings.key_quiet);
+        let Some((key, tenant)) = self.calls.get(&no).map(|c| (c.taken.key, c.taken.tenant.clone())) else {
+            return;
+        };
+        self.rest_key(now, key, &tenant, now + self.settings.key_quiet);
     }
 
-    /// The key of an attempt rests until then, also where its tenant goes.
-    pub(super) fn rest_key(&mut self, now: Ms, unheard: &Unheard, until: Ms) {
-        if let (Some(key), true) = (unheard.key, self.seats.spec.is_some()) {
+    /// A key of a tenant rests until then, also where the tenant goes.
+    pub(super) fn rest_key(&mut self, now: Ms, key: Option<u64>, tenant: &str, until: Ms) {
+        if let (Some(key), true) = (key, self.seats.spec.is_some()) {
             self.seats.rests.retain(|_, r| r.0 > now);
-            self.seats.rests.insert(key, (until, unheard.tenant.clone()));
+            self.seats.rests.insert(key, (until, tenant.to_string()));
         }
     }
 
@@ -971,9 +964,11 @@
             return;
         }
         // Another dispatcher sends them once it has them: their endpoints have to know of the end before.
-        self.cut_off(&left, now);
-        let unheard = |no: &CallNo| self.unconfirmed.is_of(*no, now) || self.is_broken_off(*no);
-        if going.iter().any(unheard) && self.wait_once_more(now, tenant) {
+        for no in &left {
+            self.cut_or_leave(now, *no);
+        }
+        let unconfirmed = |no: &CallNo| self.unconfirmed.is_of(*no, now) || self.is_broken_off(*no);
+        if going.iter().any(unconfirmed) && self.wait_once_more(now, tenant) {
             return;
         }
         left.into_iter().for_each(|no| self.conclude_any(now, no));
--- a/src/dispatch/send.rs
+++ b/src/dispatch/send.rs
@@ -183,6 +183,7 @@
             write_by: guard::write_by(&message, &self.guarded_process()),
             wait_told: c.out.as_ref().and_then(|out| self.wait_on(now, out.route)).map(|wait| wait.told),
             has_earlier: message.has_earlier,
+            unconfirmed: message.unconfirmed,
         };
         if let Some(reason) = guard::broken_by(now, &written) {
             log::error!(id = c.taken.identity.1.as_str(), late_ms = now - written.write_by, cause = reason.name();
--- a/src/guard.rs
+++ b/src/guard.rs
@@ -197,6 +197,8 @@
     pub wait_told: Option<Ms>,
     /// An earlier message of its key is not over.
     pub has_earlier: bool,
+    /// An earlier attempt of its message has ended here, and its endpoint may not know yet.
+    pub unconfirmed: bool,
 }
 
 /// The rule that the writing of an attempt has broken.
@@ -205,6 +207,7 @@
         (now > written.write_by + HELD_UP, Reason::WindowOver),
         (written.wait_told.is_some_and(|told| now > told + ON_ITS_WAY + HELD_UP), Reason::Waiting),
         (written.has_earlier, Reason::OutOfTurn),
+        (written.unconfirmed, Reason::Unconfirmed),
     ];
     broken.iter().find(|(holds, _)| *holds).map(|(_, reason)| *reason)
 }
@@ -264,7 +267,30 @@
 pub const CONFIRM_CROSSED: Ms = 100.0;
 /// The same as [`CONFIRM_MOST`] for what a process had out as it ended: the system ends its connections at once, and the next
 /// process has taken a while to start.
-pub const CONFIRM_INHERITED: Ms = 500.0;
+const CONFIRM_INHERITED: Ms = 500.0;
+
+/// When an attempt that ends now, written and not answered, counts as over for its endpoint at the latest.
+pub fn confirmed_by(now: Ms) -> Ms {
+    now + CONFIRM_MOST
+}
+
+/// The same once the endpoint has ended its side behind this one.
+pub fn confirmed_behind(now: Ms, by: Ms) -> Ms {
+    by.min(now + CONFIRM_CROSSED)
+}
+
+/// The same for what another process had out, which is found to have ended now.
+pub fn inherited_by(now: Ms) -> Ms {
+    now + CONFIRM_INHERITED
+}
+
+/// How the end of such an attempt is known to its endpoint, once its time is over.
+pub fn confirmation(first: EndedFirst, endpoint_ended: bool) -> Confirmation {
+    match first {
+        EndedFirst::Dispatcher if endpoint_ended => Confirmation::EndedByEndpoint,
+        _ => Confirmation::TimedOut,
+    }
+}
 
 /// After SIGTERM: calls that are out may end until then,
 pub const LEAVE_AFTER: Ms = 3_300.0;
@@ -485,7 +511,7 @@
 
     #[test]
     fn what_was_written_too_late_within_a_wait_or_out_of_turn_is_a_violation() {
-        let written = Written { write_by: 1_000.0, wait_told: None, has_earlier: false };
+        let written = Written { write_by: 1_000.0, wait_told: None, has_earlier: false, unconfirmed: false };
         assert_eq!(
             (may_write(1_000.0, 1_000.0), may_write(1_000.1, 1_000.0)),
             (Ok(()), Err(Reason::WindowOver))
@@ -495,6 +521,22 @@
         let waiting = Written { wait_told: Some(100.0), ..written };
         assert_eq!((broken_by(350.0, &waiting), broken_by(351.0, &waiting)), (None, Some(Reason::Waiting)));
         assert_eq!(broken_by(0.0, &Written { has_earlier: true, ..written }), Some(Reason::OutOfTurn));
+        assert_eq!(broken_by(0.0, &Written { unconfirmed: true, ..written }), Some(Reason::Unconfirmed));
+    }
+
+    #[test]
+    fn an_unanswered_attempt_is_over_with_a_sign_of_its_endpoint_or_after_a_while() {
+        let by = confirmed_by(10.0);
+        assert_eq!(by, 10.0 + CONFIRM_MOST);
+        assert_eq!(confirmed_behind(20.0, by), 20.0 + CONFIRM_CROSSED);
+        assert_eq!(confirmed_behind(by - 1.0, by), by, "never longer than without the sign");
+        assert_eq!(confirmation(EndedFirst::Dispatcher, true), Confirmation::EndedByEndpoint);
+        assert_eq!(confirmation(EndedFirst::Dispatcher, false), Confirmation::TimedOut);
+        assert_eq!(
+            confirmation(EndedFirst::Endpoint, true),
+            Confirmation::TimedOut,
+            "it is no answer to ours"
+        );
     }
 
     #[test]
--- a/src/net/closing.rs
+++ b/src/net/closing.rs
@@ -3,7 +3,7 @@
 
 use crate::api::Ms;
 use crate::dispatch::End;
-use crate::guard::{Confirmation, EndedFirst, CONFIRM_CROSSED, CONFIRM_MOST};
+use crate::guard::{confirmation, confirmed_behind, confirmed_by, Confirmation, EndedFirst};
 
 /// An attempt that has ended here.
 #[derive(Debug, Clone, PartialEq)]
@@ -16,24 +16,26 @@
     pub(super) until: Ms,
     /// The endpoint has ended its side, too: nothing more comes.
     pub(super) is_ended: bool,
+    /// Its answer was spoilt: nothing is read of it any more but its end.
+    pub(super) is_spoilt: bool,
 }
 
 impl Closing {
-    /// An attempt that this side ends now.
-    pub(super) fn by_dispatcher(now: Ms, end: End) -> Closing {
-        let first = EndedFirst::Dispatcher;
-        Closing { end, first, since: now, until: now + CONFIRM_MOST, is_ended: false }
+    /// An attempt that ends now.
+    pub(super) fn new(now: Ms, end: End, first: EndedFirst) -> Closing {
+        let is_ended = first == EndedFirst::Endpoint;
+        Closing { end, first, since: now, until: confirmed_by(now), is_ended, is_spoilt: false }
     }
 
-    /// An attempt that its endpoint has ended now.
-    pub(super) fn by_endpoint(now: Ms, end: End) -> Closing {
-        Closing { first: EndedFirst::Endpoint, is_ended: true, ..Closing::by_dispatcher(now, end) }
+    /// The same, ended by this side since its answer is spoilt.
+    pub(super) fn of_spoilt(now: Ms, end: End) -> Closing {
+        Closing { is_spoilt: true, ..Closing::new(now, end, EndedFirst::Dispatcher) }
     }
 
     /// The endpoint ends its side behind this one.
     pub(super) fn endpoint_ends(&mut self, now: Ms) {
         self.is_ended = true;
-        self.until = self.until.min(now + CONFIRM_CROSSED);
+        self.until = confirmed_behind(now, self.until);
     }
 
     /// Its end as it is told at once: the slot at the endpoint is free, but the endpoint may not know yet.
@@ -43,10 +45,7 @@
 
     /// How its endpoint knows, once its time is over.
     pub(super) fn confirmation(&self) -> Confirmation {
-        match self.first {
-            EndedFirst::Dispatcher if self.is_ended => Confirmation::EndedByEndpoint,
-            _ => Confirmation::TimedOut,
-        }
+        confirmation(self.first, self.is_ended)
     }
 
     /// Its end, confirmed.
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -7,7 +7,7 @@
 use super::{token, Kind};
 use crate::api::*;
 use crate::dispatch::{Delegation, End};
-use crate::guard::{self, Confirmation, Reason};
+use crate::guard::{self, Confirmation, EndedFirst, Reason};
 use crate::journal::CallNo;
 use slab::Slab;
 use std::collections::HashMap;
@@ -274,7 +274,7 @@
         }
         if c.closing.is_none() {
             c.stream.finish();
-            self.await_end(at, Closing::by_dispatcher(now, End::of(outcome)));
+            self.await_end(at, Closing::new(now, End::of(outcome), EndedFirst::Dispatcher));
         }
     }
 
@@ -282,7 +282,7 @@
     fn await_end(&mut self, at: usize, closing: Closing) {
         let Some(c) = self.conns.get_mut(at) else { return };
         log::debug!(id = c.id.as_str(), conn = at, bytes = c.size, ended_by = closing.first.name();
-            "an attempt ends, its endpoint is to know");
+            "an attempt ends, and its endpoint is to know");
         c.closing = Some(closing);
     }
 
@@ -355,7 +355,16 @@
         if c.closing.as_ref().is_some_and(|closing| closing.is_ended) {
             return;
         }
-        let fill = c.stream.fill(HEAD_MOST + BODY_MOST as usize);
+        let mut fill = c.stream.fill(HEAD_MOST + BODY_MOST as usize);
+        if flushed.is_err() {
+            fill = Fill::Ended;
+        }
+        if c.closing.as_ref().is_some_and(|closing| closing.is_spoilt) {
+            c.stream.inbox.clear();
+            return if fill == Fill::Ended {
+                self.endpoint_ended(now, at, found)
+            };
+        }
         if c.task.is_none() && c.head.is_none() {
             // Idle: whatever comes now, the connection is of no more use.
             if fill != Fill::Blocked || !c.stream.inbox.is_empty() {
@@ -383,15 +392,16 @@
                     }
                     c.head = Some(h);
                 }
-                Ok(None) if flushed.is_ok() && fill == Fill::Blocked => return,
-                _ => return self.broke(now, at, found),
+                Ok(None) if fill == Fill::Blocked => return,
+                _ => return self.broke(now, at, fill, found),
             }
         }
-        self.body(now, at, flushed.is_ok() && fill == Fill::Blocked, found);
+        self.body(now, at, fill, found);
     }
 
     /// The head is there; the answer counts once its body is as long as it says.
-    fn body(&mut self, now: Ms, at: usize, open: bool, found: &mut Vec<Finding>) {
+    fn body(&mut self, now: Ms, at: usize, fill: Fill, found: &mut Vec<Finding>) {
+        let open = fill == Fill::Blocked;
         let Some(c) = self.conns.get_mut(at) else { return };
         let Some(h) = &c.head else { return };
         let have = c.stream.inbox.len() as u64;
@@ -404,7 +414,7 @@
             None => true,
         };
         if !whole {
-            return self.broke(now, at, found);
+            return self.broke(now, at, fill, found);
         }
         let reusable = h.reusable && c.written && open && c.closing.is_none();
         if let Some((task, started)) = c.task.take() {
@@ -421,7 +431,7 @@
 
     /// The connection carries nothing any more: how that is to be taken hangs on what was written and what came. An
     /// answer that was spoilt may have run whatever its head said, but the wait that it told is kept.
-    fn broke(&mut self, now: Ms, at: usize, found: &mut Vec<Finding>) {
+    fn broke(&mut self, now: Ms, at: usize, fill: Fill, found: &mut Vec<Finding>) {
         let Some(c) = self.conns.get_mut(at) else { return };
         let Some((task, started)) = c.task else { return self.close(at) };
         let (outcome, wait) = match (&c.head, status(&c.stream.inbox)) {
@@ -429,23 +439,14 @@
             (h, _) if c.written => (Outcome::Reset, h.as_ref().map_or(0.0, |h| h.wait)),
             (_, _) => (Outcome::NoConnection, 0.0),
         };
-        if let Some(closing) = c.closing.as_mut().filter(|_| outcome == Outcome::Reset) {
-            closing.endpoint_ends(now);
-            return self.tell_pending(now, at, found);
-        }
         let (route, stale) = (c.unit.1, c.is_stale(now, started));
-        let end = End { wait, heard: c.heard.is_some(), ..End::of(outcome) };
         if outcome == Outcome::Reset && matches!(task, Task::Delegation(..)) {
-            c.stream.finish();
-            self.await_end(at, Closing::by_endpoint(now, end));
-            self.tell_pending(now, at, found);
+            let end = End { wait, heard: c.heard.is_some(), ..End::of(outcome) };
+            self.broke_unanswered(now, at, fill, end, found);
         } else {
             let how = if c.written { Confirmation::Answered } else { Confirmation::NeverBegun };
-            found.push(Finding::Ended {
-                task,
-                took: now - started,
-                end: End { confirmed: Some(how), ..end },
-            });
+            let end = End { wait, heard: c.heard.is_some(), confirmed: Some(how), ..End::of(outcome) };
+            found.push(Finding::Ended { task, took: now - started, end });
             self.close(at);
         }
         if stale {
@@ -453,17 +454,56 @@
         }
     }
 
+    /// An attempt was written and not answered: its endpoint has ended the connection, or its answer is spoilt and this side
+    /// ends it.
+    fn broke_unanswered(&mut self, now: Ms, at: usize, fill: Fill, end: End, found: &mut Vec<Finding>) {
+        let Some(c) = self.conns.get_mut(at) else { return };
+        match &mut c.closing {
+            Some(_) if fill == Fill::Ended => self.endpoint_ended(now, at, found),
+            Some(closing) => closing.is_spoilt = true,
+            None if fill == Fill::Ended => {
+                c.stream.finish();
+                self.await_end(at, Closing::new(now, end, EndedFirst::Endpoint));
+                self.tell_pending(now, at, found);
+            }
+            None => {
+                c.stream.finish();
+                self.await_end(at, Closing::of_spoilt(now, end));
+            }
+        }
+    }
+
+    /// The endpoint ends its side of a connection whose attempt this side has ended: its slot there is free.
+    fn endpoint_ended(&mut self, now: Ms, at: usize, found: &mut Vec<Finding>) {
+        if let Some(closing) = self.conns.get_mut(at).and_then(|c| c.closing.as_mut()) {
+            closing.endpoint_ends(now);
+            self.tell_pending(now, at, found);
+        }
+    }
+
     /// Ends a task that the rules do not let be written any more.
     fn refuse(&mut self, now: Ms, at: usize, reason: Reason, found: &mut Vec<Finding>) {
-        if let Some((task, started)) = self.conns.get(at).and_then(|c| c.task) {
-            found.push(refused(task, reason, now - started));
-        }
-        self.close(at);
+        self.end_at_once(at, reason.name(), |task, started| refused(task, reason, now - started), found);
     }
 
     fn end(&mut self, now: Ms, at: usize, outcome: Outcome, found: &mut Vec<Finding>) {
-        if let Some((task, started)) = self.conns.get(at).and_then(|c| c.task) {
-            found.push(ended(task, outcome, now - started));
+        self.end_at_once(at, "given_up", |task, started| ended(task, outcome, now - started), found);
+    }
+
+    /// Closes the connection of a probe, or of an attempt that no endpoint has begun; its end is told at once.
+    fn end_at_once(
+        &mut self,
+        at: usize,
+        cause: &str,
+        end: impl Fn(Task, Ms) -> Finding,
+        found: &mut Vec<Finding>,
+    ) {
+        let Some(c) = self.conns.get(at) else { return };
+        if let Some((task, started)) = c.task {
+            let written = c.size - c.stream.unwritten().min(c.size);
+            log::debug!(id = c.id.as_str(), conn = at, bytes = written, of = c.size, up = c.up, cause = cause;
+                "a request ends, and its connection");
+            found.push(end(task, started));
         }
         self.close(at);
     }
@@ -502,7 +542,7 @@
                 c if c.task.is_some() && !c.written && c.write_by <= now => {
                     self.refuse(now, at, Reason::WindowOver, found);
                 }
-                c if c.heard.is_some() => self.broke(now, at, found),
+                c if c.heard.is_some() => self.broke(now, at, Fill::Blocked, found),
                 c if c.up => self.end(now, at, Outcome::Late, found),
                 _ => self.end(now, at, Outcome::NoConnection, found),
             }
--- a/src/net/mqtt/broker.rs
+++ b/src/net/mqtt/broker.rs
@@ -237,10 +237,7 @@
             return self.end(now, at, if written { outcome } else { Outcome::NoConnection }, found);
         };
         let (task, started) = (job.task, job.started);
-        let closing = match first {
-            EndedFirst::Dispatcher => Closing::by_dispatcher(now, End::of(outcome)),
-            EndedFirst::Endpoint => Closing::by_endpoint(now, End::of(outcome)),
-        };
+        let closing = Closing::new(now, End::of(outcome), first);
         if closing.is_ended {
             found.push(Finding::Ended { task, took: now - started, end: closing.pending(now) });
         }
@@ -420,12 +417,14 @@
 
     /// Tells the ends that endpoints count as over by now.
     fn tell_endings(&mut self, now: Ms, found: &mut Vec<Finding>) {
-        let (over, open) =
-            std::mem::take(&mut self.endings).into_iter().partition(|e| e.closing.until <= now);
-        self.endings = open;
-        for e in Vec::into_iter(over) {
-            found.push(Finding::Ended { task: e.task, took: now - e.started, end: e.closing.confirmed() });
-        }
+        self.endings.retain(|e| {
+            let is_over = e.closing.until <= now;
+            if is_over {
+                let (task, took) = (e.task, now - e.started);
+                found.push(Finding::Ended { task, took, end: e.closing.confirmed() });
+            }
+            !is_over
+        });
     }
 
     /// Gives up sessions that do not come up and probes without an answer; closes what was idle too long.
--- a/src/net/stream.rs
+++ b/src/net/stream.rs
@@ -161,11 +161,6 @@
         Fill::Full
     }
 
-    /// Bytes that the system has taken since the last time that nothing was left to write.
-    pub fn written(&self) -> usize {
-        self.written
-    }
-
     /// Has the connection reset once it is closed: what the system still holds of it is thrown away and never arrives.
     pub fn reset_on_close(&self) {
         let _ = SockRef::from(&self.tcp).set_linger(Some(Duration::ZERO));
--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -2,14 +2,14 @@
 //! forced by stand-ins that wait for a sign, and by halting the process; `docs/design/endings.md` lists them.
 
 mod stand;
-use lilacbank::api::{Listing, Ms, Outcome};
-use lilacbank::config::{Config, Worker as Listed, WorkerList};
-use lilacbank::dispatch::{Core, Delegation, End, Order, Parts, Submission};
+use lilacbank::api::{Listing, Outcome};
+use lilacbank::dispatch::{Delegation, End, Order, Submission};
 use lilacbank::guard::{Confirmation, Reason};
 use lilacbank::journal::{Journal, Record};
 use lilacbank::net::http::{Finding, Task, Workers};
 use lilacbank::net::mqtt::broker::Brokers;
 use lilacbank::net::reactor::Reactor;
+use stand::in_process::*;
 use stand::*;
 use std::collections::BTreeSet;
 use std::rc::Rc;
@@ -248,49 +248,12 @@
     assert_eq!(worker.next("POST").request.header("x-txn"), "second");
 }
 
-fn core() -> Core {
-    let text = lilacbank_rig::config::platform("n0", "0a", 3.0, 1, 1_000, "\"127.0.0.1:1\"");
-    let env = |key: &str| match key {
-        "ROUTER_STATE" => Some("unused".to_string()),
-        "ROUTER_LISTEN" => Some("127.0.0.1:0".to_string()),
-        _ => None,
-    };
-    let Config { settings, names, .. } = Config::reread(&text, &env).unwrap();
-    let dir = Site::new(&[]);
-    let (journal, _) = Journal::open(&dir.dir.join("state"), 1 << 20).unwrap();
-    let (promises, once, cells) = (Vec::new(), Vec::new(), Vec::new());
-    Core::new(Parts { settings, names, journal, promises, once, cells, mesh: None })
-}
-
-fn tell(core: &mut Core, now: Ms, listing: Listing, whole: bool) -> Vec<Order> {
-    let address = "127.0.0.1:1".to_string();
-    let w = Listed { uid: "w1".into(), address, zone: 0, kind: 0, dest: 1, listing, weight: 1.0 };
-    let workers = if whole { vec![] } else { vec![w] };
-    core.list(now, WorkerList { rev: 1, whole, workers }, false);
-    core.turn(now)
-}
-
-/// The next delegation that the core orders, within so many milliseconds.
-fn next_delegation(core: &mut Core, from: Ms, within: usize) -> Option<(Ms, Delegation)> {
-    (0..within).map(|n| from + n as Ms).find_map(|now| {
-        core.turn(now)
-            .into_iter()
-            .find_map(|o| if let Order::Delegate(d) = o { Some((now, d)) } else { None })
-    })
-}
-
-fn submit(core: &mut Core, now: Ms, id: &str, class: &str) {
-    let identity = (String::new(), id.to_string());
-    let (class, idempotency) = (class.to_string(), "k".to_string());
-    core.submit(now, 2, Submission { identity, class, idempotency, dest: 1, ..Submission::default() });
-}
-
 /// Guards against a repeat that is decided within the window in which repeats are dropped and written after it: its
 /// connection came up late. A first attempt may be written within its message's time only.
 #[test]
 fn a_repeat_may_be_written_within_its_window_only() {
-    let mut core = core();
-    tell(&mut core, 0.0, Listing::Ready, false);
+    let mut core = new_core();
+    tell(&mut core, 0.0, &["w1"], Listing::Ready, false);
     submit(&mut core, 10.0, "a", "order");
     let (first, d) = next_delegation(&mut core, 10.0, 5).unwrap();
     assert_eq!(d.write_by, 10.0 + 20_000.0);
@@ -305,7 +268,7 @@
     let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
     let address = format!("mqtt://{}/inbox", listener.local_addr().unwrap());
     let reactor = Rc::new(Reactor::new().unwrap());
-    let mut brokers = Brokers::new(core().settings(), 8, "n0".into());
+    let mut brokers = Brokers::new(new_core().settings(), 8, "n0".into());
     let delegation = Delegation {
         no: 1,
         attempt: 1,
@@ -331,8 +294,8 @@
 /// Guards against a rule that keeps something back and says so nowhere: what a wire did not write is counted by its reason.
 #[test]
 fn what_a_wire_did_not_write_is_counted_by_its_rule() {
-    let mut core = core();
-    tell(&mut core, 0.0, Listing::Ready, false);
+    let mut core = new_core();
+    tell(&mut core, 0.0, &["w1"], Listing::Ready, false);
     submit(&mut core, 10.0, "a", "pay");
     let (at, d) = next_delegation(&mut core, 10.0, 500).unwrap();
     let end = End { refused: Some(Reason::WindowOver), ..End::of(Outcome::NotSent) };
@@ -345,8 +308,8 @@
 /// Guards against an attempt that is written against a rule and is counted nowhere.
 #[test]
 fn an_attempt_that_was_written_too_late_is_counted_as_a_violation() {
-    let mut core = core();
-    tell(&mut core, 0.0, Listing::Ready, false);
+    let mut core = new_core();
+    tell(&mut core, 0.0, &["w1"], Listing::Ready, false);
     submit(&mut core, 10.0, "a", "pay");
     let (at, d) = next_delegation(&mut core, 10.0, 500).unwrap();
     core.written(at + 1.0, d.no, d.attempt);
@@ -363,7 +326,7 @@
     let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap().to_string();
     let reactor = Rc::new(Reactor::new().unwrap());
-    let mut workers = Workers::new(core().settings(), 8);
+    let mut workers = Workers::new(new_core().settings(), 8);
     let delegation = |no, write_by| Delegation {
         no,
         attempt: 1,
@@ -409,11 +372,13 @@
 #[test]
 fn what_waits_for_its_connection_is_held_back_once_its_endpoint_drains_or_goes() {
     for whole in [false, true] {
-        let mut core = core();
-        tell(&mut core, 0.0, Listing::Ready, false);
+        let mut core = new_core();
+        tell(&mut core, 0.0, &["w1"], Listing::Ready, false);
         submit(&mut core, 10.0, "a", "safe");
         let (_, d) = next_delegation(&mut core, 10.0, 5).unwrap();
-        let orders = tell(&mut core, 20.0, Listing::Draining, whole);
+        // Draining, or gone: the whole list does not name it.
+        let uids: &[&str] = if whole { &[] } else { &["w1"] };
+        let orders = tell(&mut core, 20.0, uids, Listing::Draining, whole);
         let hold = Order::Hold { dest: 1, route: Some(d.route) };
         assert!(orders.contains(&hold), "whole: {whole}: {orders:?}");
     }
@@ -455,8 +420,8 @@
 /// not confirmed that it heard.
 #[test]
 fn the_next_of_a_key_goes_once_the_one_before_is_delivered_to_a_session() {
-    let mut core = core();
-    tell(&mut core, 0.0, Listing::Ready, false);
+    let mut core = new_core();
+    tell(&mut core, 0.0, &["w1"], Listing::Ready, false);
     for id in ["a", "b"] {
         let identity = ("session".to_string(), id.to_string());
         let (class, idempotency) = ("order".to_string(), id.to_string());
--- /dev/null
+++ b/tests/stand/in_process.rs
@@ -0,0 +1,53 @@
+//! The core of the dispatcher in the test's own process: no wire, no file, and the time that the test says.
+
+use lilacbank::api::{Listing, Ms};
+use lilacbank::config::{Config, Worker, WorkerList};
+use lilacbank::dispatch::{Core, Delegation, Order, Parts, Submission};
+use lilacbank::journal::Journal;
+
+/// A core of the tests' settings that knows no endpoint. Its journal's folder is gone already.
+pub fn new_core() -> Core {
+    let text = lilacbank_rig::config::platform("n0", "0a", 3.0, 1, 1_000, "\"127.0.0.1:1\"");
+    let env = |key: &str| match key {
+        "ROUTER_STATE" => Some("unused".to_string()),
+        "ROUTER_LISTEN" => Some("127.0.0.1:0".to_string()),
+        _ => None,
+    };
+    let Config { settings, names, .. } = Config::reread(&text, &env).unwrap();
+    let site = super::Site::new(&[]);
+    let (journal, _) = Journal::open(&site.dir.join("state"), 1 << 20).unwrap();
+    let (promises, once, cells) = (Vec::new(), Vec::new(), Vec::new());
+    Core::new(Parts { settings, names, journal, promises, once, cells, mesh: None })
+}
+
+/// Tells a core the list: these endpoints of destination 1, and no other if it is whole. What it orders then.
+pub fn tell(core: &mut Core, now: Ms, uids: &[&str], listing: Listing, whole: bool) -> Vec<Order> {
+    let listed = |uid: &&str| {
+        let (uid, address) = (uid.to_string(), "127.0.0.1:1".to_string());
+        Worker { uid, address, zone: 0, kind: 0, dest: 1, listing, weight: 1.0 }
+    };
+    let workers = uids.iter().map(listed).collect();
+    core.list(now, WorkerList { rev: 1, whole, workers }, false);
+    core.turn(now)
+}
+
+/// A message for destination 1, without a key.
+pub fn submission(id: &str, class: &str) -> Submission {
+    let (identity, idempotency) = ((String::new(), id.to_string()), id.to_string());
+    Submission { identity, class: class.to_string(), idempotency, dest: 1, ..Submission::default() }
+}
+
+/// Hands a message in.
+pub fn submit(core: &mut Core, now: Ms, id: &str, class: &str) {
+    core.submit(now, 2, submission(id, class));
+}
+
+/// The first delegation among these orders.
+pub fn delegated(orders: Vec<Order>) -> Option<Delegation> {
+    orders.into_iter().find_map(|o| if let Order::Delegate(d) = o { Some(d) } else { None })
+}
+
+/// The next delegation that the core orders, within so many milliseconds.
+pub fn next_delegation(core: &mut Core, from: Ms, within: usize) -> Option<(Ms, Delegation)> {
+    (0..within).map(|n| from + n as Ms).find_map(|now| Some((now, delegated(core.turn(now))?)))
+}
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 pub mod faults;
+pub mod in_process;
 
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
