Test the wait behind a session with a broker; late connections of a given time

A worker behind a broker sees nothing of a session's end: the next attempt comes 0.7 s behind it, whether the session broke or was given up. crates/faults: `late` with milliseconds makes each connection late, without them one in three. Tried and not kept: a request that is written as its attempt is broken off, with real processes (connections late by 640 and 700 ms, the process halted over the watchdog's time).

--- a/crates/faults/src/late.rs
+++ b/crates/faults/src/late.rs
@@ -7,7 +7,7 @@
 use std::thread;
 use std::time::Duration;
 
-/// One connection in so many comes up late.
+/// One connection in so many comes up late, where the schedule does not say how late.
 const EACH: u64 = 3;
 /// Milliseconds that it takes then, at least and at most.
 const LEAST_MS: u64 = 100;
@@ -26,7 +26,7 @@
 /// # Safety
 /// The address is as long as it says.
 pub(crate) unsafe fn begin(fd: c_int, address: *const sockaddr, length: socklen_t) -> bool {
-    let Some(argument) = active(Kind::Late).filter(|_| nth_call(EACH)) else { return false };
+    let Some(argument) = active(Kind::Late).filter(|ms| *ms > 0.0 || nth_call(EACH)) else { return false };
     if length as usize != size_of::<sockaddr_in>() || c_int::from((*address).sa_family) != libc::AF_INET {
         return false;
     }
--- a/crates/faults/src/lib.rs
+++ b/crates/faults/src/lib.rs
@@ -11,7 +11,7 @@
 //! | `eio` | reads, writes, opens, truncations and renames in the folder fail with `EIO` | 1: half of the bytes are written first; 2: only `pwrite` fails |
 //! | `accept` | `accept4` fails with `EMFILE` | - |
 //! | `connect` | `connect` fails with `ENETUNREACH` | - |
-//! | `late` | one connection in three comes up late, as after a lost SYN | milliseconds, 100 to 1500 if absent |
+//! | `late` | connections come up late, as after a lost SYN: each after so long, or one in three after 100 to 1500 ms | milliseconds, or absent |
 //! | `eintr` | one in so many reads, writes and polls fails with `EINTR` | 3 if absent |
 //! | `short` | reads and writes on sockets move so many bytes at most | 7 if absent |
 //! | `halt` | the thread sleeps before one in 64 writes on a socket | milliseconds, 150 if absent |
--- a/tests/mqtt.rs
+++ b/tests/mqtt.rs
@@ -4,6 +4,7 @@
 #[path = "stand/mqtt.rs"]
 mod stand_mqtt;
 
+use lilacbank::guard::CONFIRM_MOST;
 use mqtt_protocol_core::mqtt::result_code::PubackReasonCode;
 use stand::*;
 use stand_mqtt::*;
@@ -116,6 +117,32 @@
     assert_eq!((broker.effects_of("pay-1"), broker.effects_of("pay-2")), (1, 2));
 }
 
+/// The calls with this id, in order.
+fn calls_of(broker: &Broker, id: &str) -> Vec<Instant> {
+    broker.calls.lock().unwrap().iter().filter(|m| m.get("id") == id).map(|m| m.at).collect()
+}
+
+/// A worker behind a broker sees nothing of a session's end: the next attempt waits for as long as an end is waited for at
+/// most, whoever ended the session.
+#[test]
+fn the_next_attempt_through_a_broker_waits_behind_the_end_of_the_session() {
+    let bound = Duration::from_millis(CONFIRM_MOST as u64);
+    let broken = Broker::start(|_, nth| if nth == 0 { Does::Broken } else { Does::Answers(200, None) });
+    let silent = Broker::start(|_, nth| if nth == 0 { Does::Silence } else { Does::Answers(200, None) });
+    for broker in [&broken, &silent] {
+        let site = behind(&[broker]);
+        let d = site.start();
+        let mut c = MqttClient::connect(d.mqtt.unwrap(), "bank-1");
+        c.submit("m", SAFE, 10);
+        until("it is tried again", || calls_of(broker, "m").len() == 2);
+        let again = calls_of(broker, "m")[1];
+        let ended = *broker.ended.lock().unwrap().first().expect("the first session has ended");
+        // The broker sees the end a while after it was made.
+        assert!(again.duration_since(ended) > bound / 2, "{:?} after its end", again.duration_since(ended));
+        assert_eq!(c.outcome("m"), "delivered");
+    }
+}
+
 /// What was out when the process died may have run: it is not paid again, and its client hears of it.
 #[test]
 fn a_kill_in_the_middle_of_a_reimbursement_ends_it() {
--- a/tests/overlaps.rs
+++ b/tests/overlaps.rs
@@ -20,14 +20,19 @@
     Manner { service: Duration::from_millis(service_ms), at_once: 64, queue: 256 }
 }
 
-/// A dispatcher in front of these endpoints of one destination.
-fn serve(addresses: &[SocketAddr]) -> (Site, Dispatcher) {
+/// These endpoints of one destination.
+fn site_of(addresses: &[SocketAddr]) -> Site {
     let entries: Vec<String> = addresses
         .iter()
         .enumerate()
         .map(|(n, at)| entry(&format!("w{n}"), &at.to_string(), "a", 1, "in_service"))
         .collect();
-    let site = Site::new(&entries);
+    Site::new(&entries)
+}
+
+/// A dispatcher in front of these endpoints of one destination.
+fn serve(addresses: &[SocketAddr]) -> (Site, Dispatcher) {
+    let site = site_of(addresses);
     let dispatcher = site.start();
     (site, dispatcher)
 }
--- a/tests/stand/mqtt.rs
+++ b/tests/stand/mqtt.rs
@@ -135,18 +135,24 @@
     pub calls: Arc<Mutex<Vec<Message>>>,
     /// Ids that took effect, once for each time.
     pub effects: Arc<Mutex<Vec<String>>>,
+    /// When sessions ended.
+    pub ended: Arc<Mutex<Vec<Instant>>>,
 }
 
 impl Broker {
     pub fn start(worker: impl Fn(&Message, usize) -> Does + Send + Sync + 'static) -> Broker {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
-        let broker = Broker { address, calls: Arc::default(), effects: Arc::default() };
+        let broker =
+            Broker { address, calls: Arc::default(), effects: Arc::default(), ended: Arc::default() };
         let (served, worker) = (broker.clone(), Arc::new(worker));
         thread::spawn(move || {
             for tcp in listener.incoming().map_while(Result::ok) {
                 let (served, worker) = (served.clone(), worker.clone());
-                thread::spawn(move || served.serve(tcp, &*worker));
+                thread::spawn(move || {
+                    served.serve(tcp, &*worker);
+                    served.ended.lock().unwrap().push(Instant::now());
+                });
             }
         });
         broker
