--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -7,6 +7,7 @@
 #![forbid(unsafe_code)]
 
 pub mod config;
+mod judge;
 mod measure;
 pub mod plot;
 mod process;
@@ -18,6 +19,7 @@
 pub mod run;
 pub mod scenario;
 pub mod soak;
+mod stage;
 
 pub use proxy::{Fault, Proxy};
 pub use registry::{entry, Registry};
