--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -1,6 +1,7 @@
 //! Connections to workers over HTTP: one request at a time on each, kept open while they are of use.
 
 use super::closing::Closing;
+use super::finding::{answered, ended, refused, Finding, Task, PROBE_PATIENCE};
 use super::head::{head, status, Head, HEAD_MOST};
 use super::reactor::Reactor;
 use super::stream::{Fill, Stream};
@@ -8,14 +9,11 @@
 use crate::api::*;
 use crate::dispatch::{Delegation, End};
 use crate::guard::{self, Confirmation, EndedFirst, Reason};
-use crate::journal::CallNo;
 use slab::Slab;
 use std::collections::HashMap;
 use std::fmt::Write as _;
 use std::rc::Rc;
 
-/// A probe without an answer has failed after this.
-pub(super) const PROBE_PATIENCE: Ms = 1_500.0;
 /// An idle connection is closed so long before the worker's machine would: its clock began earlier.
 const IDLE_MARGIN: Ms = 600.0;
 /// An answer that has begun is whole after this, head and body: workers write it in one go. Guards against heads that
@@ -29,31 +27,6 @@
 /// Answers of status 1xx in front of one answer at most.
 const INTERIM_MOST: u32 = 16;
 
-/// What a connection is busy with.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub enum Task {
-    /// A delegation of a call.
-    Delegation(CallNo, u32),
-    /// A probe.
-    Probe(RouteId),
-}
-
-/// What a worker connection found out.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Finding {
-    /// The last byte has been written.
-    Written(Task),
-    /// The task ended.
-    Ended {
-        /// Which.
-        task: Task,
-        /// Since its start.
-        took: Ms,
-        /// How.
-        end: End,
-    },
-}
-
 #[derive(Debug)]
 struct Conn {
     stream: Stream,
@@ -549,32 +522,3 @@
         }
     }
 }
-
-pub(super) fn ended(task: Task, outcome: Outcome, took: Ms) -> Finding {
-    let confirmed = Some(Confirmation::NeverBegun).filter(|_| outcome.never_ran());
-    Finding::Ended { task, took, end: End { confirmed, ..End::of(outcome) } }
-}
-
-pub(super) fn refused(task: Task, reason: Reason, took: Ms) -> Finding {
-    let confirmed = Some(Confirmation::NeverBegun);
-    let end = End { refused: Some(reason), confirmed, ..End::of(Outcome::NotSent) };
-    Finding::Ended { task, took, end }
-}
-
-pub(super) fn answered(task: Task, h: &Head, took: Ms) -> Finding {
-    let (outcome, over) = match h.code {
-        200 => (Outcome::Delivered, false),
-        503 if h.over_slots => (Outcome::NotSent, false),
-        429 | 503 => (Outcome::Refused, false),
-        504 => (Outcome::NotSent, false),
-        410 => (Outcome::NotSent, true),
-        code => {
-            log::debug!("answer {code} counts as an error");
-            (Outcome::Error, false)
-        }
-    };
-    let wait = if outcome == Outcome::Refused { h.wait } else { 0.0 };
-    let confirmed = Some(Confirmation::Answered);
-    let end = End { wait, report: h.report, over, heard: true, confirmed, ..End::of(outcome) };
-    Finding::Ended { task, took, end }
-}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -3,6 +3,7 @@
 pub mod clock;
 mod closing;
 pub mod control;
+pub mod finding;
 pub mod head;
 pub mod http;
 pub mod links;
@@ -28,7 +29,8 @@
 use crate::recovery;
 use crate::together::Together;
 use clock::Clock;
-use http::{Finding, Task, Workers};
+use finding::{Finding, Task};
+use http::Workers;
 use lilacbank_settings::served::Served;
 use mates::Mates;
 use mio::net::{TcpListener, TcpStream};
