--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -2,6 +2,7 @@
 
 mod stand;
 use std::process::{Command, Output};
+use std::time::{Duration, Instant};
 
 fn run_under(schedule: &str, folder: &str) -> Output {
     Command::new(env!("CARGO_BIN_EXE_lilacbank"))
@@ -15,7 +16,10 @@
 
 #[test]
 fn a_schedule_that_reads_lets_the_process_run() {
-    let out = run_under("clock 0 1e12 -3600000; enospc 5 10 1; halt 0 9; fail 1 2 send ENOBUFS", "/nowhere");
+    let out = run_under(
+        "clock 0 1e12 -3600000; late 0 9; enospc 5 10 1; halt 0 9; fail 1 2 send ENOBUFS",
+        "/nowhere",
+    );
     assert!(out.status.success() && out.stderr.is_empty(), "{out:?}");
 }
 
@@ -43,3 +47,18 @@
         assert!(text.starts_with("LILACBANK_FAULTS: ") && text.contains(says), "{schedule}: {text}");
     }
 }
+
+/// Guards against a soak whose connections all come up at once. The registry's comes up late first, then the endpoint's.
+#[test]
+fn late_connections_come_up_as_late_as_the_schedule_says() {
+    const LATE: Duration = Duration::from_millis(400);
+    let worker = stand::Worker::start(|_, _| stand::Reply::Answer("200 OK"));
+    let site = stand::Site::new(&[stand::entry("w1", &worker.address.to_string(), "a", 1, "in_service")]);
+    let start = Instant::now();
+    let dispatcher = site.start_under(&format!("late 0 60000 {}", LATE.as_millis()), &[]);
+    let mut client = dispatcher.client();
+    assert_eq!(client.submit("m", "c=safe,d=5000,dest=1"), "+OK");
+    stand::until("it is delivered", || worker.of("m") == 1);
+    let called = worker.calls.lock().unwrap()[0].at;
+    assert!(called.duration_since(start) >= 2 * LATE, "{:?}", called.duration_since(start));
+}
