--- a/src/dispatch/admit.rs
+++ b/src/dispatch/admit.rs
@@ -1,7 +1,7 @@
 //! Admit: a call is written down and numbered before anything is done for it; after a restart it is read back.
 
 use super::beside::Keyed;
-use super::seats::SeatsRead;
+use super::seats_read::SeatsRead;
 use super::{Call, Core, Frozen, Known, Once, Ticket, Verdict};
 use crate::api::*;
 use crate::config::place;
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -23,6 +23,7 @@
 mod relay;
 mod route;
 mod seats;
+mod seats_read;
 mod send;
 mod take_in;
 mod unconfirmed;
--- a/src/dispatch/seats.rs
+++ b/src/dispatch/seats.rs
@@ -6,6 +6,7 @@
 //! it must have ended. So no move waits for a silent member. What was offered stays in this journal until the other side
 //! serves it, and only then is it struck out: first the messages, then the seat.
 
+use super::seats_read::SeatsRead;
 use super::{Call, Core, Frozen, Order, Verdict};
 use crate::api::*;
 use crate::config::place;
@@ -244,43 +245,6 @@
     }
 }
 
-/// What stands in a journal of seats.
-#[derive(Debug, Default)]
-pub(super) struct SeatsRead {
-    last: BTreeMap<String, SeatRecord>,
-    /// Adoptions that were begun and not ended: messages from this number on are not there yet.
-    adopting: BTreeMap<String, CallNo>,
-}
-
-impl SeatsRead {
-    /// One more record. Returns the tenant and number from which on messages of an adoption that was cut short are void.
-    pub(super) fn take(&mut self, bytes: &[u8]) -> Option<(String, CallNo)> {
-        let Ok(record) = SeatRecord::decode(bytes) else {
-            log::error!("a seat in the journal cannot be read");
-            return None;
-        };
-        let tenant = record.tenant.clone();
-        match record.adopts_from {
-            Some(from) => self.adopting.insert(tenant.clone(), from).map(|old| (tenant, old)),
-            None => {
-                self.adopting.remove(&tenant);
-                self.last.insert(tenant, record);
-                None
-            }
-        }
-    }
-
-    /// Adoptions that never ended.
-    pub(super) fn cut_short(&self) -> impl Iterator<Item = (&String, CallNo)> {
-        self.adopting.iter().map(|(t, no)| (t, *no))
-    }
-
-    /// Does the message stand under an offer that is not settled?
-    pub(super) fn is_offered(&self, tenant: &str, no: CallNo) -> bool {
-        self.last.get(tenant).is_some_and(|r| matches!(r.phase, 3 | 4) && r.offered.contains(&no))
-    }
-}
-
 impl Core {
     /// May tenants move between dispatchers at all?
     pub(super) fn may_move(&self) -> bool {
