Count copies with their size after a change of owner or holders

What callers saw: with [replication], the total size of the copies held drifted. A takeover, a denied grant and a restored message that a peer describes change the fence or the holders of a copy, and its size with them, while only its insertion and removal counted. Removing a copy that had grown wrapped the total below zero in a release build: from then on no copy was accepted (max_bytes), so a lost folder would have lost messages.

Evidence: nothing_is_counted_once_all_copies_are_gone failed before the fix with "attempt to subtract with overflow" in Replicator::remove.

Fix: copies live in a SizedMap, which measures a value before and after each change; there is no other way to change one. on_copy is divided into adding and merging.

--- a/crates/replica/src/copies.rs
+++ b/crates/replica/src/copies.rs
@@ -36,6 +36,13 @@
     Ended(CopyEnding),
 }
 
+impl Stage {
+    /// Whether the message has its final answer.
+    pub fn is_end(self) -> bool {
+        matches!(self, Stage::Ended(_))
+    }
+}
+
 /// The immutable part of a message.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Default)]
 pub struct MessageContent {
@@ -105,6 +112,21 @@
         }
     }
 
+    /// Takes over who accepted the message, who holds copies and who owns it from another copy.
+    pub fn adopt_ownership(&mut self, other: &MessageCopy) {
+        self.content.accepted_by = other.content.accepted_by.clone();
+        self.content.arbiter_incarnation = other.content.arbiter_incarnation;
+        self.holders = other.holders.clone();
+        self.fence = other.fence.clone();
+    }
+
+    /// Drops the body of a message that has its final answer: nobody sends it any more.
+    pub fn drop_body_if_ended(&mut self) {
+        if self.stage.is_end() {
+            self.content.body = Vec::new();
+        }
+    }
+
     /// Approximate size in bytes.
     pub fn size(&self) -> usize {
         let c = &self.content;
--- a/crates/replica/src/keeper.rs
+++ b/crates/replica/src/keeper.rs
@@ -20,6 +20,7 @@
 use crate::copies::{CopyEnding, Fence, MergeOutcome, MessageContent, MessageCopy, Stage};
 use crate::digest::{self, HashTree, DEPTH, FAN_OUT};
 use crate::owner::{Faults, PeerMessage, Repeatability, Replica, ReplicaAction};
+use crate::store::SizedMap;
 use crate::view::{MemberState, Membership, Output, PeerIdentity};
 use crate::wire::{
     self, BucketRequest, BucketsSent, CopyAck, DifferingChildren, Envelope, Hashes, Heartbeat, Payload,
@@ -215,8 +216,7 @@
     spec: ReplicationConfig,
     membership: Membership,
     peers: BTreeMap<String, Peer>,
-    replicas: BTreeMap<String, Replica>,
-    bytes: usize,
+    replicas: SizedMap<Replica>,
     /// Own messages whose current state is not acknowledged by all peers that hold them: the peers, and when
     /// to send it to each again.
     unconfirmed: BTreeMap<String, BTreeMap<String, Ms>>,
@@ -264,8 +264,7 @@
             membership,
             peers,
             spec,
-            replicas: BTreeMap::new(),
-            bytes: 0,
+            replicas: SizedMap::default(),
             unconfirmed: BTreeMap::new(),
             grant_requests: BTreeSet::new(),
             unsettled: BTreeSet::new(),
@@ -324,7 +323,7 @@
     /// Number of own messages, number of copies held for peers, and the total size in bytes.
     pub fn copy_counts(&self) -> (usize, usize, usize) {
         let own = self.replicas.values().filter(|p| p.is_owner()).count();
-        (own, self.replicas.len() - own, self.bytes)
+        (own, self.replicas.len() - own, self.replicas.bytes())
     }
 
     /// Whether a majority of the installation, including this dispatcher, has answered a heartbeat within
@@ -454,22 +453,21 @@
     }
 
     fn insert(&mut self, replica: Replica) {
-        let (id, size) = (replica.copy.id.clone(), replica.copy.size());
-        self.bytes += size;
-        if let Some(old) = self.replicas.insert(id, replica) {
-            self.bytes -= old.copy.size();
-        }
+        self.replicas.insert(replica.copy.id.clone(), replica);
     }
 
     fn remove(&mut self, id: &str) {
-        if let Some(old) = self.replicas.remove(id) {
-            self.bytes -= old.copy.size();
-        }
+        self.replicas.remove(id);
         self.unconfirmed.remove(id);
         self.grant_requests.remove(id);
         self.unsettled.remove(id);
     }
 
+    /// Whether a copy of this size may be added to those held here.
+    fn has_room_for(&self, copy: &MessageCopy) -> bool {
+        self.replicas.bytes() + copy.size() <= self.spec.max_bytes
+    }
+
     /// Whether an attempt of this message may begin now. A message without a copy here is not restricted.
     pub fn may_start_attempt(&self, now: Ms, id: &str) -> bool {
         let Some(replica) = self.replicas.get(id) else { return true };
@@ -493,23 +491,28 @@
 
     /// Records that an attempt of an own message begins.
     pub fn record_start(&mut self, now: Ms, id: &str) {
-        let Some(replica) = self.replicas.get_mut(id) else { return };
-        if replica.copy.stage == Stage::Accepted {
-            replica.mark_started();
+        let begins = self.replicas.update(id, |replica| {
+            let begins = replica.copy.stage == Stage::Accepted;
+            if begins {
+                replica.mark_started();
+            }
+            begins
+        });
+        if begins == Some(true) {
             self.replicate(now, id);
         }
     }
 
     /// Records the final answer of an own message.
     pub fn record_end(&mut self, now: Ms, id: &str, end: CopyEnding) {
-        let Some(replica) = self.replicas.get_mut(id).filter(|p| p.is_owner()) else { return };
-        if matches!(replica.copy.stage, Stage::Ended(_)) {
+        let is_open = |r: &Replica| r.is_owner() && !r.copy.stage.is_end();
+        if !self.replicas.get(id).is_some_and(is_open) {
             return;
         }
-        let before = replica.copy.size();
-        replica.mark_ended(end);
-        replica.copy.content.body = Vec::new();
-        self.bytes = self.bytes + replica.copy.size() - before;
+        self.replicas.update(id, |replica| {
+            replica.mark_ended(end);
+            replica.copy.drop_body_if_ended();
+        });
         self.grant_requests.remove(id);
         self.unsettled.remove(id);
         self.replicate(now, id);
@@ -625,7 +628,7 @@
         let late: Vec<String> = self.queries.iter().filter(|l| l.1 .1 <= now).map(|l| l.0.clone()).collect();
         late.into_iter().for_each(|id| self.finish_query(id));
         let heartbeat_is_due = self.peers.values().any(|p| p.heartbeat_due <= now);
-        let is_open = |p: &&Replica| p.is_owner() && !matches!(p.copy.stage, Stage::Ended(_));
+        let is_open = |p: &&Replica| p.is_owner() && !p.copy.stage.is_end();
         let open = if heartbeat_is_due { self.replicas.values().filter(is_open).count() as u64 } else { 0 };
         for name in self.peers.keys().cloned().collect::<Vec<_>>() {
             if self.peers[&name].heartbeat_due <= now {
@@ -673,7 +676,7 @@
             }
         }
         for (name, open) in lost {
-            let here = |p: &&Replica| p.copy.fence.owner == name && !matches!(p.copy.stage, Stage::Ended(_));
+            let here = |p: &&Replica| p.copy.fence.owner == name && !p.copy.stage.is_end();
             let here = self.replicas.values().filter(here).count();
             // If all dispatchers with a copy are gone together, this log entry is the only trace of those
             // messages.
@@ -700,15 +703,12 @@
             order.find(|n| !self.is_gone(n)) == Some(&self.spec.name)
         };
         let due = |p: &&Replica| {
-            !matches!(p.copy.stage, Stage::Ended(_))
-                && !p.is_owner()
-                && self.is_gone(&p.copy.fence.owner)
-                && first(p)
+            !p.copy.stage.is_end() && !p.is_owner() && self.is_gone(&p.copy.fence.owner) && first(p)
         };
         let due: Vec<String> = self.replicas.values().filter(due).map(|p| p.copy.id.clone()).collect();
         due.iter().for_each(|id| self.take_over(now, id));
         let lost = |id: &&String| {
-            let arbiter = self.replicas.get(*id).and_then(|p| p.copy.holders.first());
+            let arbiter = self.replicas.get(id).and_then(|p| p.copy.holders.first());
             arbiter.is_some_and(|a| self.is_gone(a))
         };
         let lost: Vec<String> = self.grant_requests.iter().filter(lost).cloned().collect();
@@ -720,22 +720,23 @@
 
     fn take_over(&mut self, now: Ms, id: &str) {
         let born = self.spec.incarnation_id;
-        let Some(replica) = self.replicas.get_mut(id) else { return };
-        // An arbiter of another incarnation has lost the grants that it gave.
-        let grants_lost = replica.is_arbiter() && replica.copy.content.arbiter_incarnation != born;
-        let mut step = replica.take_over();
-        if replica.kind == Repeatability::AtMostOnce && grants_lost && step == ReplicaAction::Start {
-            step = ReplicaAction::GiveUp;
-        }
-        if step == ReplicaAction::NoAction {
-            return;
-        }
-        if replica.copy.content.valid_until <= now {
-            // The message expired before the takeover; its final answer is still required.
-            step = ReplicaAction::GiveUp;
-        }
+        let taken = self.replicas.update(id, |replica| {
+            // An arbiter of another incarnation has lost the grants that it gave.
+            let grants_lost = replica.is_arbiter() && replica.copy.content.arbiter_incarnation != born;
+            let step = replica.take_over();
+            let unproven = replica.kind == Repeatability::AtMostOnce && grants_lost;
+            // The message may have expired before the takeover; its final answer is still required.
+            let expired = replica.copy.content.valid_until <= now;
+            match step {
+                ReplicaAction::NoAction => None,
+                ReplicaAction::Start if unproven => Some(ReplicaAction::GiveUp),
+                _ if expired => Some(ReplicaAction::GiveUp),
+                step => Some(step),
+            }
+        });
+        let Some(step) = taken.flatten() else { return };
+        let Some(copy) = self.replicas.get(id).map(|r| r.copy.clone()) else { return };
         self.counts.takeovers += 1;
-        let copy = replica.copy.clone();
         self.events.push(ReplicationEvent::OwnershipTaken(Box::new(copy), step));
         self.replicate(now, id);
     }
@@ -913,21 +914,22 @@
             Some(Payload::RequestGrant(wire)) => self.on_grant_request(now, &from, wire),
             Some(Payload::Grant(wire)) => {
                 let fence = Fence { epoch: wire.epoch, owner: wire.owner };
-                if let Some(replica) = self.replicas.get_mut(&wire.id) {
+                let granted = self.replicas.update(&wire.id, |replica| {
                     replica.on_grant(&fence);
-                    if replica.has_grant && self.grant_requests.remove(&wire.id) {
-                        self.events.push(ReplicationEvent::Start(wire.id));
-                    }
+                    replica.has_grant
+                });
+                if granted == Some(true) && self.grant_requests.remove(&wire.id) {
+                    self.events.push(ReplicationEvent::Start(wire.id));
                 }
             }
             Some(Payload::DenyGrant(wire)) => {
                 let fence = Fence { epoch: wire.epoch, owner: wire.owner };
-                let Some(replica) = self.replicas.get_mut(&wire.id).filter(|p| p.is_owner()) else { return };
-                if !self.grant_requests.remove(&wire.id) {
+                let owned = self.replicas.get(&wire.id).is_some_and(Replica::is_owner);
+                if !owned || !self.grant_requests.remove(&wire.id) {
                     return;
                 }
-                match replica.on_grant_denied(&fence) {
-                    ReplicaAction::GiveUp => self.events.push(ReplicationEvent::GiveUp(wire.id)),
+                match self.replicas.update(&wire.id, |replica| replica.on_grant_denied(&fence)) {
+                    Some(ReplicaAction::GiveUp) => self.events.push(ReplicationEvent::GiveUp(wire.id)),
                     _ => self.release_own(&wire.id),
                 }
             }
@@ -1026,9 +1028,9 @@
         let all = asked.is_empty();
         let kind = if wire.at_most_once { Repeatability::AtMostOnce } else { Repeatability::Repeatable };
         let copy = Some(wire).filter(|w| !w.owner.is_empty()).and_then(WireCopy::read);
-        if let Some(mut copy) = copy.filter(|_| !self.replicas.contains_key(&id)) {
+        if let Some(mut copy) = copy.filter(|_| !self.replicas.contains(&id)) {
             copy.content.valid_until = copy.content.valid_until.saturating_add(now);
-            if self.bytes + copy.size() <= self.spec.max_bytes {
+            if self.has_room_for(&copy) {
                 let me = self.spec.name.clone();
                 self.insert(Replica::new(&me, copy, kind));
                 return self.finish_query(id);
@@ -1040,74 +1042,78 @@
     }
 
     fn on_copy(&mut self, now: Ms, from: &str, wire: WireCopy) {
-        let once = wire.at_most_once;
+        let kind = if wire.at_most_once { Repeatability::AtMostOnce } else { Repeatability::Repeatable };
         let Some(mut copy) = wire.read() else {
             self.counts.invalid_messages += 1;
             return;
         };
         copy.content.valid_until = copy.content.valid_until.saturating_add(now);
-        let id = copy.id.clone();
-        let kind = if once { Repeatability::AtMostOnce } else { Repeatability::Repeatable };
+        match self.replicas.contains(&copy.id) {
+            true => self.merge_copy(now, from, copy),
+            false => self.add_copy(now, from, copy, kind),
+        }
+    }
+
+    /// Adds a peer's copy of a message that is not held here.
+    fn add_copy(&mut self, now: Ms, from: &str, mut copy: MessageCopy, kind: Repeatability) {
         let me = self.spec.name.clone();
-        let Some(replica) = self.replicas.get_mut(&id) else {
-            if copy.content.accepted_by == me
-                && !matches!(copy.stage, Stage::Ended(_))
-                && copy.fence.owner == me
-            {
-                return self.reclaim_own(now, copy, kind);
-            }
-            if !copy.holders.contains(&me) && copy.content.accepted_by != me {
-                self.counts.invalid_messages += 1;
-                return;
-            }
-            if matches!(copy.stage, Stage::Ended(_)) {
-                copy.content.body = Vec::new();
-            }
-            if self.bytes + copy.size() > self.spec.max_bytes {
-                self.counts.copies_rejected += 1;
-                return;
-            }
-            self.counts.copies_accepted += 1;
-            self.acknowledge(from, &copy);
-            return self.insert(Replica::new(&me, copy, kind));
-        };
-        if replica.copy.content.accepted_by != copy.content.accepted_by && self.unsettled.contains(&id) {
+        copy.drop_body_if_ended();
+        let accepted_here = copy.content.accepted_by == me;
+        if accepted_here && !copy.stage.is_end() && copy.fence.owner == me {
+            return self.reclaim_own(now, copy, kind);
+        }
+        if !copy.holders.contains(&me) && !accepted_here {
+            self.counts.invalid_messages += 1;
+            return;
+        }
+        if !self.has_room_for(&copy) {
+            self.counts.copies_rejected += 1;
+            return;
+        }
+        self.counts.copies_accepted += 1;
+        self.acknowledge(from, &copy);
+        self.insert(Replica::new(&me, copy, kind));
+    }
+
+    /// Merges a peer's copy into the one that is held here.
+    fn merge_copy(&mut self, now: Ms, from: &str, copy: MessageCopy) {
+        let (id, me) = (copy.id.clone(), self.spec.name.clone());
+        let unsettled = self.unsettled.contains(&id);
+        let accepted_by = |k: &Replicator| k.replicas.get(&id).map(|r| r.copy.content.accepted_by.clone());
+        if unsettled && accepted_by(self).is_some_and(|by| by != copy.content.accepted_by) {
             // The message was taken over in an earlier incarnation, and the state folder has it as if it had
             // been accepted here.
-            replica.copy.content.accepted_by = copy.content.accepted_by.clone();
-            replica.copy.content.arbiter_incarnation = copy.content.arbiter_incarnation;
-            (replica.copy.holders, replica.copy.fence) = (copy.holders.clone(), copy.fence.clone());
+            self.replicas.update(&id, |replica| replica.copy.adopt_ownership(&copy));
             if copy.fence.owner != me {
                 return self.release_own(&id);
             }
         }
-        if replica.copy.content.accepted_by != copy.content.accepted_by {
+        if accepted_by(self).is_some_and(|by| by != copy.content.accepted_by) {
             // The client submitted the message to two dispatchers: each has its own, and the arbiter's grant
             // decides between them.
             return self.acknowledge(from, &copy);
         }
+        let state = |r: &Replica| (r.kind, r.copy.stage, r.is_owner());
+        let Some((kind, stage_before, owned)) = self.replicas.get(&id).map(state) else { return };
         // The state folder was restored from an older copy: an attempt begun after that copy was made may
         // have run.
-        let begun = replica.kind == Repeatability::AtMostOnce
-            && replica.copy.stage == Stage::Accepted
+        let begun = kind == Repeatability::AtMostOnce
+            && stage_before == Stage::Accepted
             && copy.stage == Stage::Started
-            && replica.copy.fence.owner == me
-            && self.unsettled.contains(&id);
-        let (owned, was_ended) = (replica.is_owner(), matches!(replica.copy.stage, Stage::Ended(_)));
-        let before = replica.copy.size();
-        // After a restart the holders may be unknown here.
-        if replica.copy.holders.is_empty() {
-            replica.copy.holders = copy.holders.clone();
-            replica.copy.content.arbiter_incarnation = copy.content.arbiter_incarnation;
-        }
-        let differ = replica.merge(&copy, false, Faults::default()) == MergeOutcome::Conflict;
-        if matches!(replica.copy.stage, Stage::Ended(_)) {
-            replica.copy.content.body = Vec::new();
-        }
-        let owns = replica.is_owner();
-        let after = replica.copy.clone();
-        self.bytes = self.bytes + after.size() - before;
-        if differ {
+            && owned
+            && unsettled;
+        let merged = self.replicas.update(&id, |replica| {
+            // After a restart the holders may be unknown here.
+            if replica.copy.holders.is_empty() {
+                replica.copy.holders = copy.holders.clone();
+                replica.copy.content.arbiter_incarnation = copy.content.arbiter_incarnation;
+            }
+            let outcome = replica.merge(&copy, false, Faults::default());
+            replica.copy.drop_body_if_ended();
+            (outcome, replica.is_owner(), replica.copy.clone())
+        });
+        let Some((outcome, owns, after)) = merged else { return };
+        if outcome == MergeOutcome::Conflict {
             self.counts.conflicts += 1;
             self.events.push(ReplicationEvent::MembershipChanged(format!(
                 "{id} has two different final answers; keeping {:?}",
@@ -1115,9 +1121,10 @@
             )));
         }
         self.acknowledge(from, &after);
+        let ended_elsewhere = !stage_before.is_end() && after.stage.is_end();
         if begun && owns {
             self.events.push(ReplicationEvent::GiveUp(id));
-        } else if owned && (!owns || !was_ended && matches!(after.stage, Stage::Ended(_))) {
+        } else if owned && (!owns || ended_elsewhere) {
             self.release_own(&id);
         } else if (after.fence, after.stage) > (copy.fence, copy.stage) {
             // The sender does not know a later stage, or that its fence was replaced.
@@ -1150,16 +1157,18 @@
     fn on_grant_request(&mut self, now: Ms, from: &str, wire: WireCopy) {
         let fence = Fence { epoch: wire.epoch, owner: wire.owner.clone() };
         let (id, born) = (wire.id.clone(), wire.arbiter_incarnation);
-        if !self.replicas.contains_key(&id) {
+        if !self.replicas.contains(&id) {
             self.on_copy(now, from, wire);
         }
+        if !self.replicas.contains(&id) {
+            return;
+        }
         let incarnation = self.spec.incarnation_id;
-        let Some(replica) = self.replicas.get_mut(&id) else { return };
-        let answer = if born == incarnation {
-            replica.on_grant_request(&fence, Faults::default())
-        } else {
-            PeerMessage::DenyGrant
+        let answer = match born == incarnation {
+            true => self.replicas.update(&id, |r| r.on_grant_request(&fence, Faults::default())),
+            false => Some(PeerMessage::DenyGrant),
         };
+        let Some(answer) = answer else { return };
         let mut wire = self.replicas.get(&id).map(|p| self.to_wire(now, p)).unwrap_or_default();
         wire.body = Vec::new();
         if answer == PeerMessage::Grant {
@@ -1177,9 +1186,7 @@
         let made = self.peers.get(with)?.digest.as_ref().is_some_and(|t| t.at + DIGEST_CACHE_MS > now);
         if !made {
             // Copies that either side drops soon do not count as a difference.
-            let open = |p: &Replica| {
-                !matches!(p.copy.stage, Stage::Ended(_)) || p.copy.content.valid_until > now + 2_000
-            };
+            let open = |p: &Replica| !p.copy.stage.is_end() || p.copy.content.valid_until > now + 2_000;
             let both: Vec<&MessageCopy> = self
                 .replicas
                 .values()
--- a/crates/replica/src/owner.rs
+++ b/crates/replica/src/owner.rs
@@ -84,6 +84,12 @@
     pub kind: Repeatability,
 }
 
+impl crate::store::ByteSize for Replica {
+    fn size(&self) -> usize {
+        self.copy.size()
+    }
+}
+
 impl Replica {
     /// The state of this dispatcher for a message, without a grant.
     pub fn new(me: &str, copy: MessageCopy, kind: Repeatability) -> Replica {
--- a/crates/replica/tests/keeper.rs
+++ b/crates/replica/tests/keeper.rs
@@ -521,6 +521,28 @@
     assert_eq!((k.copy_counts().1, k.copy_counts().2), (0, 0));
 }
 
+/// Guards against a total size that drifts from what is held, and so in the end rejects every copy: a copy
+/// whose owner or holders change is counted with its new size.
+#[test]
+fn nothing_is_counted_once_all_copies_are_gone() {
+    let long = "a-dispatcher-with-a-long-name".to_string();
+    // The owner counts as gone, and the fence names this dispatcher instead.
+    let mut k = keeper_of_one(7);
+    let copy = WireCopy { owner: long.clone(), accepted_by: long.clone(), ..unsafe_copy(7) };
+    k.receive(10, Envelope { from: long.clone(), ..from_peer(1, Payload::Store(copy)) });
+    (0..300).for_each(|n| k.tick(n * 1_000));
+    assert_eq!((k.copy_counts(), k.counts.takeovers), ((0, 0, 0), 1));
+    // A message of the state folder that had been taken over from another dispatcher.
+    let mut k = keeper_of_one(7);
+    let content = MessageContent { valid_until: 60_000, ..MessageContent::default() };
+    k.restore("m", content, Repeatability::AtMostOnce, Stage::Accepted);
+    let holders = vec!["a".to_string(), long.clone()];
+    let copy = WireCopy { holders, owner: long, ..unsafe_copy(7) };
+    k.receive(10, from_peer(1, Payload::Store(copy)));
+    (0..300).for_each(|n| k.tick(n * 1_000));
+    assert_eq!(k.copy_counts(), (0, 0, 0));
+}
+
 /// Guards against a late peer message of a past incarnation that is taken for a restart of its sender.
 #[test]
 fn peer_messages_of_past_incarnations_are_ignored() {
