Keep the answers to queries apart from copies, so no takeover sends an empty body

What callers saw: with [replication], a message was delivered with an empty body and reported as delivered. The owner's copy reaches a holder late; meanwhile the client submits the message again to that holder, which asks its peers; the owner dies; the holder takes the message over.

Cause: on_query_answer stored the answer, which carries no body, as the holder's copy. The copy that came later was merged into it: a merge takes stage and fence only, and the holder acknowledged it. The digest hashes neither body nor key, so no comparison found the difference. A dispatcher that is no holder kept the answer's stage as well: a session that asked there again was told "busy" though the message had ended.

Fix: answers are kept beside the copies. They answer clients and lend their stage and fence to a copy that comes later; nothing acknowledges or takes over from them. A message that was open at the last answer is asked for again.

--- a/crates/replica/src/copies.rs
+++ b/crates/replica/src/copies.rs
@@ -98,6 +98,12 @@
     Conflict,
 }
 
+impl crate::store::ByteSize for MessageCopy {
+    fn size(&self) -> usize {
+        MessageCopy::size(self)
+    }
+}
+
 impl MessageCopy {
     /// Merges the state of another copy of the same message into this one.
     pub fn merge(&mut self, other: &MessageCopy) -> MergeOutcome {
--- a/crates/replica/src/keeper.rs
+++ b/crates/replica/src/keeper.rs
@@ -217,6 +217,9 @@
     membership: Membership,
     peers: BTreeMap<String, Peer>,
     replicas: SizedMap<Replica>,
+    /// What peers answered to queries about messages that are not held here, without the bodies. These are no
+    /// copies: they only answer clients.
+    query_answers: SizedMap<MessageCopy>,
     /// Own messages whose current state is not acknowledged by all peers that hold them: the peers, and when
     /// to send it to each again.
     unconfirmed: BTreeMap<String, BTreeMap<String, Ms>>,
@@ -265,6 +268,7 @@
             peers,
             spec,
             replicas: SizedMap::default(),
+            query_answers: SizedMap::default(),
             unconfirmed: BTreeMap::new(),
             grant_requests: BTreeSet::new(),
             unsettled: BTreeSet::new(),
@@ -323,7 +327,7 @@
     /// Number of own messages, number of copies held for peers, and the total size in bytes.
     pub fn copy_counts(&self) -> (usize, usize, usize) {
         let own = self.replicas.values().filter(|p| p.is_owner()).count();
-        (own, self.replicas.len() - own, self.replicas.bytes())
+        (own, self.replicas.len() - own, self.bytes())
     }
 
     /// Whether a majority of the installation, including this dispatcher, has answered a heartbeat within
@@ -452,7 +456,13 @@
         }
     }
 
+    /// Total size in bytes of what is kept of messages.
+    fn bytes(&self) -> usize {
+        self.replicas.bytes() + self.query_answers.bytes()
+    }
+
     fn insert(&mut self, replica: Replica) {
+        self.query_answers.remove(&replica.copy.id);
         self.replicas.insert(replica.copy.id.clone(), replica);
     }
 
@@ -465,7 +475,7 @@
 
     /// Whether a copy of this size may be added to those held here.
     fn has_room_for(&self, copy: &MessageCopy) -> bool {
-        self.replicas.bytes() + copy.size() <= self.spec.max_bytes
+        self.bytes() + copy.size() <= self.spec.max_bytes
     }
 
     /// Whether an attempt of this message may begin now. A message without a copy here is not restricted.
@@ -518,9 +528,17 @@
         self.replicate(now, id);
     }
 
-    /// The stage of a message, if a copy of it is held here.
+    /// The stage of a message that has a copy here, or of one that ended by a peer's answer to a query.
     pub fn stage(&self, id: &str) -> Option<Stage> {
-        self.replicas.get(id).map(|p| p.copy.stage)
+        let ended = || self.query_answers.get(id).map(|c| c.stage).filter(|s| s.is_end());
+        self.replicas.get(id).map(|p| p.copy.stage).or_else(ended)
+    }
+
+    /// The stage of a message by all that is known here. A message that was open at the last query may have
+    /// ended since.
+    pub fn last_known_stage(&self, id: &str) -> Option<Stage> {
+        let answered = || self.query_answers.get(id).map(|c| c.stage);
+        self.replicas.get(id).map(|p| p.copy.stage).or_else(answered)
     }
 
     /// The copy of a message with its ownership state.
@@ -649,15 +667,23 @@
         }
         if self.expiry_due <= now {
             self.expiry_due = now + 1_000;
-            let over = |p: &Replica| match p.copy.stage {
-                Stage::Ended(_) => p.copy.content.valid_until < now,
-                _ => p.copy.content.valid_until + EXPIRED_RETENTION_MS < now,
-            };
-            let due: Vec<String> = self.replicas.iter().filter(|p| over(p.1)).map(|p| p.0.clone()).collect();
-            due.iter().for_each(|id| self.remove(id));
+            self.remove_expired(now);
         }
     }
 
+    fn remove_expired(&mut self, now: Ms) {
+        let is_over = |copy: &MessageCopy| match copy.stage {
+            Stage::Ended(_) => copy.content.valid_until < now,
+            _ => copy.content.valid_until + EXPIRED_RETENTION_MS < now,
+        };
+        let copies = self.replicas.iter().filter(|(_, r)| is_over(&r.copy));
+        let due: Vec<String> = copies.map(|(id, _)| id.clone()).collect();
+        due.iter().for_each(|id| self.remove(id));
+        let answers = self.query_answers.iter().filter(|(_, answer)| is_over(answer));
+        let due: Vec<String> = answers.map(|(id, _)| id.clone()).collect();
+        due.iter().for_each(|id| drop(self.query_answers.remove(id)));
+    }
+
     /// Updates which peers count as gone.
     fn update_gone(&mut self, now: Ms) {
         let alive: BTreeSet<String> = self.membership.alive().into_iter().collect();
@@ -1019,28 +1045,32 @@
         self.events.push(ReplicationEvent::OwnershipLost(id.to_string()));
     }
 
-    /// Processes a peer's answer to a query. A copy in it is kept without the body, to answer the client
-    /// from.
+    /// Processes a peer's answer to a query. It has no body, so it is kept apart from the copies: a holder of
+    /// an incomplete copy would acknowledge the message, and deliver it after a takeover.
     fn on_query_answer(&mut self, now: Ms, from: &str, wire: WireCopy) {
         let id = wire.id.clone();
         let Some((asked, _)) = self.queries.get_mut(&id) else { return };
         asked.remove(from);
         let all = asked.is_empty();
-        let kind = if wire.at_most_once { Repeatability::AtMostOnce } else { Repeatability::Repeatable };
-        let copy = Some(wire).filter(|w| !w.owner.is_empty()).and_then(WireCopy::read);
-        if let Some(mut copy) = copy.filter(|_| !self.replicas.contains(&id)) {
+        let answer = Some(wire).filter(|w| !w.owner.is_empty()).and_then(WireCopy::read);
+        let is_known = answer.is_some();
+        if let Some(mut copy) = answer.filter(|_| !self.replicas.contains(&id)) {
             copy.content.valid_until = copy.content.valid_until.saturating_add(now);
-            if self.has_room_for(&copy) {
-                let me = self.spec.name.clone();
-                self.insert(Replica::new(&me, copy, kind));
-                return self.finish_query(id);
-            }
+            self.keep_query_answer(copy);
         }
-        if all {
+        if all || is_known {
             self.finish_query(id);
         }
     }
 
+    fn keep_query_answer(&mut self, answer: MessageCopy) {
+        if self.query_answers.update(&answer.id, |known| known.merge(&answer)).is_none()
+            && self.has_room_for(&answer)
+        {
+            self.query_answers.insert(answer.id.clone(), answer);
+        }
+    }
+
     fn on_copy(&mut self, now: Ms, from: &str, wire: WireCopy) {
         let kind = if wire.at_most_once { Repeatability::AtMostOnce } else { Repeatability::Repeatable };
         let Some(mut copy) = wire.read() else {
@@ -1057,6 +1087,10 @@
     /// Adds a peer's copy of a message that is not held here.
     fn add_copy(&mut self, now: Ms, from: &str, mut copy: MessageCopy, kind: Repeatability) {
         let me = self.spec.name.clone();
+        let same_message = |known: &&MessageCopy| known.content.accepted_by == copy.content.accepted_by;
+        if let Some(known) = self.query_answers.get(&copy.id).filter(same_message).cloned() {
+            copy.merge(&known);
+        }
         copy.drop_body_if_ended();
         let accepted_here = copy.content.accepted_by == me;
         if accepted_here && !copy.stage.is_end() && copy.fence.owner == me {
--- a/crates/replica/tests/keeper.rs
+++ b/crates/replica/tests/keeper.rs
@@ -40,6 +40,11 @@
     taken_over: u64,
     /// Messages without a copy elsewhere when the dispatcher that accepted them was killed.
     without_copies: BTreeSet<String>,
+    /// The content of each accepted message as its client submitted it.
+    contents: BTreeMap<String, MessageContent>,
+    /// Copies that were acknowledged, or acted on, with other content than the client submitted.
+    altered: BTreeSet<String>,
+    queries: u64,
 }
 
 struct Simulation {
@@ -58,6 +63,42 @@
     format!("n{n}")
 }
 
+/// Content that differs in every field from that of any other message; some bodies are empty and some large.
+fn content_of(id: &str, valid_until: Ms) -> MessageContent {
+    let number: usize = id.trim_start_matches('m').parse().unwrap_or(0);
+    let length = match number % 5 {
+        0 => 0,
+        1 => 50_000,
+        _ => 40,
+    };
+    MessageContent {
+        client: format!("client of {id}"),
+        class: format!("class of {id}"),
+        tenant: format!("tenant of {id}"),
+        idempotency_key: format!("key of {id}"),
+        destination: number as u64,
+        valid_until,
+        number: number as u64,
+        reply_to: id.as_bytes().to_vec(),
+        body: id.bytes().cycle().take(length).collect(),
+        ..MessageContent::default()
+    }
+}
+
+/// The parts of a copy's content that no dispatcher may change. The deadline is left out: it is sent as the
+/// remaining time, and a message in flight takes some of it.
+fn submitted_parts(content: &MessageContent) -> MessageContent {
+    let mut parts = content.clone();
+    parts.valid_until = 0;
+    parts.accepted_by.clear();
+    parts.arbiter_incarnation = 0;
+    parts
+}
+
+/// The deadline of a copy is later than that of its message by the time in flight: delays of two slow
+/// connections, late duplicates, and both again for a copy that is passed on.
+const MAX_DEADLINE_SHIFT_MS: Ms = 10_000;
+
 impl Simulation {
     fn new(count: usize, seed: u64) -> Simulation {
         let mut w = Simulation {
@@ -128,13 +169,9 @@
 
     fn take(&mut self, now: Ms, n: usize, id: String, kind: Repeatability) {
         let Some(keeper) = &mut self.dispatchers[n].keeper else { return };
-        let content = MessageContent {
-            class: "c".into(),
-            valid_until: now + 60_000,
-            body: vec![1; 40],
-            ..MessageContent::default()
-        };
+        let content = content_of(&id, now + 60_000);
         keeper.accept(now, &id, content.clone(), kind);
+        self.record.contents.insert(id.clone(), content.clone());
         self.dispatchers[n]
             .messages
             .insert(id.clone(), Message { kind, content, stage: Stage::Accepted, running: None });
@@ -154,6 +191,37 @@
         self.record.ends.entry(id.to_string()).or_default().insert(end);
     }
 
+    /// Records a copy that differs from what the client submitted.
+    fn compare_content(&mut self, now: Ms, n: usize, id: &str, content: &MessageContent) {
+        let Some(submitted) = self.record.contents.get(id) else { return };
+        let shift = content.valid_until.abs_diff(submitted.valid_until);
+        if submitted_parts(content) != submitted_parts(submitted) || shift > MAX_DEADLINE_SHIFT_MS {
+            let lengths = (content.body.len(), submitted.body.len());
+            self.record
+                .altered
+                .insert(format!("{id} at n{n}, {now} ms: body lengths {lengths:?}, shift {shift} ms"));
+        }
+    }
+
+    /// Checks the content of a copy that this dispatcher acknowledges to a peer.
+    fn compare_acknowledged(&mut self, now: Ms, n: usize, payload: Option<&Payload>) {
+        let Some(Payload::Stored(ack)) = payload else { return };
+        let held = self.dispatchers[n].keeper.as_ref().and_then(|k| k.replica(&ack.id));
+        let Some(copy) = held.map(|r| r.copy.clone()) else { return };
+        // A copy of an ended message keeps no body.
+        if !matches!(copy.stage, Stage::Ended(_)) {
+            self.compare_content(now, n, &ack.id, &copy.content);
+        }
+    }
+
+    /// A client submits a message again to a dispatcher that does not know it.
+    fn query(&mut self, now: Ms, n: usize, id: &str) {
+        let Some(keeper) = &mut self.dispatchers[n].keeper else { return };
+        if keeper.stage(id).is_none() && keeper.query_peers(now, id) {
+            self.record.queries += 1;
+        }
+    }
+
     /// Lets one dispatcher process its events and act on its messages, as the core does.
     fn drive(&mut self, now: Ms, n: usize) {
         let Some(keeper) = &mut self.dispatchers[n].keeper else { return };
@@ -177,6 +245,7 @@
                         Repeatability::Repeatable
                     };
                     self.record.taken_over += 1;
+                    self.compare_content(now, n, &copy.id, &copy.content);
                     let message =
                         Message { kind, content: copy.content.clone(), stage: copy.stage, running: None };
                     self.dispatchers[n].messages.insert(copy.id.clone(), message);
@@ -231,6 +300,7 @@
         let Some(keeper) = &mut self.dispatchers[n].keeper else { return };
         let outgoing = keeper.take_outgoing();
         for (to, e) in outgoing {
+            self.compare_acknowledged(now, n, e.payload.as_ref());
             let Some(m) = (0..self.dispatchers.len()).find(|m| name(*m) == to) else { continue };
             if self.blocked.contains(&(n, m)) || self.rng.random_bool(self.loss) {
                 continue;
@@ -273,6 +343,7 @@
 
     /// Checks the invariants on everything that was recorded.
     fn audit(&self, seed: u64) {
+        assert!(self.record.altered.is_empty(), "seed {seed}: altered: {:#?}", self.record.altered);
         for (id, attempts) in &self.record.attempts {
             let once = self.record.unsafe_ids.contains(id);
             assert!(
@@ -340,7 +411,7 @@
     let second = (victim_of(seed, count) + 1) % count;
     let victim = victim_of(seed, count);
     let (from, until) = (4_000, 4_000 + w.rng.random_range(500..12_000));
-    let mut taken = 0;
+    let mut taken = 0u64;
     w.run(0, 45_000, |w, now| {
         if now > 1_500 && now < 20_000 && now % 70 == 0 {
             let n = w.rng.random_range(0..count);
@@ -349,6 +420,12 @@
             taken += 1;
             w.take(now, n, format!("m{taken}"), kind);
         }
+        // Clients that got no answer submit recent messages again, to any dispatcher.
+        if now > 1_500 && now % 20 == 0 && taken > 0 {
+            let n = w.rng.random_range(0..count);
+            let recent = w.rng.random_range(taken.saturating_sub(4)..taken) + 1;
+            w.query(now, n, &format!("m{recent}"));
+        }
         match scenario {
             0 if now == from => w.kill(now, victim),
             1 | 2 if now == from => w.kill(now, victim),
@@ -543,6 +620,49 @@
     assert_eq!(k.copy_counts(), (0, 0, 0));
 }
 
+/// Guards against a holder that acts on an incomplete copy: the answer to a query names a message without its
+/// body, and the copy arrives after it, before it, or not at all. A holder without the copy neither
+/// acknowledges nor takes over the message, and still answers its client.
+#[test]
+fn an_answer_to_a_query_is_no_copy() {
+    let whole = || WireCopy {
+        body: b"claim".to_vec(),
+        idempotency_key: "key".into(),
+        reply_to: vec![1, 2],
+        at_most_once: false,
+        ..unsafe_copy(7)
+    };
+    let answer = || Payload::QueryAnswer(WireCopy { body: Vec::new(), ..whole() });
+    for order in [&["answer", "copy"][..], &["copy", "answer"], &["answer", "copy", "copy"], &["answer"]] {
+        let mut k = keeper_of_one(7);
+        k.receive(10, from_peer(1, Payload::Heartbeat(Heartbeat { at: 10, open: 0 })));
+        k.receive(10, from_peer(1, Payload::HeartbeatAck(10)));
+        assert!(k.query_peers(10, "m"));
+        k.take_outgoing();
+        for step in order {
+            let payload = if *step == "answer" { answer() } else { Payload::Store(whole()) };
+            k.receive(20, from_peer(1, payload));
+        }
+        let acknowledged = k.take_outgoing().iter().any(|m| matches!(m.1.payload, Some(Payload::Stored(_))));
+        assert_eq!(acknowledged, order.contains(&"copy"), "{order:?}");
+        assert!(k.take_events().contains(&ReplicationEvent::QueryFinished("m".into())), "{order:?}");
+        (0..80).for_each(|n| k.tick(n * 100));
+        let taken: Vec<MessageContent> = k
+            .take_events()
+            .into_iter()
+            .filter_map(|e| match e {
+                ReplicationEvent::OwnershipTaken(copy, _) => Some(copy.content),
+                _ => None,
+            })
+            .collect();
+        assert_eq!(taken.len(), usize::from(order.contains(&"copy")), "{order:?}");
+        for content in taken {
+            assert_eq!(content.body, b"claim", "{order:?}");
+            assert_eq!((content.idempotency_key.as_str(), &content.reply_to[..]), ("key", &[1, 2][..]));
+        }
+    }
+}
+
 /// Guards against a late peer message of a past incarnation that is taken for a restart of its sender.
 #[test]
 fn peer_messages_of_past_incarnations_are_ignored() {
--- a/src/dispatch/copying.rs
+++ b/src/dispatch/copying.rs
@@ -165,7 +165,7 @@
         let kind = self.replication_kind(&message.taken.class);
         let Some(c) = self.replication.as_mut().filter(|_| message.ending.is_none()) else { return };
         let name = copy_name(&message.taken.identity);
-        if c.keeper.stage(&name).is_none() {
+        if c.keeper.replica(&name).is_none() {
             let stage = if message.attempts > 0 { Stage::Started } else { Stage::Accepted };
             c.keeper.restore(&name, to_replica_content(&message.taken), kind, stage);
             c.suspended.insert(no);
@@ -243,20 +243,32 @@
         }
     }
 
-    /// The answer to a submission of which a copy is held for another dispatcher.
+    /// The answer to a submission of which a copy is held for another dispatcher, or which has ended at one.
     pub(super) fn verdict_from_copy(&mut self, identity: &Identity) -> Option<Verdict> {
-        let busy = NO_ROOM_RETRY_AFTER.min(self.settings.max_retry_after);
-        let c = self.replication.as_mut()?;
-        let verdict = match c.keeper.stage(&copy_name(identity))? {
+        let stage = self.replication.as_ref()?.keeper.stage(&copy_name(identity))?;
+        Some(self.verdict_from_stage(identity, stage))
+    }
+
+    /// The answer to a submission by all that is known of it here, the peers' answers to queries included.
+    pub(super) fn verdict_from_last_known(&mut self, identity: &Identity) -> Option<Verdict> {
+        let stage = self.replication.as_ref()?.keeper.last_known_stage(&copy_name(identity))?;
+        Some(self.verdict_from_stage(identity, stage))
+    }
+
+    fn verdict_from_stage(&mut self, identity: &Identity, stage: Stage) -> Verdict {
+        if let Some(c) = &mut self.replication {
+            c.answered_from_copies += 1;
+        }
+        match stage {
             // The dispatcher that owns the message reports its end; a session gets the answer where it is
             // connected.
-            Stage::Accepted | Stage::Started if !identity.0.is_empty() => Verdict::Busy(busy),
+            Stage::Accepted | Stage::Started if !identity.0.is_empty() => {
+                Verdict::Busy(NO_ROOM_RETRY_AFTER.min(self.settings.max_retry_after))
+            }
             Stage::Accepted | Stage::Started | Stage::Ended(CopyEnding::Delivered) => Verdict::Accepted,
             Stage::Ended(CopyEnding::GivenUp) => Verdict::Failed("given up".into()),
             Stage::Ended(CopyEnding::Returned(wait)) => Verdict::Busy(wait as Ms),
-        };
-        c.answered_from_copies += 1;
-        Some(verdict)
+        }
     }
 
     /// Queries the peers about a repeated submission of which nothing is known here. Its client waits.
--- a/src/dispatch/take_in.rs
+++ b/src/dispatch/take_in.rs
@@ -97,6 +97,9 @@
         if !peers_queried && self.query_peers(now, ticket, &s) {
             return;
         }
+        if let Some(verdict) = self.verdict_from_last_known(&s.identity) {
+            return self.answer_repeat(&s, ticket, verdict);
+        }
         match self.check_acceptance(now, &s) {
             Ok((class, left)) => self.accept(now, ticket, s, class, left),
             Err((why, verdict)) => self.reject(&s.class, &s.identity.1, ticket, why, verdict),
--- a/tests/replication.rs
+++ b/tests/replication.rs
@@ -18,6 +18,8 @@
     replication_keys: String,
     /// Other tables of the configuration file that `LILACBANK_TOGETHER` names.
     other_tables: String,
+    /// A text of the configuration and what replaces it.
+    changed_text: Option<(&'static str, &'static str)>,
 }
 
 impl PeerGroup {
@@ -28,7 +30,14 @@
         let listens = unused_addresses(count);
         let path = |to: &SocketAddr| Proxy::start(*to).unwrap();
         let paths = (0..count).map(|_| listens.iter().map(path).collect()).collect();
-        PeerGroup { sites, listens, paths, replication_keys: more.to_string(), other_tables: String::new() }
+        PeerGroup {
+            sites,
+            listens,
+            paths,
+            replication_keys: more.to_string(),
+            other_tables: String::new(),
+            changed_text: None,
+        }
     }
 
     fn start(&self, n: usize) -> Dispatcher {
@@ -48,6 +57,9 @@
             ("ROUTER_NAME", &name),
             ("ROUTER_CONTROL", "127.0.0.1:0"),
         ];
+        let changed = self.changed_text.map(|(from, to)| self.sites[n].write_changed_config(from, to));
+        let config = changed.as_deref().map(|path| ("ROUTER_CONFIG", path));
+        let more: Vec<(&str, &str)> = more.into_iter().chain(config).collect();
         self.sites[n].start_with("127.0.0.1:0", &more)
     }
 
@@ -279,6 +291,61 @@
     assert!(queries >= 2, "{queries}");
 }
 
+/// A body that differs from that of every other message; some are empty and some large.
+fn distinct_body(n: usize) -> Vec<u8> {
+    let length = [0, 60_000, 40, 9_000][n % 4];
+    format!("claim {n} ").bytes().cycle().take(length).collect()
+}
+
+/// Guards against messages that a takeover delivers with other content than was submitted: the copies reach
+/// one holder late, and meanwhile the client submits its messages again to that holder, which learns of them
+/// from its peers. Then the owner is killed and its folder is lost.
+#[test]
+fn a_takeover_delivers_what_was_submitted_though_a_query_came_before_the_copy() {
+    const MESSAGES: usize = 24;
+    let (worker, open, _) = refusing_until_opened();
+    let mut peers = PeerGroup::new(3, worker.address, "");
+    peers.changed_text = Some(("\"promise\":1000,\"deadline\":6000", "\"promise\":1000,\"deadline\":20000"));
+    let mut all = peers.start_all();
+    let options = |n: usize| format!("c=safe,k=key-{n},t=acme,d=15000,dest=1");
+    peers.paths[0][1].set_fault(Fault::Delay(Duration::from_millis(200)));
+    let mut owner = all[0].client();
+    for n in 0..MESSAGES {
+        assert_eq!(owner.submit_body(&format!("m{n}"), &options(n), &distinct_body(n)), "+OK");
+    }
+    wait_until("one holder has the copies", || {
+        replication_metrics(&all[2])["copies"].as_u64() >= Some(MESSAGES as u64)
+    });
+    let mut late_holder = all[1].client();
+    for n in 0..MESSAGES {
+        let again = format!("{},again=1", options(n));
+        assert_eq!(late_holder.submit_body(&format!("m{n}"), &again, &distinct_body(n)), "+OK");
+    }
+    wait_until("the other holder has the copies too", || {
+        replication_metrics(&all[1])["copies"].as_u64() >= Some(MESSAGES as u64)
+    });
+    peers.paths[0][1].set_fault(Fault::Pass);
+    all.remove(0).kill();
+    peers.wipe(0);
+    let refused = worker.call_count();
+    open.store(true, Ordering::SeqCst);
+    let delivered = |n: usize| {
+        let calls = worker.calls.lock().unwrap();
+        calls[refused..].iter().find(|r| r.header("x-txn") == format!("m{n}")).cloned()
+    };
+    wait_until("the peers deliver all messages", || (0..MESSAGES).all(|n| delivered(n).is_some()));
+    let altered: Vec<String> = (0..MESSAGES)
+        .filter_map(|n| {
+            let got = delivered(n)?;
+            let intact = got.body == distinct_body(n) && got.header("idempotency-key") == format!("key-{n}");
+            (!intact).then(|| format!("m{n}: {} of {} bytes", got.body.len(), distinct_body(n).len()))
+        })
+        .collect();
+    assert!(altered.is_empty(), "{altered:?}");
+    let took: u64 = all.iter().map(|d| replication_metrics(d)["taken_over"].as_u64().unwrap()).sum();
+    assert_eq!(took, MESSAGES as u64);
+}
+
 /// Guards against an endpoint outage that only the dispatcher that detected it knows: its peers know it, too,
 /// and so does one that restarts with an empty state folder. Without `send_health`
 /// (crates/replica/src/keeper.rs) each dispatcher knows only the outages that it detected itself.
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -586,6 +586,10 @@
         self.command(&[b"SUBMIT", b"0000000000000000", id.as_bytes(), options.as_bytes(), b"body\r\n\0\xff"])
     }
 
+    pub fn submit_body(&mut self, id: &str, options: &str, body: &[u8]) -> String {
+        self.command(&[b"SUBMIT", b"0000000000000000", id.as_bytes(), options.as_bytes(), body])
+    }
+
     pub fn submit_with_key(&mut self, key: &str, id: &str, options: &str) -> String {
         self.command(&[b"SUBMIT", key.as_bytes(), id.as_bytes(), options.as_bytes(), b"x"])
     }
