Compare what endpoints receive with what was submitted, in the rig and the audit

Cause: no judge of crates/rig or crates/load compared contents; all test messages had the same body. This covers takeover, handover, restart, move and retry, which all go through these judges. The audit's test has an altered attempt.

--- a/crates/load/src/attempts.rs
+++ b/crates/load/src/attempts.rs
@@ -29,6 +29,8 @@
     pub began_at: Instant,
     /// When and by what it was ended; `None` while it is open.
     pub ended: Option<(Instant, EndedBy)>,
+    /// How its request differed from the message that was submitted, see [`crate::content`].
+    pub altered: Option<String>,
 }
 
 /// Log of attempts, in the order in which they began. Clones share the log.
@@ -40,10 +42,10 @@
 pub struct OpenAttempt(usize);
 
 impl AttemptLog {
-    /// Records that the last byte of a message's request was read.
-    pub fn begin(&self, id: &str) -> OpenAttempt {
+    /// Records that the last byte of a message's request was read, and how it differed from what was submitted.
+    pub fn begin(&self, id: &str, altered: Option<String>) -> OpenAttempt {
         let mut log = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        log.push(Attempt { id: id.to_string(), began_at: Instant::now(), ended: None });
+        log.push(Attempt { id: id.to_string(), began_at: Instant::now(), ended: None, altered });
         OpenAttempt(log.len() - 1)
     }
 
@@ -117,6 +119,7 @@
             id: id.into(),
             began_at: at(from),
             ended: to.map(|to| (at(to), EndedBy::Caller)),
+            altered: None,
         };
         let count = |all: &[Attempt]| overlapping(all, |id| Some(id.to_string())).len();
         let first = attempt("a", 0, Some(1_000));
--- a/crates/load/src/client.rs
+++ b/crates/load/src/client.rs
@@ -1,6 +1,7 @@
 //! Open-loop RESP2 clients: they submit messages at their intended times, whether or not earlier answers have come.
 
 use crate::arrivals::{PlannedMessage, Stream};
+use crate::content::{body_of, idempotency_key_of};
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -149,11 +150,14 @@
         let id = h.message.id(h.rejections + 1);
         let left = s.deadline.as_millis();
         let options = format!(
-            "c={},t={},d={left},dest={},k={:016x},again=1",
-            s.class, s.tenant, s.destination, h.message.index
+            "c={},t={},d={left},dest={},k={},again=1",
+            s.class,
+            s.tenant,
+            s.destination,
+            idempotency_key_of(&id)
         );
         let arguments: [&[u8]; 5] =
-            [b"SUBMIT", b"0000000000000000", id.as_bytes(), options.as_bytes(), b"claim"];
+            [b"SUBMIT", b"0000000000000000", id.as_bytes(), options.as_bytes(), &body_of(&id)];
         let answer =
             submit(&mut connection, dispatcher, &arguments, habits.answer_timeout).unwrap_or_default();
         (id, answer)
@@ -179,10 +183,15 @@
             break;
         }
         let id = message.id(submission);
-        let options =
-            format!("c={},t={},d={left},dest={},k={:016x}", s.class, s.tenant, s.destination, message.index);
+        let options = format!(
+            "c={},t={},d={left},dest={},k={}",
+            s.class,
+            s.tenant,
+            s.destination,
+            idempotency_key_of(&id)
+        );
         let arguments: [&[u8]; 5] =
-            [b"SUBMIT", b"0000000000000000", id.as_bytes(), options.as_bytes(), b"claim"];
+            [b"SUBMIT", b"0000000000000000", id.as_bytes(), options.as_bytes(), &body_of(&id)];
         let answer =
             submit(connection, select_dispatcher(s, message.index), &arguments, habits.answer_timeout)
                 .unwrap_or_default();
--- a/crates/load/src/keyed.rs
+++ b/crates/load/src/keyed.rs
@@ -5,6 +5,7 @@
 
 use crate::attempts::{overlapping, Attempt};
 use crate::client::submit;
+use crate::content::{body_of, idempotency_key_of};
 use crate::member::Effect;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -74,10 +75,11 @@
             }
             let again = if started.elapsed() > RETRY_DELAY { ",again=1" } else { "" };
             let (class, tenant, dest) = (&chain.class, &chain.tenant, chain.destination);
-            let options = format!("c={class},t={tenant},d={left},dest={dest},k={}{again}", id_of(0));
+            let options =
+                format!("c={class},t={tenant},d={left},dest={dest},k={}{again}", idempotency_key_of(&id));
             let key = format!("{:016x}", chain.key);
             let arguments: [&[u8]; 5] =
-                [b"SUBMIT", key.as_bytes(), id.as_bytes(), options.as_bytes(), b"claim"];
+                [b"SUBMIT", key.as_bytes(), id.as_bytes(), options.as_bytes(), &body_of(&id)];
             let answer = submit(&mut connection, dispatcher, &arguments, ANSWER_TIMEOUT).unwrap_or_default();
             if answer.starts_with('+') {
                 taken = true;
@@ -136,6 +138,8 @@
     pub overlapping: Vec<String>,
     /// Got two different final answers.
     pub conflicting_answers: Vec<String>,
+    /// Attempts whose request differed from the message that was submitted.
+    pub altered: Vec<String>,
 }
 
 impl Audit {
@@ -147,13 +151,14 @@
             &self.out_of_order,
             &self.overlapping,
             &self.conflicting_answers,
+            &self.altered,
         ];
         violations.iter().all(|v| v.is_empty())
     }
 }
 
 /// The part of an id that all submissions of a message share: a rejected message is submitted again under a new id.
-fn base_id(id: &str) -> &str {
+pub(crate) fn base_id(id: &str) -> &str {
     id.rsplit_once('-').map_or(id, |(base_id, _)| base_id)
 }
 
@@ -207,6 +212,8 @@
         }
     }
     let key_of: HashMap<&str, u64> = sent.iter().map(|s| (base_id(&s.id), s.key)).collect();
+    let submitted = attempts.iter().filter(|a| key_of.contains_key(base_id(&a.id)));
+    audit.altered = submitted.filter_map(|a| a.altered.clone()).collect();
     audit.overlapping = overlapping(attempts, |id| key_of.get(base_id(id)).map(u64::to_string));
     audit
 }
@@ -215,6 +222,7 @@
 mod tests {
     use super::*;
     use crate::attempts::EndedBy;
+    use crate::content::difference;
 
     /// Guards against an audit that reports no violations because it does not detect them.
     #[test]
@@ -237,6 +245,7 @@
             id: id.into(),
             began_at: at(from),
             ended: Some((at(to), EndedBy::Answer)),
+            altered: None,
         };
         let all = [sent(0), sent(1), sent(2), sent(3)];
         let effects = [
@@ -245,7 +254,9 @@
             effect("7-1-0", 25, 40),
             effect("7-0-0", 50, 60),
         ];
-        let attempts = [attempt("7-0-0", 0, 10), attempt("7-2-0", 20, 30), attempt("7-1-0", 25, 40)];
+        let mut attempts = [attempt("7-0-0", 0, 10), attempt("7-2-0", 20, 30), attempt("7-1-0", 25, 40)];
+        let key = "key-7-1";
+        attempts[2].altered = difference("7-1-0", key, b"something else");
         let notices = ["{\"message\":\"7-1-0\",\"outcome\":\"given_up\"}".to_string()];
         let got = audit(&all, &effects, &attempts, &notices, |_| true);
         assert_eq!(got.lost, ["7-3-0"]);
@@ -255,6 +266,10 @@
             got.overlapping,
             ["7-2-0 and 7-1-0, 5.00 ms after it began; the first one ended by Answer 5.00 ms later"]
         );
+        assert_eq!(got.altered.len(), 1);
+        assert_eq!(difference("7-1-0", key, &body_of("7-1-0")), None);
+        assert!(difference("7-1-0", "key-7-2", &body_of("7-1-0")).is_some());
+        assert!(difference("7-1-0", "", &body_of("7-1-0")).is_some());
         assert_eq!((got.accepted, got.delivered, got.notified), (4, 3, 1));
         assert!(!got.is_clean());
         let good = audit(&all[..1], &effects[..1], &attempts[..1], &[], |_| true);
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod attempts;
 pub mod client;
 pub mod connection_fault;
+pub mod content;
 pub mod keyed;
 pub mod member;
 pub mod report;
--- a/crates/load/src/member.rs
+++ b/crates/load/src/member.rs
@@ -4,6 +4,7 @@
 use crate::connection_fault::{
     half_close, reset_on_close, wait_for_events, wait_for_remote_close, ConnectionFault, FaultPlan,
 };
+use crate::content;
 use rustix::event::PollFlags;
 use std::collections::VecDeque;
 use std::io::{BufRead, BufReader, Read, Write};
@@ -200,13 +201,16 @@
     pub line: String,
     /// The message id from the `x-txn` header, or empty.
     pub id: String,
+    /// The idempotency key, or empty.
+    pub idempotency_key: String,
     /// The body, of `content-length` bytes.
     pub body: Vec<u8>,
 }
 
 /// Reads one HTTP/1.1 request; `None` at the end of the connection or if the request cannot be parsed.
 pub fn read_request(reader: &mut BufReader<TcpStream>) -> Option<Request> {
-    let (mut first, mut id, mut length) = (String::new(), String::new(), 0);
+    let (mut first, mut id, mut idempotency_key, mut length) =
+        (String::new(), String::new(), String::new(), 0);
     reader.read_line(&mut first).ok().filter(|n| *n > 0)?;
     loop {
         let mut line = String::new();
@@ -217,13 +221,14 @@
         }
         match line.split_once(": ") {
             Some((n, v)) if n.eq_ignore_ascii_case("x-txn") => id = v.to_string(),
+            Some((n, v)) if n.eq_ignore_ascii_case("idempotency-key") => idempotency_key = v.to_string(),
             Some((n, v)) if n.eq_ignore_ascii_case("content-length") => length = v.parse().ok()?,
             _ => {}
         }
     }
     let mut body = vec![0; length];
     reader.read_exact(&mut body).ok()?;
-    Some(Request { line: first, id, body })
+    Some(Request { line: first, id, idempotency_key, body })
 }
 
 impl Endpoint {
@@ -280,7 +285,8 @@
             }
             let r = read_request(&mut reader)?;
             let is_probe = r.line.starts_with("GET");
-            let open = (!is_probe).then(|| self.attempts.begin(&r.id));
+            let altered = content::difference(&r.id, &r.idempotency_key, &r.body);
+            let open = (!is_probe).then(|| self.attempts.begin(&r.id, altered));
             let head = self.answer(r, open, manner, &out, fault.map(|f| f.0));
             let Some(head) = head else {
                 let by = if fault.is_some() { EndedBy::Endpoint } else { EndedBy::Caller };
--- a/crates/rig/src/bin/lilacbank-rig.rs
+++ b/crates/rig/src/bin/lilacbank-rig.rs
@@ -119,7 +119,7 @@
         plays += 1;
         println!(
             "seed {}: {} handed in, {} taken, {} delivered, {} told; {} lost, {} late, {} hanging, {} over their disk, {} doubled, {} overlapping, {} told twice, \
-             {} violations, {} panics, {} failed starts",
+             {} altered, {} violations, {} panics, {} failed starts",
             spec.seed,
             report.handed,
             report.taken,
@@ -132,6 +132,7 @@
             report.doubled.len(),
             report.overlapping.len(),
             report.told_twice.len(),
+            report.altered.len(),
             report.violations.len(),
             report.panics.len(),
             report.failed_starts
@@ -146,6 +147,7 @@
                 &report.doubled,
                 &report.overlapping,
                 &report.told_twice,
+                &report.altered,
             ];
             println!("  {:?}", lists);
             report.violations.iter().chain(&report.panics).for_each(|line| println!("  {line}"));
--- a/crates/rig/src/report.rs
+++ b/crates/rig/src/report.rs
@@ -19,6 +19,8 @@
     pub overlapping: Vec<String>,
     /// Ids of messages that got two different final answers.
     pub told_twice: Vec<String>,
+    /// Attempts whose request differed from the message that was submitted.
+    pub altered: Vec<String>,
     /// Ids of messages whose final answer came long after their deadline.
     pub late: Vec<String>,
     /// Misbehaving clients whose connection stayed open too long.
@@ -73,6 +75,7 @@
             && self.doubled.is_empty()
             && self.overlapping.is_empty()
             && self.told_twice.is_empty()
+            && self.altered.is_empty()
             && self.hanging.is_empty()
             && self.late.is_empty()
             && self.over_disk.is_empty()
@@ -101,6 +104,8 @@
     pub overlapping: usize,
     /// Messages that got two different final answers.
     pub told_twice: usize,
+    /// Attempts whose request differed from the message that was submitted.
+    pub altered: usize,
     /// Runs that did not reach full service.
     pub never_full: usize,
     /// Milliseconds to full service: median (nearest rank) of the runs that reached it.
@@ -141,6 +146,7 @@
             doubled: sum(|r| r.doubled.len()),
             overlapping: sum(|r| r.overlapping.len()),
             told_twice: sum(|r| r.told_twice.len()),
+            altered: sum(|r| r.altered.len()),
             never_full: reports.len() - full.len(),
             full_service_p50_ms: rank(0.5),
             full_service_p99_ms: rank(0.99),
--- a/crates/rig/src/run.rs
+++ b/crates/rig/src/run.rs
@@ -317,6 +317,7 @@
         lost: found.lost,
         doubled: found.repeated_effects,
         overlapping: found.overlapping,
+        altered: found.altered,
         told_twice: found.conflicting_answers,
         asks,
         asks_in_10ms,
--- a/tests/fleet_faults.rs
+++ b/tests/fleet_faults.rs
@@ -39,7 +39,14 @@
     let scenario = Scenario { deadline_ms: Some(deadline_ms), faults, ..scenario };
     let program = Path::new(env!("CARGO_BIN_EXE_lilacbank"));
     let report = lilacbank_rig::run::run_scenario(&scenario, program, &std::env::temp_dir(), false).unwrap();
-    let findings = (&report.lost, &report.late, &report.doubled, &report.overlapping, &report.told_twice);
+    let findings = (
+        &report.lost,
+        &report.late,
+        &report.doubled,
+        &report.overlapping,
+        &report.told_twice,
+        &report.altered,
+    );
     assert!(report.clean(), "{findings:?} {:?} {:?}", report.violations, report.panics);
     report
 }
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -18,7 +18,7 @@
     let report = lilacbank_rig::run::run_scenario(&scenario, program, &work, false).unwrap();
     let violations = (
         (&report.lost, &report.late, &report.doubled),
-        (&report.told_twice, &report.violations, &report.panics),
+        (&report.told_twice, &report.altered, &report.violations, &report.panics),
         (&report.hanging, &report.over_disk),
         report.failed_starts,
     );
