Read a connection before it makes room, on the MQTT and control listeners too

What callers saw: an MQTT client whose CONNECT had arrived was closed with no answer where a crowd connected at once, whatever its place in the batch; an operator's command met the same. RESP2 clients did not.

Cause: MqttClients::make_room and ControlInterface::accept closed the connection with the lowest connected_at, the lowest index among equals, without reading what had arrived on it. RespClients read it first.

Evidence: with the process stopped while 200 connections arrive, the client at place 0 got no CONNACK; 60 connections and one "check" line at the control interface: no answer at place 0.

Fix: one rule in src/net/displacement.rs for the three listeners, taken from RespClients: a connection is read before it is closed, and among equals the first accepted goes first. Tests that failed before: a_connect_that_has_arrived_is_answered_whatever_its_place_in_a_crowd, a_control_command_that_has_arrived_is_answered_whatever_its_place_in_a_crowd.

--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -1,6 +1,7 @@
 //! The control interface on its own address: the client sends one line, gets one answer, and the connection
 //! ends. `dispatch::door` parses the line, and the core produces the answer.
 
+use super::displacement::{pick_to_close, Candidate, Connections, Use};
 use super::reactor::Reactor;
 use super::stream::{Fill, Stream};
 use super::{token, SourceKind};
@@ -32,12 +33,15 @@
     connected_at: Ms,
     /// The answer is queued; the connection is closed once it is written.
     answered: bool,
+    /// Its number in the order of acceptance.
+    serial: u64,
 }
 
 /// The connections of the control interface.
 #[derive(Debug, Default)]
 pub struct ControlInterface {
     conns: Slab<ControlConn>,
+    next_serial: u64,
     /// Number of lines that were invalid or never completed.
     pub refused: u64,
     /// Number of lines that were valid commands.
@@ -47,21 +51,55 @@
 /// Side effects that the network layer executes after a command was answered.
 pub type Effects = Vec<ControlEffect>;
 
+/// The connections with what serves the lines that are read from them.
+struct Served<'a> {
+    interface: &'a mut ControlInterface,
+    core: &'a mut Core,
+    serving: bool,
+    effects: &'a mut Effects,
+}
+
+impl Connections for Served<'_> {
+    fn candidates(&self) -> impl Iterator<Item = Candidate> {
+        self.interface.conns.iter().map(|(index, c)| candidate(index, c))
+    }
+
+    fn candidate(&self, index: usize) -> Option<Candidate> {
+        self.interface.conns.get(index).map(|c| candidate(index, c))
+    }
+
+    fn read(&mut self, now: Ms, index: usize) {
+        self.interface.ready(now, index, self.core, self.serving, self.effects);
+    }
+}
+
+fn candidate(index: usize, c: &ControlConn) -> Candidate {
+    // Once the answer is queued, only the client's reading is outstanding.
+    let used_for = if c.answered { Use::Idle } else { Use::Unserved };
+    let (connected_at, serial) = (c.connected_at, c.serial);
+    Candidate { index, used_for, connected_at, last_used: connected_at, serial }
+}
+
 impl ControlInterface {
-    /// Registers a new connection.
-    pub fn accept(&mut self, now: Ms, tcp: TcpStream, reactor: &Rc<Reactor>) {
-        if self.conns.len() >= CONNS_MAX {
-            let oldest =
-                self.conns.iter().min_by(|a, b| a.1.connected_at.total_cmp(&b.1.connected_at)).map(|c| c.0);
-            if let Some(index) = oldest {
-                self.conns.remove(index);
+    /// Closes a connection if there is no room for another one.
+    pub fn make_room(&mut self, now: Ms, core: &mut Core, serving: bool, effects: &mut Effects) {
+        while self.conns.len() >= CONNS_MAX {
+            let mut served = Served { interface: self, core, serving, effects };
+            let Some(index) = pick_to_close(&mut served, now, CONNS_MAX) else { return };
+            if self.conns.try_remove(index).is_some() {
                 self.refused += 1;
             }
         }
+    }
+
+    /// Registers a new connection.
+    pub fn accept(&mut self, now: Ms, tcp: TcpStream, reactor: &Rc<Reactor>) {
         let entry = self.conns.vacant_entry();
         match Stream::accepted(tcp, reactor, token(SourceKind::Control, entry.key())) {
             Ok(stream) => {
-                entry.insert(ControlConn { stream, connected_at: now, answered: false });
+                let serial = self.next_serial;
+                self.next_serial += 1;
+                entry.insert(ControlConn { stream, connected_at: now, answered: false, serial });
             }
             Err(e) => log::warn!(cause:% = e; "a control connection cannot be registered: {e}"),
         }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -3,6 +3,7 @@
 pub mod clock;
 mod closing;
 pub mod control;
+mod displacement;
 pub mod finding;
 pub mod head;
 pub mod http;
@@ -318,9 +319,7 @@
             }
             (Some(SourceKind::Signal), index) => self.handle_signal(now, index),
             (Some(SourceKind::Control), index) => {
-                let serving = self.shutdown_since.is_none()
-                    && !self.resp_clients.is_draining()
-                    && !self.core.is_catching_up();
+                let serving = self.is_serving();
                 let mut effects = Vec::new();
                 self.control.ready(now, index, &mut self.core, serving, &mut effects);
                 effects.into_iter().for_each(|e| self.apply_effect(now, e));
@@ -332,25 +331,14 @@
     fn accept(&mut self, now: Ms, number: usize) {
         let mut failures = 0;
         loop {
-            let listener = match number {
-                MQTT_LISTENER => self.mqtt_listener.as_ref(),
-                PEER_LISTENER => self.peer_listener.as_ref(),
-                CONTROL_LISTENER => self.control_listener.as_ref(),
-                REPLICA_LISTENER => self.replica_listener.as_ref(),
-                _ => self.listener.as_ref(),
-            };
-            let Some(listener) = listener else { return };
-            let room = match number {
-                MQTT_LISTENER => self.mqtt_clients.make_room(),
-                PEER_LISTENER => self.peers.has_room(),
-                CONTROL_LISTENER => true,
-                REPLICA_LISTENER => self.replica_peers.has_room(),
-                _ => self.resp_clients.make_room(now, &mut self.core),
-            };
-            if !room {
+            if self.listener(number).is_none() {
+                return;
+            }
+            if !self.make_room(now, number) {
                 self.accept_retry_at = Some(now + ACCEPT_RETRY_AFTER);
                 return;
             }
+            let Some(listener) = self.listener(number) else { return };
             match listener.accept() {
                 Ok((tcp, _)) => self.register_connection(now, number, tcp),
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return,
@@ -371,6 +359,46 @@
         }
     }
 
+    fn listener(&self, number: usize) -> Option<&TcpListener> {
+        match number {
+            MQTT_LISTENER => self.mqtt_listener.as_ref(),
+            PEER_LISTENER => self.peer_listener.as_ref(),
+            CONTROL_LISTENER => self.control_listener.as_ref(),
+            REPLICA_LISTENER => self.replica_listener.as_ref(),
+            _ => self.listener.as_ref(),
+        }
+    }
+
+    /// Makes room for one more connection of a listener; false if there is none.
+    fn make_room(&mut self, now: Ms, number: usize) -> bool {
+        match number {
+            MQTT_LISTENER => self.make_room_for_mqtt(now),
+            PEER_LISTENER => self.peers.has_room(),
+            CONTROL_LISTENER => self.make_room_for_control(now),
+            REPLICA_LISTENER => self.replica_peers.has_room(),
+            _ => self.resp_clients.make_room(now, &mut self.core),
+        }
+    }
+
+    /// Whether this process accepts clients.
+    fn is_serving(&self) -> bool {
+        self.shutdown_since.is_none() && !self.resp_clients.is_draining() && !self.core.is_catching_up()
+    }
+
+    fn make_room_for_mqtt(&mut self, now: Ms) -> bool {
+        let mut acknowledged = Vec::new();
+        let room = self.mqtt_clients.make_room(now, &mut self.core, &mut acknowledged);
+        acknowledged.into_iter().for_each(|no| self.core.final_answer_confirmed(now, no));
+        room
+    }
+
+    fn make_room_for_control(&mut self, now: Ms) -> bool {
+        let (serving, mut effects) = (self.is_serving(), Vec::new());
+        self.control.make_room(now, &mut self.core, serving, &mut effects);
+        effects.into_iter().for_each(|e| self.apply_effect(now, e));
+        true
+    }
+
     /// Hands an accepted connection to the component that serves this listener.
     fn register_connection(&mut self, now: Ms, number: usize, tcp: TcpStream) {
         let reactor = &self.reactor;
--- a/src/net/mqtt/acceptor.rs
+++ b/src/net/mqtt/acceptor.rs
@@ -7,6 +7,7 @@
 use crate::api::Ms;
 use crate::dispatch::{ClientTicket, Core, FinalAnswer, Submission, Verdict};
 use crate::journal::{Ending, MessageNo};
+use crate::net::displacement::{pick_to_close, Candidate, Connections, Use};
 use crate::net::resp::FIRST_REQUEST_TIMEOUT;
 use crate::net::stream::Stream;
 use crate::net::{token, SourceKind};
@@ -85,6 +86,33 @@
     draining: bool,
 }
 
+/// The connections with the core, which serves what is read from them.
+struct Served<'a> {
+    clients: &'a mut MqttClients,
+    core: &'a mut Core,
+    acknowledged: &'a mut Vec<MessageNo>,
+}
+
+impl Connections for Served<'_> {
+    fn candidates(&self) -> impl Iterator<Item = Candidate> {
+        self.clients.conns.iter().map(|(index, c)| candidate(index, c))
+    }
+
+    fn candidate(&self, index: usize) -> Option<Candidate> {
+        self.clients.conns.get(index).map(|c| candidate(index, c))
+    }
+
+    fn read(&mut self, now: Ms, index: usize) {
+        self.acknowledged.extend(self.clients.ready(now, index, self.core));
+    }
+}
+
+fn candidate(index: usize, c: &Conn) -> Candidate {
+    let used_for = if c.client.is_none() { Use::Unserved } else { Use::Busy };
+    let (connected_at, serial) = (c.connected_at, c.serial);
+    Candidate { index, used_for, connected_at, last_used: connected_at, serial }
+}
+
 /// Encodes the response topic and the correlation data for the core.
 fn encode_reply(properties: &PublishProperties) -> Vec<u8> {
     let mut bytes = (properties.response.len() as u32).to_le_bytes().to_vec();
@@ -137,16 +165,17 @@
         }
     }
 
-    /// Makes room if there are more than `max` connections by closing the oldest one without a CONNECT;
-    /// established sessions stay. While draining, [`MqttClients::accept`] rejects all new connections.
-    pub fn make_room(&mut self) -> bool {
-        if self.conns.len() <= self.max || self.draining {
-            return true;
+    /// Closes connections without a CONNECT while there are more than `max`; established sessions stay. False if
+    /// none may be closed. While draining, [`MqttClients::accept`] rejects all new connections. Messages whose
+    /// final answer was acknowledged meanwhile are added to `acknowledged`.
+    pub fn make_room(&mut self, now: Ms, core: &mut Core, acknowledged: &mut Vec<MessageNo>) -> bool {
+        while self.conns.len() > self.max && !self.draining {
+            let max = self.max;
+            let picked = pick_to_close(&mut Served { clients: self, core, acknowledged }, now, max);
+            let Some(index) = picked else { return false };
+            self.close(index);
         }
-        let unidentified = self.conns.iter().filter(|(_, c)| c.client.is_none());
-        let pick = unidentified.min_by(|a, b| a.1.connected_at.total_cmp(&b.1.connected_at)).map(|c| c.0);
-        pick.into_iter().for_each(|index| self.close(index));
-        pick.is_some()
+        true
     }
 
     /// Registers a new connection.
--- a/src/net/resp.rs
+++ b/src/net/resp.rs
@@ -1,5 +1,6 @@
 //! RESP2 front end: a thin layer over the core that serves the clients of the platform.
 
+use super::displacement::{pick_to_close, Candidate, Connections, Use};
 use super::reactor::Reactor;
 use super::stream::{Fill, Stream};
 use super::{token, SourceKind};
@@ -31,12 +32,6 @@
 /// Milliseconds for which an idle connection is kept between two requests; some clients send one request and
 /// never close.
 const IDLE_TIMEOUT: Ms = 20_000.0;
-/// When connections run short, one without a served command may be closed after this many milliseconds,
-/// before all others: the first command of a normal client has arrived by then.
-const UNSERVED_MIN_AGE: Ms = 100.0;
-/// When connections run short, an idle connection may be closed after this many milliseconds: many clients
-/// send one request and keep the connection open.
-const IDLE_MIN_AGE: Ms = 2_000.0;
 /// Milliseconds for which closing waits after an error until the client stops sending: data that reaches a
 /// closed connection causes a reset, which discards the error line unread.
 const LINGER_TIMEOUT: Ms = 1_000.0;
@@ -63,6 +58,8 @@
     last_used: Ms,
     /// Since when an incomplete command or a partly written answer stands.
     stalled_since: Option<Ms>,
+    /// Its number in the order of acceptance.
+    serial: u64,
 }
 
 impl Conn {
@@ -91,6 +88,17 @@
         }
     }
 
+    /// What the connection is used for, for the rule on making room.
+    fn used_for(&self) -> Use {
+        if self.lingering_since.is_some() || (!self.served && self.awaiting.is_none()) {
+            Use::Unserved
+        } else if self.served && self.is_idle() {
+            Use::Idle
+        } else {
+            Use::Busy
+        }
+    }
+
     fn is_idle(&self) -> bool {
         self.awaiting.is_none() && self.stream.read_buf.is_empty() && self.stream.unwritten() == 0
     }
@@ -119,6 +127,7 @@
     conns: Slab<Conn>,
     awaiting: HashMap<ClientTicket, usize>,
     next_ticket: ClientTicket,
+    next_serial: u64,
     /// Connections with commands left for the next turn.
     unfinished: Vec<usize>,
     max: usize,
@@ -127,6 +136,31 @@
     stopped: bool,
 }
 
+/// The connections with the core, which serves what is read from them.
+struct Served<'a> {
+    clients: &'a mut RespClients,
+    core: &'a mut Core,
+}
+
+impl Connections for Served<'_> {
+    fn candidates(&self) -> impl Iterator<Item = Candidate> {
+        self.clients.conns.iter().map(|(index, c)| candidate(index, c))
+    }
+
+    fn candidate(&self, index: usize) -> Option<Candidate> {
+        self.clients.conns.get(index).map(|c| candidate(index, c))
+    }
+
+    fn read(&mut self, now: Ms, index: usize) {
+        self.clients.ready(now, index, self.core);
+    }
+}
+
+fn candidate(index: usize, c: &Conn) -> Candidate {
+    let (used_for, serial) = (c.used_for(), c.serial);
+    Candidate { index, used_for, connected_at: c.connected_at, last_used: c.last_used, serial }
+}
+
 /// The parts of a command, and the number of bytes that it took.
 type Command = (Vec<Vec<u8>>, usize);
 
@@ -213,7 +247,16 @@
     /// Creates the set without connections; `max` bounds their number.
     pub fn new(max: usize) -> RespClients {
         let (conns, awaiting, unfinished) = (Slab::new(), HashMap::new(), Vec::new());
-        RespClients { conns, awaiting, next_ticket: 0, unfinished, max, draining: false, stopped: false }
+        RespClients {
+            conns,
+            awaiting,
+            next_ticket: 0,
+            next_serial: 0,
+            unfinished,
+            max,
+            draining: false,
+            stopped: false,
+        }
     }
 
     /// Number of open connections.
@@ -231,7 +274,9 @@
     /// full retries its connect only after a second, without notice.
     pub fn make_room(&mut self, now: Ms, core: &mut Core) -> bool {
         while self.conns.len() > self.max {
-            let Some(index) = self.pick_to_close(now, core) else { return false };
+            let max = self.max;
+            let picked = pick_to_close(&mut Served { clients: self, core }, now, max);
+            let Some(index) = picked else { return false };
             if !self.close(now, index, CloseReason::DescriptorNeeded, core) {
                 return false;
             }
@@ -239,54 +284,6 @@
         true
     }
 
-    /// Picks the connection to close: first one without a served command for a while or one that was served
-    /// and has been idle for long, then a served idle one if only few connections are unserved, then any
-    /// unserved one, and last any idle one. A connection that waits for an answer is never picked.
-    fn pick_to_close(&mut self, now: Ms, core: &mut Core) -> Option<usize> {
-        let unserved = |c: &Conn| c.lingering_since.is_some() || (!c.served && c.awaiting.is_none());
-        let pick = |all: &RespClients, fits: &dyn Fn(&Conn) -> bool, since: &dyn Fn(&Conn) -> Ms| {
-            let all = all.conns.iter().filter(|(_, c)| fits(c));
-            all.min_by(|a, b| since(a.1).total_cmp(&since(b.1))).map(|c| c.0)
-        };
-        let old_unserved = |c: &Conn| unserved(c) && now - c.connected_at >= UNSERVED_MIN_AGE;
-        let long_idle = |c: &Conn| c.served && c.is_idle() && now - c.last_used >= IDLE_MIN_AGE;
-        while let Some(index) = pick(self, &old_unserved, &|c| c.connected_at)
-            .or_else(|| pick(self, &long_idle, &|c| c.last_used))
-        {
-            if self.recheck(now, index, core, &|c| old_unserved(c) || long_idle(c)) {
-                return Some(index);
-            }
-        }
-        let mut unserved_conns: Vec<(Ms, usize)> = self
-            .conns
-            .iter()
-            .filter(|(_, c)| unserved(c))
-            .map(|(index, c)| (c.connected_at, index))
-            .collect();
-        // A few new connections among many clients belong to clients whose first command is on its way; only
-        // a large number of them is a flood. A served client that loses an idle connection opens a new one
-        // for its next request.
-        let idle = |c: &Conn| c.served && c.is_idle();
-        while unserved_conns.len() * 2 < self.max {
-            let Some(index) = pick(self, &idle, &|c| c.last_used) else { break };
-            if self.recheck(now, index, core, &idle) {
-                return Some(index);
-            }
-        }
-        unserved_conns.sort_by(|a, b| a.0.total_cmp(&b.0));
-        for (_, index) in unserved_conns {
-            if self.recheck(now, index, core, &unserved) {
-                return Some(index);
-            }
-        }
-        while let Some(index) = pick(self, &Conn::is_idle, &|c| c.last_used) {
-            if self.recheck(now, index, core, &Conn::is_idle) {
-                return Some(index);
-            }
-        }
-        None
-    }
-
     /// Reads a connection that is about to be closed; returns whether it was closed by that or still fits the
     /// condition for closing. Prevents closing a connection whose request has just arrived.
     fn recheck(&mut self, now: Ms, index: usize, core: &mut Core, fits: &dyn Fn(&Conn) -> bool) -> bool {
@@ -309,7 +306,9 @@
                     connected_at: now,
                     last_used: now,
                     stalled_since: None,
+                    serial: self.next_serial,
                 };
+                self.next_serial += 1;
                 entry.insert(fresh);
             }
             Err(e) => log::warn!("a client's connection cannot be registered: {e}"),
--- a/tests/daily.rs
+++ b/tests/daily.rs
@@ -519,3 +519,36 @@
 fn the_order_of_a_key_survives_two_processes_killed_at_once() {
     check_order_over_three_processes(true);
 }
+
+/// Guards against an operator who is locked out by a crowd: the process is held up, and a command arrives
+/// among more connections than the control interface keeps, all silent or with half a line.
+#[test]
+fn a_control_command_that_has_arrived_is_answered_whatever_its_place_in_a_crowd() {
+    use std::io::{Read, Write};
+    const CROWD: usize = 60;
+    let site = TestInstallation::new(&[list_entry("w1", "127.0.0.1:9", "a", 1, "in_service")]);
+    let mut d = site.start_with("127.0.0.1:0", &[("ROUTER_CONTROL", "127.0.0.1:0")]);
+    let address = control_address(&mut d);
+    for place in [0, CROWD / 2, CROWD] {
+        d.pause();
+        let mut crowd = Vec::new();
+        let mut operator = None;
+        for n in 0..=CROWD {
+            let mut tcp = std::net::TcpStream::connect(address).unwrap();
+            if n == place {
+                tcp.write_all(b"check\n").unwrap();
+                operator = Some(tcp);
+            } else {
+                let half: &[u8] = if n % 2 == 0 { b"" } else { b"che" };
+                tcp.write_all(half).unwrap();
+                crowd.push(tcp);
+            }
+        }
+        d.signal("-CONT");
+        let mut operator = operator.unwrap();
+        operator.set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
+        let mut answer = String::new();
+        let _ = operator.read_to_string(&mut answer);
+        assert!(answer.starts_with("200"), "the command at place {place} of {CROWD}: {answer:?}");
+    }
+}
--- a/tests/mqtt.rs
+++ b/tests/mqtt.rs
@@ -359,6 +359,44 @@
     assert_eq!(old.wait_for_outcome("p"), "handed_back", "the endpoint list does not name the destination");
 }
 
+/// A CONNECT of MQTT 5 with a clean start and the client id "ab".
+const CONNECT: &[u8] = b"\x10\x0f\0\x04MQTT\x05\x02\0\x3c\0\0\x02ab";
+/// First byte of a CONNACK.
+const CONNACK: u8 = 0x20;
+
+/// Guards against a client that is locked out by a crowd: the process is held up, 200 connections that send
+/// nothing or a fragment arrive with one client among them whose CONNECT arrives too. Whatever its place in
+/// the batch, it is answered.
+#[test]
+fn a_connect_that_has_arrived_is_answered_whatever_its_place_in_a_crowd() {
+    const CROWD: usize = 200;
+    let broker = Broker::start(|_, _| EndpointBehavior::Answer(200, None));
+    let site = site_with_brokers(&[&broker]);
+    let d = site.start();
+    for place in [0, CROWD / 2, CROWD] {
+        d.pause();
+        let mut crowd = Vec::new();
+        let mut client = None;
+        for n in 0..=CROWD {
+            let mut tcp = TcpStream::connect(d.mqtt.unwrap()).unwrap();
+            if n == place {
+                tcp.write_all(CONNECT).unwrap();
+                client = Some(tcp);
+            } else {
+                let fragment: &[u8] = if n % 2 == 0 { &[] } else { &CONNECT[..7] };
+                tcp.write_all(fragment).unwrap();
+                crowd.push(tcp);
+            }
+        }
+        d.signal("-CONT");
+        let mut client = client.unwrap();
+        client.set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
+        let mut answer = [0; 1];
+        let got = client.read_exact(&mut answer).map(|()| answer[0]);
+        assert_eq!(got.ok(), Some(CONNACK), "the client at place {place} of {CROWD}");
+    }
+}
+
 /// Guards against a retry-after that only one front end observes: the wait that an overloaded endpoint asks
 /// for applies to the messages of RESP2 and MQTT clients alike.
 #[test]
