Keep the current revision over a list that has none

What callers saw: nothing on the platform's own lists, which are numbered; a list without a revision set the current one to 0, and any older list was accepted after it at once, also by the next start, since the cached list was written with 0. Old endpoints would have got new messages.

Cause: RevisionCheck::accept and RegistryWatch took 0, "no revision", for the revision 0.

Evidence: accept(0, 9), accept(1, 0), accept(2, 3) was true. With real processes the older list replaced the newer one and "the older list is refused" never held.

Fix: a list without a revision is accepted and changes neither the current revision nor the time limit of older ones; the watch and the cached list keep the last revision. Tests that failed before: older_list_is_rejected_for_a_limited_time_and_then_accepted (with three more lines), a_list_without_a_revision_does_not_make_an_older_one_acceptable.

--- a/crates/rig/src/registry.rs
+++ b/crates/rig/src/registry.rs
@@ -152,6 +152,11 @@
         revisions.push(format!(r#"{{"rev":{rev},"all":false,"targets":[{entry}]}}"#));
     }
 
+    /// Publishes a change of the list, with this entry and without a revision.
+    pub fn publish_unnumbered_change(&self, entry: &str) {
+        lock(&self.revisions).push(format!(r#"{{"all":false,"targets":[{entry}]}}"#));
+    }
+
     /// The notices that contain this text (a message id).
     pub fn notices_for(&self, id: &str) -> Vec<String> {
         lock(&self.notices).iter().filter(|n| n.contains(id)).cloned().collect()
--- a/src/net/registry.rs
+++ b/src/net/registry.rs
@@ -304,7 +304,9 @@
                     list.revision, self.rev
                 ));
             }
-            self.rev = list.revision;
+            if list.revision > 0 {
+                self.rev = list.revision;
+            }
             lists.push(list);
         }
         if self.line.len() > LINE_MAX {
--- a/src/recovery.rs
+++ b/src/recovery.rs
@@ -136,9 +136,12 @@
     }
 
     /// Whether a list of revision `rev` is accepted; 0 means that the list has no revision. An accepted
-    /// revision becomes the current one.
+    /// revision becomes the current one. A list without one is accepted, and says nothing of other lists.
     pub fn accept(&mut self, now: Ms, rev: u64) -> bool {
-        let older = rev > 0 && rev < self.current && self.reject_for > 0.0;
+        if rev == 0 {
+            return true;
+        }
+        let older = rev < self.current && self.reject_for > 0.0;
         if older && now - *self.older_since.get_or_insert(now) < self.reject_for {
             self.rejected += 1;
             return false;
@@ -307,6 +310,9 @@
         assert!(r.accept(6_000.0, 13), "a newer list restarts the time limit");
         assert!(!r.accept(20_000.0, 3) && r.accept(30_000.0, 3) && r.accept(30_001.0, 4));
         assert!(r.accept(30_002.0, 0), "a list without a revision");
+        assert!(!r.accept(30_003.0, 3), "a list without a revision does not make older ones acceptable");
+        assert!(!r.accept(35_000.0, 3) && r.accept(35_001.0, 0), "nor does it restart their time limit");
+        assert!(r.accept(40_003.0, 3));
         let mut off = RevisionCheck::new(9, 0.0);
         assert!(off.accept(0.0, 1));
     }
--- a/tests/together.rs
+++ b/tests/together.rs
@@ -424,6 +424,33 @@
     }
 }
 
+/// Guards against an older endpoint list that is accepted after a list without a revision, at once or by the
+/// next start.
+#[test]
+fn a_list_without_a_revision_does_not_make_an_older_one_acceptable() {
+    let worker = EndpointStandIn::start(|_, _| Reply::Answer("200 OK"));
+    let fleet = Fleet::of(worker.address);
+    let platform = &fleet.sites[0].platform;
+    let entry = |uid: &str| list_entry(uid, &fleet.endpoints[0].address.to_string(), "a", 3, "in_service");
+    let older = [list_entry("w0", "127.0.0.1:9", "a", 2, "in_service")];
+    let d = fleet.start(0);
+    for (n, uid) in ["w2", "w3"].iter().enumerate() {
+        platform.publish_change(&entry(uid));
+        wait_until("the dispatcher has received the change", || metrics(&d)["members"] == n + 2);
+    }
+    platform.publish_unnumbered_change(&entry("w4"));
+    wait_until("the dispatcher has received the list without a revision", || metrics(&d)["members"] == 4);
+    platform.restore_older(Some((1, &older)));
+    wait_until("the older list is refused", || metrics(&d)["older_lists"].as_u64() >= Some(1));
+    assert_eq!(metrics(&d)["members"], 4);
+    // The cached list is written at intervals.
+    std::thread::sleep(Duration::from_millis(400));
+    d.kill();
+    let again = fleet.start(0);
+    wait_until("the next start refuses it too", || metrics(&again)["older_lists"].as_u64() >= Some(1));
+    assert_eq!(metrics(&again)["members"], 4);
+}
+
 /// Guards against a backlog that reaches the endpoint all at once after a restart. Three dispatchers are
 /// killed by SIGKILL with forty pending messages each for an unreachable endpoint. After the restart they
 /// ramp up as for an endpoint whose state is unknown. Without `hinted` and `climb_room`
