Renew a peer's lease only once it has confirmed the fences that replaced its own

Cause: a dispatcher that had taken messages over sent the returning owner its newer fences once, and answered the heartbeat right after them. The owner whose fence was lost got its lease back and acted under the old one. On one TCP connection the order protects from this; nothing but that did.

A unit test that drops the fence failed before: one heartbeat answered beside one unconfirmed fence.

Fix: fences are sent again until the peer has stored them or says that it has no room for the copy (a new message, NotStored); its heartbeats are answered only then. Test that failed before: a_lease_is_renewed_only_once_the_peer_has_confirmed_all_newer_fences.

--- a/crates/replica/src/keeper.rs
+++ b/crates/replica/src/keeper.rs
@@ -182,6 +182,10 @@
     gone: bool,
     /// It has to receive the fences that replaced its own before its lease is renewed.
     needs_fences: bool,
+    /// Messages whose newer fence it was sent and has not confirmed; its lease is not renewed meanwhile.
+    unconfirmed_fences: BTreeSet<String>,
+    /// When they are sent again.
+    fences_resend_due: Ms,
     /// A comparison with it has completed since both were started.
     compared: bool,
     comparison: Option<Comparison>,
@@ -894,9 +898,10 @@
                 self.apply(output);
             }
             Some(Payload::Heartbeat(b)) => {
-                self.renew_lease(now, &from);
                 self.peers.entry(from.clone()).and_modify(|p| p.open_messages = b.open);
-                self.send(&from, Payload::HeartbeatAck(b.at));
+                if self.has_newest_fences(now, &from) {
+                    self.send(&from, Payload::HeartbeatAck(b.at));
+                }
             }
             Some(Payload::Query(id)) => {
                 let known =
@@ -930,6 +935,10 @@
                 let same = |p: &Replica| {
                     p.copy.fence.epoch == h.epoch && wire::stage_number(p.copy.stage).0 == h.stage
                 };
+                let is_newest = |p: &Replica| p.copy.fence.epoch <= h.epoch;
+                if self.replicas.get(&h.id).is_none_or(is_newest) {
+                    self.confirm_fence(&from, &h.id);
+                }
                 if self.replicas.get(&h.id).is_some_and(same) {
                     self.confirm(&h.id, &from);
                 }
@@ -937,6 +946,7 @@
                     self.events.push(ReplicationEvent::CopyAcknowledged(h.id));
                 }
             }
+            Some(Payload::NotStored(id)) => self.confirm_fence(&from, &id),
             Some(Payload::RequestGrant(wire)) => self.on_grant_request(now, &from, wire),
             Some(Payload::Grant(wire)) => {
                 let fence = Fence { epoch: wire.epoch, owner: wire.owner };
@@ -1005,29 +1015,46 @@
         }
     }
 
-    /// A heartbeat has arrived. A peer that had counted as gone, or has restarted, first gets all fences that
-    /// replaced its own.
-    fn renew_lease(&mut self, now: Ms, from: &str) {
-        let Some(p) = self.peers.get_mut(from) else { return };
+    /// A heartbeat has arrived: whether its sender may renew its lease. A peer that had counted as gone, has
+    /// restarted or has lost its connection first gets all fences that replaced its own, and confirms them.
+    fn has_newest_fences(&mut self, now: Ms, from: &str) -> bool {
+        let Some(p) = self.peers.get_mut(from) else { return false };
         if p.gone {
             p.gone = false;
             p.comparison_due = now;
             self.events.push(ReplicationEvent::MembershipChanged(format!("{from} is reachable again")));
         }
-        if !std::mem::take(&mut p.needs_fences) {
-            return;
+        if std::mem::take(&mut p.needs_fences) {
+            p.fences_resend_due = now;
+            let newer = self.newer_fences(from);
+            self.peers.entry(from.to_string()).and_modify(|p| p.unconfirmed_fences = newer);
         }
+        self.resend_fences(now, from);
+        self.peers.get(from).is_some_and(|p| p.unconfirmed_fences.is_empty())
+    }
+
+    /// The messages that were taken over from a peer and that it may hold under its own fence.
+    fn newer_fences(&self, from: &str) -> BTreeSet<String> {
         let passed = |p: &&Replica| {
             p.copy.fence.epoch > 0 && p.copy.fence.owner != *from && self.is_shared_with(p, from)
         };
-        let ids: Vec<String> = self
-            .replicas
-            .values()
-            .filter(passed)
-            .take(MAX_FENCES_RESENT)
-            .map(|p| p.copy.id.clone())
-            .collect();
-        ids.iter().for_each(|id| self.send_copy(now, from, id));
+        let ids = self.replicas.values().filter(passed).take(MAX_FENCES_RESENT);
+        ids.map(|p| p.copy.id.clone()).collect()
+    }
+
+    fn resend_fences(&mut self, now: Ms, to: &str) {
+        let Some(p) = self.peers.get_mut(to).filter(|p| p.fences_resend_due <= now) else { return };
+        p.fences_resend_due = now + RESEND_INTERVAL_MS;
+        // A copy that has expired since has no fence.
+        p.unconfirmed_fences.retain(|id| self.replicas.contains(id));
+        let ids = p.unconfirmed_fences.clone();
+        ids.iter().for_each(|id| self.send_copy(now, to, id));
+    }
+
+    fn confirm_fence(&mut self, by: &str, id: &str) {
+        if let Some(p) = self.peers.get_mut(by) {
+            p.unconfirmed_fences.remove(id);
+        }
     }
 
     /// The connection to a peer is lost, and peer messages may be lost with it: fences that replaced its own
@@ -1102,7 +1129,7 @@
         }
         if !self.has_room_for(&copy) {
             self.counts.copies_rejected += 1;
-            return;
+            return self.send(from, Payload::NotStored(copy.id));
         }
         self.counts.copies_accepted += 1;
         self.acknowledge(from, &copy);
--- a/crates/replica/src/wire.rs
+++ b/crates/replica/src/wire.rs
@@ -126,6 +126,10 @@
     /// Health data of a destination.
     #[prost(message, tag = "25")]
     Health(Health),
+    /// The copy with this id is not stored, because the receiver has no room for it; it knows nothing of the
+    /// message and does not act on it.
+    #[prost(string, tag = "26")]
+    NotStored(String),
 }
 
 /// A heartbeat.
@@ -253,7 +257,7 @@
     #[prost(uint64, tag = "4")]
     pub incarnation: u64,
     /// The payload.
-    #[prost(oneof = "Payload", tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25")]
+    #[prost(oneof = "Payload", tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26")]
     pub payload: Option<Payload>,
 }
 
--- a/crates/replica/tests/keeper.rs
+++ b/crates/replica/tests/keeper.rs
@@ -5,7 +5,7 @@
 use lilacbank_replica::copies::{CopyEnding, MessageContent, Stage};
 use lilacbank_replica::keeper::{ReplicationConfig, ReplicationEvent, Replicator};
 use lilacbank_replica::owner::{Repeatability, ReplicaAction};
-use lilacbank_replica::wire::{Envelope, Heartbeat, OperatorBlock, Payload, WireCopy};
+use lilacbank_replica::wire::{CopyAck, Envelope, Heartbeat, OperatorBlock, Payload, WireCopy};
 use lilacbank_replica::Ms;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -663,6 +663,39 @@
     }
 }
 
+/// Guards against an owner that acts under a replaced fence because the message with the new one was lost: a
+/// peer that took a message over answers the former owner's heartbeats only once it has confirmed the fence.
+#[test]
+fn a_lease_is_renewed_only_once_the_peer_has_confirmed_all_newer_fences() {
+    let heartbeat = |at: Ms| Payload::Heartbeat(Heartbeat { at, open: 1 });
+    let answered = |k: &mut Replicator| {
+        let sent = k.take_outgoing();
+        let fences = sent.iter().filter(|m| matches!(m.1.payload, Some(Payload::Store(_)))).count();
+        let acks = sent.iter().filter(|m| matches!(m.1.payload, Some(Payload::HeartbeatAck(_)))).count();
+        (fences, acks)
+    };
+    for confirmed_by in ["copy", "rejection"] {
+        let mut k = keeper_of_one(7);
+        k.receive(10, from_peer(1, Payload::Store(unsafe_copy(7))));
+        (0..80).for_each(|n| k.tick(n * 100));
+        let epoch = k.replica("m").map(|r| r.copy.fence.epoch).unwrap();
+        assert!(epoch > 0, "taken over");
+        k.take_outgoing();
+        // The fence is lost twice; the owner's lease is not renewed meanwhile.
+        for at in [8_000, 8_500] {
+            k.receive(at, from_peer(1, heartbeat(at)));
+            assert_eq!(answered(&mut k), (1, 0), "at {at}");
+        }
+        let confirmation = match confirmed_by {
+            "copy" => Payload::Stored(CopyAck { id: "m".into(), epoch, stage: 0 }),
+            _ => Payload::NotStored("m".into()),
+        };
+        k.receive(8_600, from_peer(1, confirmation));
+        k.receive(8_750, from_peer(1, heartbeat(8_750)));
+        assert_eq!(answered(&mut k), (0, 1), "{confirmed_by}");
+    }
+}
+
 /// Guards against a late peer message of a past incarnation that is taken for a restart of its sender.
 #[test]
 fn peer_messages_of_past_incarnations_are_ignored() {
