Report nested state folders with another folder sorted between them (LB0604)

What callers saw: app check passed two applications of which one has its state folder inside the other's, where a third folder sorts between (a, a-b, a/c); two processes would have kept journals in one folder tree. Cause: only the next folder in the order of texts was looked at. Evidence: the sample LB0604-another-folder-between failed before, with LB0604 wanted and not found. Fix: the first folder from 'PATH/' on is looked at; all folders inside this one begin so.

--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -1068,10 +1068,9 @@
             let path = crate::set::resolve_path("", path);
             let nested = |o: &str| path.strip_prefix(o).is_some_and(|r| r.is_empty() || r.starts_with('/'));
             let above = path.match_indices('/').map(|m| &path[..m.0]).chain([path.as_str()]);
-            let below = folders
-                .range(path.clone()..)
-                .next()
-                .filter(|(o, _)| o.strip_prefix(&path).is_some_and(|r| r.is_empty() || r.starts_with('/')));
+            // Other folders may sort between this one and those inside it: `a`, `a-b`, `a/c`.
+            let inside = format!("{path}/");
+            let below = folders.range(inside.clone()..).next().filter(|(o, _)| o.starts_with(&inside));
             let other = above.filter(|p| nested(p)).find_map(|p| folders.get(p)).or(below.map(|b| b.1));
             if let Some(other) = other {
                 let f = s.finding(
