Refuse frames of another version on the [mesh] port, whatever they hold

What callers saw: a peer or a tool of a newer version was answered as if it spoke this one; only messages of the move protocol were checked, so a request with fields that this version lacks could be carried out. Cause: the version was read in Envelope::handoff_message alone. Evidence: a tool's request of version 2 was decoded as a request; unsupported_versions_kinds_and_lengths_are_errors failed before with it. Fix: FrameDecoder checks each envelope; the connection is closed. Besides, the control interface has one timeout in place of two that had to be equal (both 2 s, no change in behaviour).

--- a/crates/cells/src/wire.rs
+++ b/crates/cells/src/wire.rs
@@ -386,7 +386,7 @@
     ///
     /// # Errors
     ///
-    /// If the bytes are not a valid frame; the connection must then be closed.
+    /// If the bytes are not a valid frame, or one of an unsupported version; the connection must then be closed.
     pub fn next_envelope(&mut self) -> Result<Option<Envelope>, WireError> {
         let length_end = self.bytes.iter().take(MAX_VARINT_BYTES).position(|b| b & 0x80 == 0);
         let Some(at) = length_end else {
@@ -403,6 +403,9 @@
             .ok_or(WireError::TooLong(length))?;
         let Some(body) = self.bytes.get(at + 1..at + 1 + size) else { return Ok(None) };
         let envelope = Envelope::decode(body).map_err(|e| WireError::Malformed(e.to_string()))?;
+        if envelope.version != VERSION {
+            return Err(WireError::Version(envelope.version));
+        }
         self.bytes.drain(..at + 1 + size);
         Ok(Some(envelope))
     }
@@ -559,6 +562,11 @@
         assert_eq!(Envelope { version: 2, ..good.clone() }.handoff_message(), Err(WireError::Version(2)));
         assert_eq!(Envelope { kind: 99, ..good.clone() }.handoff_message(), Err(WireError::UnknownKind(99)));
         assert_eq!(Envelope { kind: 0, ..good }.handoff_message(), Err(WireError::UnknownKind(0)));
+        // A tool's request is no message of the move protocol, but its version counts as well.
+        let newer = Envelope { version: 2, kind: MessageKind::ToolRequest as i32, ..Envelope::default() };
+        let mut frames = FrameDecoder::default();
+        frames.push(&newer.encode_length_delimited_to_vec());
+        assert_eq!(frames.next_envelope(), Err(WireError::Version(2)));
         let next = |bytes: &[u8]| {
             let mut frames = FrameDecoder::default();
             frames.push(bytes);
--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -19,11 +19,9 @@
 
 /// Maximum number of connections; the oldest one is closed to make room for a new one.
 const CONNS_MAX: usize = 16;
-/// Milliseconds after which a connection without a complete line is closed, so that it neither delays others
-/// nor holds resources.
-const LINE_TIMEOUT: Ms = 2_000.0;
-/// Milliseconds after which an unread answer is dropped.
-const WRITE_TIMEOUT: Ms = 2_000.0;
+/// Milliseconds after which a connection is closed, whether its line is incomplete or its answer unread, so
+/// that it neither delays others nor holds resources.
+const CONNECTION_TIMEOUT: Ms = 2_000.0;
 /// File in the state folder that keeps the operator blocks for the next process and for a sibling process.
 pub const BLOCKS_FILE: &str = "down";
 
@@ -144,10 +142,7 @@
 
     /// Time at which [`ControlInterface::tick`] is due.
     pub fn next_due(&self) -> Option<Ms> {
-        self.conns
-            .iter()
-            .map(|(_, c)| c.connected_at + LINE_TIMEOUT.max(WRITE_TIMEOUT))
-            .min_by(f64::total_cmp)
+        self.conns.iter().map(|(_, c)| c.connected_at + CONNECTION_TIMEOUT).min_by(f64::total_cmp)
     }
 
     /// Closes connections that have timed out; one without a complete line gets the reason.
@@ -155,7 +150,7 @@
         let due: Vec<usize> = self
             .conns
             .iter()
-            .filter(|(_, c)| now - c.connected_at >= LINE_TIMEOUT)
+            .filter(|(_, c)| now - c.connected_at >= CONNECTION_TIMEOUT)
             .map(|(index, _)| index)
             .collect();
         for index in due {
