Leave room for identities beside a sibling process, so that compaction ends

Cause: beside a sibling the threshold of compaction and the share of live records are halved, the share of identities (8% of the whole limit) is not: 18% and 8% may be kept, 24% is the threshold.

Waiting times of clients were not measured.

Fix: beside a sibling live records get less where identities fill more than their halved share. Forgetting identities early would have let a message that is submitted again run twice.

--- a/src/dispatch/admit.rs
+++ b/src/dispatch/admit.rs
@@ -50,7 +50,7 @@
             + self.ownership.bytes()
             + name.as_ref().map_or(0, |n| AtMostOnce::entry_size(n));
         if self.messages.len() >= self.settings.max_held && self.cells.is_single()
-            || !self.journal.has_room_for_live_records(needed)
+            || !self.journal.has_room_for_live_records(needed, self.identity_bytes)
         {
             return Err(NO_ROOM_RETRY_AFTER);
         }
--- a/src/dispatch/seats.rs
+++ b/src/dispatch/seats.rs
@@ -594,7 +594,7 @@
     fn offer_rejection(&self, c: &TenantContents) -> Option<String> {
         let size = c.encoded_len() as u64;
         let needed = self.live_bytes + self.at_most_once.bytes() + self.ownership.bytes + 2 * size;
-        if !self.journal.has_room_for_live_records(needed) {
+        if !self.journal.has_room_for_live_records(needed, self.identity_bytes) {
             return Some(format!("there is no room for {size} bytes in the journal"));
         }
         if self.messages.len() + c.messages.len() > self.settings.max_held {
--- a/src/journal.rs
+++ b/src/journal.rs
@@ -435,11 +435,15 @@
         self.shared = shared;
     }
 
-    /// Whether `live` bytes of live records still fit. Also false if the file itself has grown too large
-    /// because it could not be compacted.
-    pub fn has_room_for_live_records(&self, live: u64) -> bool {
+    /// Whether `live` bytes of live records still fit beside `identities` bytes of identities. Also false if the
+    /// file itself has grown too large because it could not be compacted.
+    ///
+    /// Identities from the time before a sibling process may fill more than their share; live records then get
+    /// less, so that a compaction ends below the threshold of the next one.
+    pub fn has_room_for_live_records(&self, live: u64, identities: u64) -> bool {
         let fits = |bytes: u64, share: f64| (bytes as f64) < self.own_limit() * share;
-        fits(live, LIVE_RECORDS_SHARE) && fits(self.size, MAX_FILE_SHARE)
+        let both_fit = fits(live + identities, LIVE_RECORDS_SHARE + IDENTITIES_SHARE);
+        fits(live, LIVE_RECORDS_SHARE) && (!self.shared || both_fit) && fits(self.size, MAX_FILE_SHARE)
     }
 
     /// Bytes that live records may fill if no sibling process shares the folder.
--- a/src/journal/tests.rs
+++ b/src/journal/tests.rs
@@ -200,7 +200,7 @@
         j.append(&taken(1)).unwrap();
     }
     let live = taken(9);
-    assert!(j.size() + live.size() < 20_000 && j.has_room_for_live_records(live.size()));
+    assert!(j.size() + live.size() < 20_000 && j.has_room_for_live_records(live.size(), 0));
     j.compact([live.clone()].into_iter()).unwrap();
     assert_eq!(j.size(), live.size());
     j.append(&taken(10)).unwrap();
@@ -246,17 +246,17 @@
     // A directory at the path of the compacted file makes every compaction fail.
     std::fs::create_dir(dir.join("journal.new")).unwrap();
     let mut no = 0;
-    while j.has_room_for_live_records(0) {
+    while j.has_room_for_live_records(0, 0) {
         no += 1;
         j.append(&taken(no)).unwrap();
         assert!(j.size() < limit, "it grew beyond its limit");
     }
     assert!(j.needs_compaction() && j.compact([taken(1)].into_iter()).is_err());
-    assert!(!j.has_room_for_live_records(0), "unchanged by the failed compaction");
+    assert!(!j.has_room_for_live_records(0, 0), "unchanged by the failed compaction");
     j.append(&Record::FinalAnswer { no: 1, ending: Ending::Delivered }).unwrap();
     std::fs::remove_dir(dir.join("journal.new")).unwrap();
     j.compact([taken(no)].into_iter()).unwrap();
-    assert!(j.has_room_for_live_records(0) && !j.needs_compaction());
+    assert!(j.has_room_for_live_records(0, 0) && !j.needs_compaction());
     drop(j);
     assert_eq!(Journal::open(&dir, limit).unwrap().1, [taken(no)]);
     std::fs::remove_dir_all(dir).unwrap();
@@ -270,7 +270,7 @@
     let limit = 60_000;
     let (mut j, _) = Journal::open(&dir, limit).unwrap();
     let mut no = 0;
-    while j.has_room_for_live_records(0) {
+    while j.has_room_for_live_records(0, 0) {
         no += 1;
         j.append(&taken(no)).unwrap();
     }
@@ -299,13 +299,35 @@
     }
     assert!(j.size() <= alone / 2 + taken(no).size(), "{} shared, {alone} alone", j.size());
     assert!(
-        !j.has_room_for_live_records((limit as f64 * LIVE_RECORDS_SHARE * 0.6) as u64),
+        !j.has_room_for_live_records((limit as f64 * LIVE_RECORDS_SHARE * 0.6) as u64, 0),
         "live records are halved, too"
     );
     j.set_shared(false);
     assert!(
         !j.needs_compaction()
-            && j.has_room_for_live_records((limit as f64 * LIVE_RECORDS_SHARE * 0.6) as u64)
+            && j.has_room_for_live_records((limit as f64 * LIVE_RECORDS_SHARE * 0.6) as u64, 0)
     );
     std::fs::remove_dir_all(dir).unwrap();
 }
+
+/// Guards against a journal that is compacted again and again beside a sibling process, with all clients
+/// waiting: what the process may keep has to fit below the threshold of compaction.
+#[test]
+fn what_may_be_kept_beside_a_sibling_needs_no_further_compaction() {
+    let dir = folder("beside");
+    let limit = 600_000;
+    let (mut j, _) = Journal::open(&dir, limit).unwrap();
+    j.set_shared(true);
+    let identities = (0..limit).step_by(100).take_while(|b| j.has_room_for_identities(*b)).last().unwrap();
+    let has_room = |live: &u64| j.has_room_for_live_records(*live, identities);
+    let live = (0..limit).step_by(100).take_while(has_room).last().unwrap();
+    assert!(live > 0);
+    let kept = |bytes: u64| {
+        let body = vec![0; bytes as usize - taken(1).size() as usize];
+        Record::Accepted(AcceptedMessage { no: 1, body, ..AcceptedMessage::default() })
+    };
+    j.compact([kept(live), kept(identities)].into_iter()).unwrap();
+    assert!(j.size() + 200 >= live + identities, "{} of {live} and {identities} bytes", j.size());
+    assert!(!j.needs_compaction(), "{live} and {identities} of {limit} bytes");
+    std::fs::remove_dir_all(dir).unwrap();
+}
