--- a/crates/faults/src/files.rs
+++ b/crates/faults/src/files.rs
@@ -3,10 +3,6 @@
 use crate::schedule::{Call, Kind};
 use crate::{active_argument, fail, path_of, schedule, scheduled_error};
 use libc::{c_char, c_int, c_void, mode_t, off_t, size_t, ssize_t};
-use std::sync::atomic::{AtomicBool, Ordering};
-
-/// Whether the last failing write transferred half of its bytes, so that the retry for the rest returns the error.
-static HALF_WRITTEN: AtomicBool = AtomicBool::new(false);
 
 fn in_folder(path: &str) -> bool {
     let folder = &schedule().folder;
@@ -41,11 +37,6 @@
     path_of(fd).is_some_and(|p| in_folder(&p)).then_some(fault)
 }
 
-/// Whether this failing write transfers half of its bytes. Alternates: the next call, the retry for the rest, fails.
-pub(crate) fn toggle_half_write() -> bool {
-    !HALF_WRITTEN.fetch_xor(true, Ordering::Relaxed)
-}
-
 /// The error that a read of a file in the folder gets now.
 pub(crate) fn read_error(fd: c_int) -> Option<c_int> {
     let io_fault = io_fault_argument().filter(|_| path_of(fd).is_some_and(|p| in_folder(&p)));
--- a/crates/faults/src/lib.rs
+++ b/crates/faults/src/lib.rs
@@ -25,6 +25,7 @@
 //! an error message.
 
 mod files;
+mod half_writes;
 mod late;
 mod schedule;
 mod sockets;
@@ -135,7 +136,7 @@
         return libc::syscall(libc::SYS_write, fd, bytes, count) as ssize_t;
     }
     if let Some((errno, half)) = files::write_fault(fd) {
-        if half && count > 1 && files::toggle_half_write() {
+        if half && count > 1 && half_writes::toggle_half_write(fd) {
             return libc::syscall(libc::SYS_write, fd, bytes, count / 2) as ssize_t;
         }
         return fail(errno) as ssize_t;
--- a/tests/full_folder.rs
+++ b/tests/full_folder.rs
@@ -220,6 +220,31 @@
     wait_until("all messages are delivered", || worker.call_count() >= MESSAGES);
 }
 
+/// Guards against accepted messages that cannot be worked because what is remembered of earlier ones fills the
+/// disk: they should have been rejected.
+#[test]
+fn a_disk_full_of_identities_hands_no_accepted_message_back() {
+    let worker = EndpointStandIn::start(|_, _| Reply::Answer("200 OK"));
+    let site = TestInstallation::new(&[list_entry("w1", &worker.address.to_string(), "a", 1, "in_service")]);
+    // 60 blocks of 512 bytes are 30 KB, less than the identities of 600 messages take.
+    const MESSAGES: usize = 600;
+    let d = site.start_with_ulimit("-f 60", &[]);
+    let mut client = d.client();
+    let begun = std::time::Instant::now();
+    let mut accepted = Vec::new();
+    while accepted.len() < MESSAGES && begun.elapsed() < Duration::from_secs(6) {
+        let id = format!("m{:04}", accepted.len());
+        if client.try_submit(&id, "c=safe,t=acme,d=3000,dest=1") == "+OK" {
+            accepted.push(id);
+        }
+        std::thread::sleep(Duration::from_millis(1));
+    }
+    let has_ended = |id: &String| worker.calls_of(id) > 0 || !site.platform.notices_for(id).is_empty();
+    wait_until("all accepted messages end", || accepted.iter().all(has_ended));
+    let undelivered = accepted.iter().filter(|id| worker.calls_of(id) == 0).count();
+    assert_eq!(undelivered, 0, "of {} accepted messages", accepted.len());
+}
+
 /// Guards against a log that grows by one record for each message that is rejected because the state folder
 /// is full.
 #[test]
