--- a/crates/rig/src/rude.rs
+++ b/crates/rig/src/rude.rs
@@ -138,38 +138,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use std::net::TcpListener;
-
-    fn server(closes: bool) -> SocketAddr {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let at = listener.local_addr().unwrap();
-        thread::spawn(move || {
-            let mut kept = Vec::new();
-            for client in listener.incoming().map_while(Result::ok) {
-                if !closes {
-                    kept.push(client);
-                }
-            }
-        });
-        at
-    }
-
-    /// Guards against a check that finds no connection that stays open too long.
-    #[test]
-    fn a_server_that_keeps_a_silent_client_is_reported_and_one_that_closes_it_is_not() {
-        let visits = |closes: bool| {
-            let address = Arc::new(Mutex::new(Some(server(closes))));
-            let start = Instant::now();
-            run_visits(3, &[address], start, start + Duration::from_millis(500))
-        };
-        let (closed, kept) = thread::scope(|scope| {
-            let kept = scope.spawn(|| visits(false));
-            (visits(true), kept.join().unwrap())
-        });
-        assert!(closed.len() >= 3 && hanging(&closed, |_, _, _| false).is_empty(), "{closed:?}");
-        assert!(!hanging(&kept, |_, _, _| false).is_empty(), "{kept:?}");
-        assert!(hanging(&kept, |_, _, _| true).is_empty(), "it could not accept connections");
-    }
-}
+mod tests;
--- a/src/net/displacement.rs
+++ b/src/net/displacement.rs
@@ -121,5 +121,4 @@
 }
 
 #[cfg(test)]
-#[path = "displacement/tests.rs"]
 mod tests;
