Declare a suspect peer gone by a timer of our own, also after a rejoin

What clients of a dead dispatcher saw: with [replication], messages with a copy on a dispatcher that had died were not sent again and got no answer until their deadline, and its own messages were not taken over: it stayed "suspect" for good.

Cause: foca drops its timers of suspicions when this dispatcher rejoins under its next incarnation (its timer token changes), and sets none for a suspicion that it only heard of. Two survivors that suspect each other as packets are lost, and one of which rejoins, keep the dead one suspect.

Fix: Membership notes since when a member is suspect and declares it gone after SUSPICION_TIMEOUT. Test that failed before: a_crashed_peer_counts_as_gone_while_others_suspect_each_other_and_rejoin.

--- a/crates/replica/src/view.rs
+++ b/crates/replica/src/view.rs
@@ -6,10 +6,13 @@
 //! that was declared gone while it was running rejoins under the next incarnation.
 
 use crate::Ms;
-use foca::{Config, Foca, Identity, NoCustomBroadcast, Notification, PostcardCodec, Runtime, State, Timer};
+use foca::{
+    Config, Foca, Identity, Member, NoCustomBroadcast, Notification, PostcardCodec, Runtime, State, Timer,
+};
 use rand::rngs::StdRng;
 use rand::SeedableRng;
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 use std::num::{NonZeroU8, NonZeroUsize};
 use std::time::Duration;
 
@@ -22,6 +25,7 @@
 /// How long a suspicion stands before the member counts as gone. A member slowed by half a second refutes it
 /// in time.
 pub const SUSPICION_TIMEOUT: Duration = Duration::from_millis(2_500);
+const SUSPICION_TIMEOUT_MS: Ms = SUSPICION_TIMEOUT.as_millis() as Ms;
 /// Size limit of a packet, in bytes.
 const MAX_PACKET_BYTES: usize = 1_400;
 /// A gone peer is forgotten after this time; it may rejoin under its name at any time.
@@ -123,6 +127,10 @@
     timers: Vec<(Ms, Timer<PeerIdentity>)>,
     seeds: Vec<PeerIdentity>,
     announce_at: Ms,
+    /// Since when each suspect member is suspected, by its identity and its own counter of refutations. foca
+    /// drops its timers of suspicions when this dispatcher rejoins, and sets none for those that it only heard
+    /// of.
+    suspected: BTreeMap<(PeerIdentity, u16), Ms>,
     /// Packets that could not be decoded.
     pub undecodable: u64,
 }
@@ -146,7 +154,15 @@
         };
         let foca = Foca::new(me.clone(), config, StdRng::seed_from_u64(seed), PostcardCodec);
         let seeds = seeds.into_iter().filter(|n| n.name != me.name).collect();
-        Membership { me, foca, timers: Vec::new(), seeds, announce_at: now, undecodable: 0 }
+        Membership {
+            me,
+            foca,
+            timers: Vec::new(),
+            seeds,
+            announce_at: now,
+            suspected: BTreeMap::new(),
+            undecodable: 0,
+        }
     }
 
     /// This dispatcher, with its incarnation as the peers know it.
@@ -156,8 +172,9 @@
 
     /// When [`Membership::tick`] has work to do.
     pub fn next_due(&self) -> Ms {
-        let timers = self.timers.iter().map(|t| t.0).min();
-        timers.map_or(self.announce_at, |t| t.min(self.announce_at))
+        let timers = self.timers.iter().map(|t| t.0);
+        let suspicions = self.suspected.values().map(|since| since + SUSPICION_TIMEOUT_MS);
+        timers.chain(suspicions).fold(self.announce_at, Ms::min)
     }
 
     /// Fires the timers that are due and contacts missing seeds.
@@ -184,6 +201,7 @@
                 let _ = e;
             }
         }
+        self.end_suspicions(now, &mut all);
         if now >= self.announce_at {
             self.announce_at = now + ANNOUNCE_INTERVAL_MS;
             let known: Vec<String> = self.foca.iter_members().map(|m| m.id().name.clone()).collect();
@@ -195,6 +213,37 @@
         self.finish(now, all)
     }
 
+    /// Declares the members gone that have not refuted their suspicion in time.
+    fn end_suspicions(&mut self, now: Ms, runtime: &mut FocaRuntime) {
+        let due = |(_, since): &(&(PeerIdentity, u16), &Ms)| **since + SUSPICION_TIMEOUT_MS <= now;
+        let gone: Vec<Member<PeerIdentity>> = self
+            .suspected
+            .iter()
+            .filter(due)
+            .map(|((id, refutations), _)| Member::new(id.clone(), *refutations, State::Down))
+            .collect();
+        if gone.is_empty() {
+            return;
+        }
+        // A member that is still suspect after this has its whole time again.
+        self.suspected
+            .values_mut()
+            .filter(|since| **since + SUSPICION_TIMEOUT_MS <= now)
+            .for_each(|s| *s = now);
+        let _ = self.foca.apply_many(gone.into_iter(), true, runtime);
+    }
+
+    /// Notes which members are suspect now, and since when.
+    fn update_suspected(&mut self, now: Ms) {
+        let suspects = self.foca.iter_membership_state().filter(|m| m.state() == State::Suspect);
+        let suspects = suspects.map(|m| (m.id().clone(), m.incarnation()));
+        let since = |key: (PeerIdentity, u16)| {
+            let since = self.suspected.get(&key).copied().unwrap_or(now);
+            (key, since)
+        };
+        self.suspected = suspects.map(since).collect();
+    }
+
     /// Processes a packet.
     pub fn receive(&mut self, now: Ms, packet: &[u8]) -> Output {
         let mut all = FocaRuntime::default();
@@ -218,6 +267,7 @@
                 self.me = n.clone();
             }
         }
+        self.update_suspected(now);
         Output { sends: all.sends, changes: all.changes }
     }
 
--- a/crates/replica/src/view/tests.rs
+++ b/crates/replica/src/view/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the module `view`.
 
 use super::*;
+use rand::RngExt;
 use std::collections::BTreeMap;
 
 /// Membership views joined by a network with a delay for each pair, or no connection.
@@ -9,6 +10,9 @@
     packets: Vec<(Ms, String, String, Vec<u8>)>,
     delay: BTreeMap<(String, String), Option<Ms>>,
     changes: Vec<(Ms, String, MembershipChange)>,
+    /// Share of the packets that are lost.
+    loss: f64,
+    random: StdRng,
 }
 
 fn node(name: &str, life: u64) -> PeerIdentity {
@@ -21,11 +25,21 @@
         let view =
             |(k, n): (usize, &&str)| (n.to_string(), Membership::new(0, node(n, 1), seeds.clone(), k as u64));
         let views = names.iter().enumerate().map(view).collect();
-        Net { views, packets: Vec::new(), delay: BTreeMap::new(), changes: Vec::new() }
+        Net {
+            views,
+            packets: Vec::new(),
+            delay: BTreeMap::new(),
+            changes: Vec::new(),
+            loss: 0.0,
+            random: StdRng::seed_from_u64(0),
+        }
     }
 
     fn apply(&mut self, now: Ms, from: &str, output: Output) {
         for (to, packet) in output.sends {
+            if self.random.random_bool(self.loss) {
+                continue;
+            }
             let key = (from.to_string(), to.name.clone());
             if let Some(delay) = self.delay.get(&key).copied().unwrap_or(Some(1)) {
                 self.packets.push((now + delay, key.0, key.1, packet));
@@ -103,6 +117,31 @@
     );
 }
 
+/// Guards against a crashed peer that stays suspect for good: the others suspect each other too, as packets
+/// are lost, and one of them that rejoins must not forget its suspicions.
+#[test]
+fn a_crashed_peer_counts_as_gone_while_others_suspect_each_other_and_rejoin() {
+    let mut rejoined = 0;
+    for seed in 0..60 {
+        let mut net = Net::of(&NAMES[..3]);
+        net.random = StdRng::seed_from_u64(seed);
+        net.run(0, 3_000);
+        net.loss = 0.3;
+        net.run(3_000, 3_000 + seed * 50);
+        net.views.remove("c");
+        net.run(3_000 + seed * 50, 10_000);
+        net.loss = 0.1;
+        net.run(10_000, 25_000);
+        for name in ["a", "b"] {
+            let members = net.views[name].members();
+            let state = members.iter().find(|(n, _)| n.name == "c").map(|m| m.1);
+            assert_eq!(state, Some(MemberState::Gone), "seed {seed}: c as {name} sees it");
+        }
+        rejoined += net.changes.iter().filter(|c| matches!(c.2, MembershipChange::Rejoined(_))).count();
+    }
+    assert!(rejoined > 0, "some rejoined");
+}
+
 #[test]
 fn undecodable_packets_are_counted_and_change_nothing() {
     let mut v = Membership::new(0, node("a", 1), vec![], 1);
