Move comparisons and returning owners' fences out of keeper.rs

Change: moves only, to keeper/comparison.rs and keeper/fences.rs. Measured: the crate's tests pass as before.

--- a/crates/replica/src/keeper.rs
+++ b/crates/replica/src/keeper.rs
@@ -17,6 +17,10 @@
 //! first contact and then periodically, and send the copies that differ, a limited number of buckets at a
 //! time.
 
+mod comparison;
+mod fences;
+
+use self::comparison::{Comparison, PeerDigest, MAX_HASHES_PER_REQUEST};
 use crate::copies::{CopyEnding, Fence, MergeOutcome, MessageContent, MessageCopy, Stage};
 use crate::digest::{self, HashTree, DEPTH, FAN_OUT};
 use crate::owner::{Faults, PeerMessage, Repeatability, Replica, ReplicaAction};
@@ -45,16 +49,6 @@
 /// Interval between scans for messages whose owner is gone, and between checks for peer messages to send
 /// again.
 const SCAN_INTERVAL_MS: Ms = 200;
-/// Interval between comparisons of the copies that two peers share.
-const COMPARISON_INTERVAL_MS: Ms = 5_000;
-/// A comparison that makes no progress for this long is restarted.
-const COMPARISON_TIMEOUT_MS: Ms = 2_000;
-/// Buckets requested in one message of a comparison, at most.
-const MAX_BUCKETS_PER_REQUEST: usize = 64;
-/// Entry hashes sent for the requested buckets, at most.
-const MAX_HASHES_PER_REQUEST: usize = 65_536;
-/// A digest of the copies shared with a peer is rebuilt after this time.
-const DIGEST_CACHE_MS: Ms = 500;
 /// A copy without a final answer is kept this long after its message expired.
 const EXPIRED_RETENTION_MS: Ms = 60_000;
 /// How long to wait for the peers' answers to a query about a message.
@@ -193,28 +187,6 @@
     digest: Option<PeerDigest>,
 }
 
-/// Digest of the copies shared with a peer, and their ids by bucket. It is cached, not rebuilt for each peer
-/// message.
-#[derive(Debug)]
-struct PeerDigest {
-    at: Ms,
-    tree: HashTree,
-    ids: BTreeMap<u32, Vec<String>>,
-}
-
-/// A comparison in progress.
-#[derive(Debug, Default)]
-struct Comparison {
-    /// When it started, or last requested buckets.
-    since: Ms,
-    /// Hash messages that were sent and not answered.
-    unanswered: usize,
-    /// Differing buckets that were not requested yet.
-    to_request: Vec<u32>,
-    /// Buckets that were requested and have not arrived completely.
-    requested: Vec<u32>,
-}
-
 /// See the module documentation.
 pub struct Replicator {
     spec: ReplicationConfig,
@@ -1015,48 +987,6 @@
         }
     }
 
-    /// A heartbeat has arrived: whether its sender may renew its lease. A peer that had counted as gone, has
-    /// restarted or has lost its connection first gets all fences that replaced its own, and confirms them.
-    fn has_newest_fences(&mut self, now: Ms, from: &str) -> bool {
-        let Some(p) = self.peers.get_mut(from) else { return false };
-        if p.gone {
-            p.gone = false;
-            p.comparison_due = now;
-            self.events.push(ReplicationEvent::MembershipChanged(format!("{from} is reachable again")));
-        }
-        if std::mem::take(&mut p.needs_fences) {
-            p.fences_resend_due = now;
-            let newer = self.newer_fences(from);
-            self.peers.entry(from.to_string()).and_modify(|p| p.unconfirmed_fences = newer);
-        }
-        self.resend_fences(now, from);
-        self.peers.get(from).is_some_and(|p| p.unconfirmed_fences.is_empty())
-    }
-
-    /// The messages that were taken over from a peer and that it may hold under its own fence.
-    fn newer_fences(&self, from: &str) -> BTreeSet<String> {
-        let passed = |p: &&Replica| {
-            p.copy.fence.epoch > 0 && p.copy.fence.owner != *from && self.is_shared_with(p, from)
-        };
-        let ids = self.replicas.values().filter(passed).take(MAX_FENCES_RESENT);
-        ids.map(|p| p.copy.id.clone()).collect()
-    }
-
-    fn resend_fences(&mut self, now: Ms, to: &str) {
-        let Some(p) = self.peers.get_mut(to).filter(|p| p.fences_resend_due <= now) else { return };
-        p.fences_resend_due = now + RESEND_INTERVAL_MS;
-        // A copy that has expired since has no fence.
-        p.unconfirmed_fences.retain(|id| self.replicas.contains(id));
-        let ids = p.unconfirmed_fences.clone();
-        ids.iter().for_each(|id| self.send_copy(now, to, id));
-    }
-
-    fn confirm_fence(&mut self, by: &str, id: &str) {
-        if let Some(p) = self.peers.get_mut(by) {
-            p.unconfirmed_fences.remove(id);
-        }
-    }
-
     /// The connection to a peer is lost, and peer messages may be lost with it: fences that replaced its own
     /// are sent anew.
     pub fn connection_lost(&mut self, name: &str) {
@@ -1241,100 +1171,6 @@
             self.send(from, Payload::DenyGrant(wire));
         }
     }
-
-    /// The digest of the copies shared with a peer; `None` if the peer is unknown.
-    fn digest(&mut self, now: Ms, with: &str) -> Option<&PeerDigest> {
-        let made = self.peers.get(with)?.digest.as_ref().is_some_and(|t| t.at + DIGEST_CACHE_MS > now);
-        if !made {
-            // Copies that either side drops soon do not count as a difference.
-            let open = |p: &Replica| !p.copy.stage.is_end() || p.copy.content.valid_until > now + 2_000;
-            let both: Vec<&MessageCopy> = self
-                .replicas
-                .values()
-                .filter(|p| open(p) && self.is_shared_with(p, with))
-                .map(|p| &p.copy)
-                .collect();
-            let mut ids: BTreeMap<u32, Vec<String>> = BTreeMap::new();
-            both.iter().for_each(|c| ids.entry(digest::bucket(&c.id) as u32).or_default().push(c.id.clone()));
-            let digest = PeerDigest { at: now, tree: HashTree::from_copies(both.into_iter()), ids };
-            self.peers.get_mut(with)?.digest = Some(digest);
-        }
-        self.peers.get(with)?.digest.as_ref()
-    }
-
-    /// The ids of the shared copies in these buckets, each with the hash of its state.
-    fn entries(&mut self, now: Ms, with: &str, buckets: &[u32]) -> Vec<(String, u64)> {
-        let wanted: BTreeSet<u32> = buckets.iter().copied().take(MAX_BUCKETS_PER_REQUEST).collect();
-        let Some(digest) = self.digest(now, with) else { return Vec::new() };
-        let ids: Vec<String> =
-            wanted.iter().filter_map(|b| digest.ids.get(b)).flat_map(|ids| ids.iter().cloned()).collect();
-        let state = |id: String| self.replicas.get(&id).map(|p| digest::hash(&p.copy)).map(|h| (id, h));
-        ids.into_iter().filter_map(state).collect()
-    }
-
-    fn send_missing(&mut self, now: Ms, to: &str, id: &str) {
-        self.counts.missing_copies_sent += 1;
-        self.send_copy(now, to, id);
-    }
-
-    fn compare_if_due(&mut self, now: Ms, name: &str) {
-        let Some(p) = self.peers.get_mut(name).filter(|p| p.has_lease(now)) else { return };
-        let stuck = |r: &Comparison| r.since + COMPARISON_TIMEOUT_MS <= now;
-        match &mut p.comparison {
-            // A peer message was lost: buckets that are known to differ are requested before everything is
-            // compared anew.
-            Some(r) if stuck(r) && !r.to_request.is_empty() => {
-                r.unanswered = 0;
-                r.requested.clear();
-                return self.request_next_buckets(now, name);
-            }
-            Some(r) if !stuck(r) => return,
-            None if p.comparison_due > now => return,
-            _ => {}
-        }
-        p.comparison = Some(Comparison { since: now, unanswered: 1, ..Comparison::default() });
-        p.comparison_due = now + COMPARISON_INTERVAL_MS;
-        p.digest = None;
-        let hashes = self.digest(now, name).and_then(|t| t.tree.children(0, 0)).unwrap_or_default();
-        self.send(name, Payload::Hashes(Hashes { level: 0, at: 0, hashes }));
-    }
-
-    fn on_differing_children(&mut self, now: Ms, from: &str, d: DifferingChildren) {
-        let Some(r) = self.peers.get_mut(from).and_then(|p| p.comparison.as_mut()) else { return };
-        r.unanswered = r.unanswered.saturating_sub(1);
-        let most = FAN_OUT.pow((d.level + 1).min(DEPTH));
-        let children: Vec<u32> =
-            d.children.into_iter().filter(|c| (*c as usize) < most).take(FAN_OUT).collect();
-        if d.level + 1 >= DEPTH {
-            r.to_request.extend(children);
-        } else {
-            r.unanswered += children.len();
-            for at in children {
-                let tree = self.digest(now, from).map(|t| &t.tree);
-                let hashes = tree.and_then(|t| t.children(d.level + 1, at as usize)).unwrap_or_default();
-                self.send(from, Payload::Hashes(Hashes { level: d.level + 1, at, hashes }));
-            }
-        }
-        self.request_next_buckets(now, from);
-    }
-
-    /// Requests the next buckets of a comparison; with none left the comparison is complete.
-    fn request_next_buckets(&mut self, now: Ms, with: &str) {
-        let Some(p) = self.peers.get_mut(with) else { return };
-        let Some(r) = p.comparison.as_mut().filter(|r| r.requested.is_empty()) else { return };
-        if r.to_request.is_empty() {
-            if r.unanswered == 0 {
-                p.comparison = None;
-                p.compared = true;
-            }
-            return;
-        }
-        let at: Vec<u32> = r.to_request.split_off(r.to_request.len().saturating_sub(MAX_BUCKETS_PER_REQUEST));
-        (r.requested, r.since) = (at.clone(), now);
-        let have =
-            self.entries(now, with, &at).into_iter().map(|e| e.1).take(MAX_HASHES_PER_REQUEST).collect();
-        self.send(with, Payload::RequestBuckets(BucketRequest { at, have }));
-    }
 }
 
 impl Peer {
