--- a/crates/replica/tests/keeper.rs
+++ b/crates/replica/tests/keeper.rs
@@ -403,8 +403,9 @@
     (seed % count as u64) as usize
 }
 
-/// Runs a scenario of faults that is drawn from the seed.
-fn history(seed: u64, count: usize) -> Simulation {
+/// Runs a scenario of faults that is drawn from the seed; `queries`: clients submit recent messages again, to any
+/// dispatcher.
+fn history(seed: u64, count: usize, queries: bool) -> Simulation {
     let mut w = Simulation::new(count, seed);
     w.loss = [0.0, 0.02, 0.1][(seed % 3) as usize];
     let scenario = seed / 3 % 9;
@@ -420,8 +421,7 @@
             taken += 1;
             w.take(now, n, format!("m{taken}"), kind);
         }
-        // Clients that got no answer submit recent messages again, to any dispatcher.
-        if now > 1_500 && now % 20 == 0 && taken > 0 {
+        if queries && now > 1_500 && now % 20 == 0 && taken > 0 {
             let n = w.rng.random_range(0..count);
             let recent = w.rng.random_range(taken.saturating_sub(4)..taken) + 1;
             w.query(now, n, &format!("m{recent}"));
@@ -470,20 +470,23 @@
 fn attempts_do_not_overlap_at_most_once_messages_are_sent_once_and_all_messages_end() {
     let seeds = std::env::var("SEEDS").ok().and_then(|s| s.parse().ok()).unwrap_or(27u64);
     let first = std::env::var("FIRST").ok().and_then(|s| s.parse().ok()).unwrap_or(0u64);
-    let (mut taken_over, mut taken, mut without_copies) = (0, 0, 0);
+    let (mut taken_over, mut taken, mut without_copies, mut queried) = (0, 0, 0, 0);
     for seed in first..first + seeds {
         let count = if seed % 2 == 0 { 3 } else { 5 };
-        let w = history(seed, count);
-        w.audit(seed);
-        assert!(w.record.without_copies.len() <= 4, "seed {seed}: {:?}", w.record.without_copies);
-        without_copies += w.record.without_copies.len();
-        taken_over += w.record.taken_over;
-        taken += w.record.taken.len();
+        for queries in [false, true] {
+            let w = history(seed, count, queries);
+            w.audit(seed);
+            assert!(w.record.without_copies.len() <= 4, "seed {seed}: {:?}", w.record.without_copies);
+            without_copies += w.record.without_copies.len();
+            taken_over += w.record.taken_over;
+            taken += w.record.taken.len();
+            queried += w.record.queries;
+        }
     }
     println!(
         "{seeds} seeds, {taken} messages, {taken_over} takeovers, {without_copies} without another copy"
     );
-    assert!(taken_over > 0);
+    assert!(taken_over > 0 && queried > 0);
 }
 
 /// A keeper that is a majority by itself (installation size 1) and receives peer messages from a dispatcher
