Let the fault library put the state folder on a disk of limited size

Cause: tests had a limit on the size of each file, and ENOSPC for a span of time.

Change: `disk FROM UNTIL BYTES`.

--- a/crates/faults/src/files.rs
+++ b/crates/faults/src/files.rs
@@ -1,7 +1,7 @@
 //! Replacements of the C library's file functions. Faults apply only to paths inside the configured folder.
 
 use crate::schedule::{Call, Kind};
-use crate::{active_argument, fail, path_of, schedule, scheduled_error};
+use crate::{active_argument, fail, path_of, schedule, scheduled_error, small_disk};
 use libc::{c_char, c_int, c_void, mode_t, off_t, size_t, ssize_t};
 
 fn in_folder(path: &str) -> bool {
@@ -59,9 +59,12 @@
     let io_fault = active_argument(Kind::Io).is_some() && path_of(fd).is_some_and(|p| in_folder(&p));
     let fault = descriptor_error(Call::WriteAt, fd);
     let fault = fault.or_else(|| write_fault(fd).map(|f| f.0)).or(io_fault.then_some(libc::EIO));
-    match fault {
-        Some(errno) => fail(errno) as ssize_t,
-        None => libc::syscall(libc::SYS_pwrite64, fd, bytes, count, offset) as ssize_t,
+    if let Some(errno) = fault {
+        return fail(errno) as ssize_t;
+    }
+    match small_disk::bytes_taken(fd, count, Some(offset)) {
+        0 if count > 0 => fail(libc::ENOSPC) as ssize_t,
+        taken => libc::syscall(libc::SYS_pwrite64, fd, bytes, taken, offset) as ssize_t,
     }
 }
 
--- a/crates/faults/src/lib.rs
+++ b/crates/faults/src/lib.rs
@@ -8,6 +8,7 @@
 //! | --- | --- | --- |
 //! | `clock` | `CLOCK_REALTIME` is offset | offset in milliseconds, may be negative |
 //! | `enospc` | writes to files in the folder fail with `ENOSPC` | 1: half of the bytes are written first |
+//! | `disk` | the files in the folder share a disk; what it does not take fails with `ENOSPC` | size of the disk in bytes |
 //! | `eio` | reads, writes, opens, truncations and renames in the folder fail with `EIO` | 1: half of the bytes are written first; 2: only `pwrite` fails |
 //! | `accept` | `accept4` fails with `EMFILE` | - |
 //! | `connect` | `connect` fails with `ENETUNREACH` | - |
@@ -28,6 +29,7 @@
 mod half_writes;
 mod late;
 mod schedule;
+mod small_disk;
 mod sockets;
 
 use libc::{c_int, c_void, size_t, ssize_t, timespec};
@@ -141,6 +143,11 @@
         }
         return fail(errno) as ssize_t;
     }
+    let taken = small_disk::bytes_taken(fd, count, None);
+    if taken == 0 && count > 0 {
+        return fail(libc::ENOSPC) as ssize_t;
+    }
+    count = taken;
     let socket = is_socket(fd);
     if let Some(error) = scheduled_error(Call::Send).filter(|_| socket) {
         return fail(error) as ssize_t;
--- a/crates/faults/src/schedule.rs
+++ b/crates/faults/src/schedule.rs
@@ -9,6 +9,8 @@
     Clock,
     /// Writes to the folder fail with `ENOSPC`.
     NoSpace,
+    /// The folder is on a disk of this many bytes.
+    Disk,
     /// Calls on the folder fail with `EIO`.
     Io,
     /// New connections cannot be accepted.
@@ -104,7 +106,7 @@
     fn needs_folder(&self) -> bool {
         use Call::*;
         match self.kind {
-            Kind::NoSpace | Kind::Io => true,
+            Kind::NoSpace | Kind::Disk | Kind::Io => true,
             Kind::Fail(call, _) => {
                 matches!(call, Open | Read | Write | WriteAt | Truncate | Rename | Remove | Status)
             }
@@ -132,7 +134,7 @@
         let parts = text.split(';').map(str::trim).filter(|p| !p.is_empty());
         let faults = parts.map(parse_fault).collect::<Result<Vec<Fault>, String>>()?;
         if folder.is_empty() && faults.iter().any(Fault::needs_folder) {
-            let error = "enospc, eio and functions on files need LILACBANK_FAULTS_FOLDER; set it to the folder whose files fail";
+            let error = "enospc, disk, eio and functions on files need LILACBANK_FAULTS_FOLDER; set it to the folder whose files fail";
             return Err(error.into());
         }
         Ok(Schedule { faults, epoch, folder })
@@ -191,6 +193,7 @@
     let kind = match kind {
         "clock" => Kind::Clock,
         "enospc" => Kind::NoSpace,
+        "disk" => Kind::Disk,
         "eio" => Kind::Io,
         "accept" => Kind::Accept,
         "connect" => Kind::Connect,
@@ -199,7 +202,7 @@
         "short" => Kind::Short,
         "halt" => Kind::Halt,
         _ => {
-            let kinds = "clock, enospc, eio, accept, connect, late, eintr, short, halt, fail";
+            let kinds = "clock, enospc, disk, eio, accept, connect, late, eintr, short, halt, fail";
             return invalid(&format!("the kind is one of {kinds}"));
         }
     };
