Accept a message only if the disk has the space for its delivery

The file that a compaction overwrites exists beforehand, with its space; a message is accepted once it has as many bytes as a compaction with this message writes at most, and a third more for the records of deliveries. An append that a full file does not take gets the headroom, then a compaction, at once. A kill leaves the reserve to the next start; an ended sibling's is removed before its records are taken over. No identity is forgotten earlier. Compaction and its estimate moved from admit.rs to space.rs.

Why it works: what has +OK has its space on the disk, for the compaction and, after it, for its records, whatever else is accepted later.

--- a/crates/limits/src/ceilings.rs
+++ b/crates/limits/src/ceilings.rs
@@ -350,6 +350,15 @@
         all
     }
 
+    /// How many records [`RateLimiter::snapshot`] returns at most, and the bytes of the endpoint ids in them.
+    pub fn snapshot_size(&self) -> (usize, usize) {
+        let windows = self.destinations.values().flat_map(|m| &m.windows);
+        windows.fold((0, 0), |(records, bytes), (endpoint, w)| {
+            let more = w.arrivals() + 1;
+            (records + more, bytes + more * endpoint.len())
+        })
+    }
+
     /// Restores what earlier processes sent, from records in their original order. A call that was started
     /// and never recorded as written may have arrived at any time until now.
     pub fn restore(&mut self, now: Ms, steps: impl IntoIterator<Item = CallRecord>) {
--- a/crates/limits/src/window.rs
+++ b/crates/limits/src/window.rs
@@ -44,6 +44,11 @@
         self.arrived.iter().copied()
     }
 
+    /// The number of pairs that [`Window::arrived`] returns.
+    pub fn arrivals(&self) -> usize {
+        self.arrived.len()
+    }
+
     /// Frees the places of calls whose span has passed.
     fn expire(&mut self, now: Ms) {
         while let Some((at, n)) = self.arrived.front().copied().filter(|(at, _)| at + self.span <= now) {
--- a/src/dispatch/admit.rs
+++ b/src/dispatch/admit.rs
@@ -3,6 +3,7 @@
 
 use super::beside::KeyedAdmission;
 use super::seats_read::OwnershipRecords;
+use super::space::identity_size;
 use super::{AtMostOnce, ClientTicket, Core, HeldMessage, KnownIdentity, Verdict, Withheld};
 use crate::api::*;
 use crate::config::index_of;
@@ -15,17 +16,10 @@
 pub(super) const NO_ROOM_RETRY_AFTER: Ms = 500.0;
 /// How long an identity is remembered after its message's deadline.
 const IDENTITY_MEMORY_AFTER_DEADLINE: Ms = 15_000.0;
-/// The delay after a compaction that failed or gained nothing.
-const COMPACT_RETRY_DELAY: Ms = 200.0;
 /// Share of the decision module's capacity that restored messages may fill; the rest wait in the backlog.
 const BACKLOG_SHARE: f64 = 0.85;
 /// Bytes that a remembered identity takes in the journal beyond its own text.
-const IDENTITY_OVERHEAD: u64 = 64;
-
-/// Bytes that an identity takes in a compacted journal.
-fn identity_size(identity: &Identity) -> u64 {
-    (identity.0.len() + identity.1.len()) as u64 + IDENTITY_OVERHEAD
-}
+pub(super) const IDENTITY_OVERHEAD_BYTES: u64 = 64;
 
 impl Core {
     /// Writes the message to the journal and gives it to its cell's decision module. If there is no room for
@@ -44,13 +38,11 @@
         let size = record.size() + MESSAGE_OVERHEAD_BYTES;
         let Record::Accepted(t) = &record else { return Err(NO_ROOM_RETRY_AFTER) };
         let name = self.at_most_once.entry_name(&t.class, &t.idempotency_key, &t.identity.1);
-        let needed = self.live_bytes
-            + size
-            + self.at_most_once.bytes()
-            + self.ownership.bytes()
-            + name.as_ref().map_or(0, |n| AtMostOnce::entry_size(n));
+        let added = size + name.as_ref().map_or(0, |n| AtMostOnce::entry_size(n));
+        let live = self.live_record_bytes() + added;
+        let identity = identity_size(&t.identity, &self.tenant_if_movable(&t.tenant));
         if self.messages.len() >= self.settings.max_held && self.cells.is_single()
-            || !self.journal.has_room_for_live_records(needed, self.identity_bytes)
+            || !self.journal.has_room_for_live_records(live, self.identity_bytes)
         {
             return Err(NO_ROOM_RETRY_AFTER);
         }
@@ -64,11 +56,10 @@
             return Err(wait);
         }
         let cell = self.cells.cell_of(&t.tenant);
+        self.reserve_space(added + identity)?;
         self.reserve_place(now, cell, size)?;
-        if let Err(e) = self.journal.append(&record) {
-            if let Some(count) = self.append_errors.record(now) {
-                log::error!(cause:% = e, count = count; "the journal takes nothing more: {e}");
-            }
+        if let Err(e) = self.append_or_compact(&record) {
+            self.log_full_journal(&e);
             self.cancel_place(cell, size);
             return Err(NO_ROOM_RETRY_AFTER);
         }
@@ -142,16 +133,16 @@
     /// submission creates no second message.
     pub(super) fn remember_identity(&mut self, identity: Identity, known: KnownIdentity) {
         self.identity_expiry.insert((known.until as u64, identity.clone()));
-        let size = identity_size(&identity);
-        if self.identities.insert(identity, known).is_none() {
-            self.identity_bytes += size;
+        self.identity_bytes += identity_size(&identity, &known.tenant);
+        if let Some(former) = self.identities.insert(identity.clone(), known) {
+            self.identity_bytes -= identity_size(&identity, &former.tenant);
         }
     }
 
     /// Forgets the identity of a message that another dispatcher owns now.
     pub(super) fn forget_identity(&mut self, identity: &Identity) {
         if let Some(k) = self.identities.remove(identity) {
-            self.identity_bytes -= identity_size(identity);
+            self.identity_bytes -= identity_size(identity, &k.tenant);
             self.identity_expiry.remove(&(k.until as u64, identity.clone()));
         }
     }
@@ -171,8 +162,8 @@
                 self.identity_expiry.insert(((now + IDENTITY_MEMORY_AFTER_DEADLINE) as u64, identity));
                 return;
             }
-            if self.identities.remove(&identity).is_some() {
-                self.identity_bytes -= identity_size(&identity);
+            if let Some(k) = self.identities.remove(&identity) {
+                self.identity_bytes -= identity_size(&identity, &k.tenant);
             }
         }
     }
@@ -282,6 +273,8 @@
             self.order_final_answer(no);
         }
         self.restore_ownership(now, ownership);
+        // Best effort: what was accepted stays held without it, and new messages ask for it again.
+        let _ = self.journal.reserve(self.compacted_bytes());
         // Not earlier: a compaction writes what is known here, and until now that was incomplete.
         for no in given_up {
             self.append_or_defer(&Record::FinalAnswer { no, ending: Ending::GivenUp });
@@ -393,54 +386,6 @@
             c.taken.reply_to = reply;
         }
     }
-
-    /// Compacts the journal once it has grown.
-    pub(super) fn compact_if_full(&mut self) {
-        if self.journal.needs_compaction() && self.now >= self.compact_at {
-            self.compact();
-        }
-    }
-
-    /// Rewrites the journal with the records that still matter; false if writing to the state folder fails.
-    pub(super) fn compact(&mut self) -> bool {
-        let mut records = Vec::new();
-        for (no, c) in &self.messages {
-            records.push(Record::Accepted(c.taken.clone()));
-            records.extend(self.compacted_attempt_record(*no, c));
-            records.extend(c.ending.map(|ending| Record::FinalAnswer { no: *no, ending }));
-        }
-        for (identity, k) in self.identities.iter().filter(|(_, k)| !self.messages.contains_key(&k.no)) {
-            let known = |ending| Record::RememberedIdentity {
-                identity: identity.clone(),
-                ending,
-                until: k.until,
-                tenant: k.tenant.clone(),
-            };
-            records.extend(k.ending.map(known));
-        }
-        records.extend(self.ceilings.snapshot(self.now).into_iter().map(Record::CallsCounted));
-        let once = |(name, ending, until, tenant): (&String, Ending, Ms, &String)| Record::AtMostOnceEnded {
-            name: name.clone(),
-            ending,
-            until,
-            tenant: tenant.clone(),
-        };
-        records.extend(self.at_most_once.endings().map(once));
-        records.extend(self.ownership_records());
-        records.extend(self.waits.records(self.now));
-        records.extend(self.adopted_file.map(Record::TakenOver));
-        let done = self.journal.compact(records.into_iter());
-        if done.is_err() || self.journal.needs_compaction() {
-            // Each try writes everything that is held.
-            self.compact_at = self.now + COMPACT_RETRY_DELAY;
-        }
-        if let Err(e) = &done {
-            if let Some(count) = self.compaction_errors.record(self.now) {
-                log::error!(cause:% = e, count = count; "the journal cannot be compacted: {e}");
-            }
-        }
-        done.is_ok()
-    }
 }
 
 /// An attempt dated in the future was sent before the clock was set back. How long ago is not known, so it
--- a/src/dispatch/control.rs
+++ b/src/dispatch/control.rs
@@ -95,6 +95,7 @@
                 unproven: self.counters.unproven,
                 guard: self.guard.json(),
                 replication: self.replication_metrics(),
+                journal: self.journal_metrics(),
             },
         )
     }
--- a/src/dispatch/figures.rs
+++ b/src/dispatch/figures.rs
@@ -41,6 +41,8 @@
     pub guard: serde_json::Value,
     /// What is known of the other dispatchers; null where replication is disabled.
     pub replication: serde_json::Value,
+    /// Sizes of the journal and of the space reserved for it in bytes, and its compactions since the start.
+    pub journal: serde_json::Value,
 }
 
 /// How far a process has come since its start, and what it started from.
@@ -99,6 +101,7 @@
             "unproven": now.unproven,
             "guard": now.guard,
             "replication": now.replication,
+            "journal": now.journal,
         })
         .to_string()
     }
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -26,6 +26,7 @@
 mod seats;
 mod seats_read;
 mod send;
+mod space;
 mod take_in;
 mod unconfirmed;
 mod waits;
@@ -403,6 +404,9 @@
     flush_at: Ms,
     /// When a compaction may be tried again.
     compact_at: Ms,
+    /// When space in the state folder may be reserved again, after it did not have it.
+    reserve_at: Ms,
+    compactions: space::CompactionCounts,
     live_bytes: u64,
     identity_bytes: u64,
     /// Verdicts on messages that ended while their clients still wait for the verdict of this turn.
@@ -472,6 +476,8 @@
             compaction_errors: LogThrottle::default(),
             flush_at: 0.0,
             compact_at: 0.0,
+            reserve_at: 0.0,
+            compactions: space::CompactionCounts::default(),
             live_bytes: 0,
             identity_bytes: 0,
             verdicts: HashMap::new(),
--- a/src/dispatch/once.rs
+++ b/src/dispatch/once.rs
@@ -48,6 +48,17 @@
     }
 }
 
+impl RememberedState {
+    /// Bytes that the state takes in the journal beyond the entry's name.
+    fn size(&self) -> u64 {
+        let tenant = match self {
+            RememberedState::Held(_) => 0,
+            RememberedState::Ended(_, _, tenant) => tenant.len() as u64,
+        };
+        ENTRY_OVERHEAD_BYTES + tenant
+    }
+}
+
 impl AtMostOnce {
     /// Creates the state for at-most-once classes, each with the span for which a message is remembered after
     /// its end.
@@ -79,19 +90,22 @@
         self.bytes
     }
 
-    /// Bytes that one entry takes in the journal.
+    /// Bytes that the entry of a held message takes in the journal.
     pub fn entry_size(name: &str) -> u64 {
         name.len() as u64 + ENTRY_OVERHEAD_BYTES
     }
 
     fn put(&mut self, name: String, seen: RememberedState) {
-        let size = AtMostOnce::entry_size(&name);
-        match self.entries.insert(name.clone(), seen) {
-            Some(RememberedState::Ended(_, until, _)) => {
-                self.expiry.remove(&(until as u64, name));
-            }
-            Some(RememberedState::Held(_)) => {}
-            None => self.bytes += size,
+        self.bytes += name.len() as u64 + seen.size();
+        let former = self.entries.insert(name.clone(), seen);
+        former.into_iter().for_each(|former| self.count_removed(&name, former));
+    }
+
+    /// Subtracts an entry that is no longer in the map.
+    fn count_removed(&mut self, name: &str, removed: RememberedState) {
+        self.bytes -= name.len() as u64 + removed.size();
+        if let RememberedState::Ended(_, until, _) = removed {
+            self.expiry.remove(&(until as u64, name.to_string()));
         }
     }
 
@@ -119,11 +133,8 @@
 
     /// Forgets a message that never ran, or that another dispatcher owns now.
     pub fn forget(&mut self, name: &str) {
-        if let Some(seen) = self.entries.remove(name) {
-            self.bytes -= AtMostOnce::entry_size(name);
-            if let RememberedState::Ended(_, until, _) = seen {
-                self.expiry.remove(&(until as u64, name.to_string()));
-            }
+        if let Some(removed) = self.entries.remove(name) {
+            self.count_removed(name, removed);
         }
     }
 
@@ -137,9 +148,7 @@
     pub fn expire(&mut self, now: Ms) {
         while let Some((until, name)) = self.expiry.first().cloned().filter(|f| f.0 as Ms <= now) {
             self.expiry.remove(&(until, name.clone()));
-            if self.entries.remove(&name).is_some() {
-                self.bytes -= AtMostOnce::entry_size(&name);
-            }
+            self.forget(&name);
         }
     }
 
--- a/src/dispatch/pace.rs
+++ b/src/dispatch/pace.rs
@@ -80,7 +80,7 @@
             if from_cell_share {
                 self.cells.charge_ended(now, cell, charge.dest, &charge.uid, false);
             }
-            return Err(JOURNAL_RETRY_DELAY);
+            return Err(self.record_retry_delay());
         }
         self.cells.count_connection(cell, &charge.uid, true);
         // The decision module counts down by itself; it is told about other endpoints of the same limit.
@@ -222,5 +222,3 @@
 const PROBE_CELL: usize = 0;
 /// The number of no message: an event under it concerns its endpoint alone.
 const NO_MESSAGE: MessageId = 0;
-/// The delay after an attempt that could not be written to the journal.
-pub(super) const JOURNAL_RETRY_DELAY: Ms = 100.0;
--- a/src/dispatch/seats.rs
+++ b/src/dispatch/seats.rs
@@ -59,6 +59,11 @@
     pub mqtt_address: Option<SocketAddr>,
 }
 
+/// Bytes that a tenant's ownership record takes in the journal beyond its name, parked keys and contents.
+const OWNERSHIP_RECORD_BYTES: u64 = 256;
+/// Bytes that a parked key takes in such a record.
+const QUIET_KEY_BYTES: u64 = 32;
+
 /// The cell map, as one dispatcher sees it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct CellMapView {
@@ -158,6 +163,13 @@
         self.bytes
     }
 
+    /// Bytes that the ownership records take in a compacted journal, without received contents.
+    pub(super) fn record_bytes(&self) -> u64 {
+        let names: usize = self.tenants.keys().map(String::len).sum();
+        let records = self.tenants.len() as u64 * OWNERSHIP_RECORD_BYTES + names as u64;
+        records + self.parked.len() as u64 * QUIET_KEY_BYTES
+    }
+
     /// The journal record of a tenant's ownership, with its parked keys.
     fn record(&self, tenant: &str, ownership: &TenantOwnership<TenantContents>) -> OwnershipRecord {
         let own = self.parked.iter().filter(|(_, w)| w.1 == tenant);
@@ -591,10 +603,12 @@
     }
 
     /// Why offered contents cannot be accepted here, if they cannot.
-    fn offer_rejection(&self, c: &TenantContents) -> Option<String> {
+    fn offer_rejection(&mut self, c: &TenantContents) -> Option<String> {
         let size = c.encoded_len() as u64;
-        let needed = self.live_bytes + self.at_most_once.bytes() + self.ownership.bytes + 2 * size;
-        if !self.journal.has_room_for_live_records(needed, self.identity_bytes) {
+        let live = self.live_record_bytes() + 2 * size;
+        if !self.journal.has_room_for_live_records(live, self.identity_bytes)
+            || self.reserve_space(2 * size).is_err()
+        {
             return Some(format!("there is no room for {size} bytes in the journal"));
         }
         if self.messages.len() + c.messages.len() > self.settings.max_held {
--- a/src/dispatch/send.rs
+++ b/src/dispatch/send.rs
@@ -1,7 +1,6 @@
 //! Sending: an attempt is written to the journal before its first byte goes out, and has a time at which it
 //! ends.
 
-use super::pace::JOURNAL_RETRY_DELAY;
 use super::{Attempt, Core, HeldMessage, Order, OutstandingAttempt};
 use crate::api::*;
 use crate::config::index_of;
@@ -89,14 +88,13 @@
 
     /// Writes the attempt to the journal before its first byte goes out.
     fn record_attempt(&mut self, now: Ms, no: MessageNo) -> Result<(), SendBlock> {
-        self.compact_if_full();
         let record = self.messages.get(&no).map(|c| self.attempt_record(no, c));
-        if let Some(Err(e)) = record.map(|r| self.journal.append(&r)) {
+        if let Some(Err(e)) = record.map(|r| self.append_or_compact(&r)) {
             if let Some(count) = self.append_errors.record(now) {
                 log::error!(cause:% = e, count = count;
                     "an attempt cannot be written to the journal and is not sent: {e}");
             }
-            return Err(SendBlock::Wait(JOURNAL_RETRY_DELAY));
+            return Err(SendBlock::Wait(self.record_retry_delay()));
         }
         if let Some(out) = self.messages.get_mut(&no).and_then(|c| c.out.as_mut()) {
             out.recorded = true;
--- a/src/dispatch/waits.rs
+++ b/src/dispatch/waits.rs
@@ -50,6 +50,11 @@
         self.waits.retain(|_, wait| wait.until > now);
     }
 
+    /// How many retry-afters are known, and the bytes of their endpoints' ids.
+    pub fn size(&self) -> (usize, usize) {
+        (self.waits.len(), self.waits.keys().map(String::len).sum())
+    }
+
     /// Records of the active retry-afters, for a compacted journal.
     pub fn records(&self, now: Ms) -> impl Iterator<Item = Record> + '_ {
         let on = self.waits.iter().filter(move |(_, wait)| wait.until > now);
--- a/src/journal.rs
+++ b/src/journal.rs
@@ -2,15 +2,18 @@
 //!
 //! A record is its length, its checksum and its body. Completed writes outlast the process even if it is
 //! killed, so nothing is synced. A torn tail is truncated. Once the file has grown, compaction writes the
-//! live records to a second file and renames it over the first; both files together stay within the folder's
-//! size limit.
+//! live records to a second file, the reserve, and renames it over the first; both files together stay within
+//! the folder's size limit. The reserve keeps the space that this needs on a disk that is smaller than the
+//! limit.
 
 mod record;
+mod reserve;
 mod scan;
 mod slot;
 
 use crate::timeline::{self, ClockReading};
 pub use record::{AcceptedMessage, AttemptSent, Ending, FileFingerprint, Identity, MessageNo, Record};
+use reserve::{reserve_path, Reserve};
 pub use scan::{highest_message_no, mark_open_messages_as_possibly_executed};
 use scan::{quarantine, scan, Scan};
 use slot::{lock, was_truncated, write_length_mark, SLOTS};
@@ -67,6 +70,10 @@
     deferred: Vec<u8>,
     /// Read position in the sibling process's file.
     sibling_tail: SiblingTail,
+    /// The file that the next compaction overwrites.
+    reserve: Reserve,
+    /// Bytes that the reserve must keep for the next compaction.
+    reserved_for: u64,
 }
 
 /// Read position in the file that a sibling process appends to.
@@ -159,11 +166,10 @@
     }
 }
 
-/// Path of the file that a compaction writes before renaming it over the journal.
-fn compacted_path(path: &Path) -> PathBuf {
-    let mut name = path.as_os_str().to_owned();
-    name.push(".new");
-    PathBuf::from(name)
+/// Whether the error means that the disk, or the user's part of it, is full. A process that may not write
+/// larger files gets another error.
+fn is_disk_full(error: &io::Error) -> bool {
+    is_out_of_space(error) && error.kind() != io::ErrorKind::FileTooLarge
 }
 
 impl Journal {
@@ -212,8 +218,7 @@
             return Err(io::Error::new(io::ErrorKind::ResourceBusy, why));
         };
         let path = folder.join(SLOTS[slot]);
-        // Left by an interrupted compaction; the journal itself is still whole.
-        let _ = std::fs::remove_file(compacted_path(&path));
+        let reserve = Reserve::open(&path);
         let mut file = OpenOptions::new().read(true).append(true).create(true).open(&path)?;
         let mut bytes = Vec::new();
         file.read_to_end(&mut bytes)?;
@@ -243,8 +248,11 @@
             clocks,
             deferred: clocks.map_or_else(Vec::new, |c| Record::ClockReading(c).encode()),
             sibling_tail: SiblingTail::default(),
+            reserved_for: reserve.size(),
+            reserve,
             _lock: lock,
         };
+        journal.limit_reserve();
         // From here on the lock file records a length, so that a later truncation is detected.
         if let Err(e) =
             journal.flush_deferred().and_then(|()| write_length_mark(&journal._lock, journal.size))
@@ -315,6 +323,8 @@
                 continue;
             };
             let path = folder.join(SLOTS[slot]);
+            // The records that are taken over from the file may need its space.
+            let _ = std::fs::remove_file(reserve_path(&path));
             let bytes = match std::fs::read(&path) {
                 Ok(bytes) => bytes,
                 Err(e) if e.kind() == io::ErrorKind::NotFound => continue,
@@ -415,7 +425,15 @@
         Ok(())
     }
 
+    /// Writes encoded records; on a full disk with the headroom of the reserve.
     fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
+        match self.write_at_end(bytes) {
+            Err(e) if is_disk_full(&e) && self.reserve.shrink(self.reserved_for) => self.write_at_end(bytes),
+            done => done,
+        }
+    }
+
+    fn write_at_end(&mut self, bytes: &[u8]) -> io::Result<()> {
         // A partial record left in place would make the following records unreadable.
         if self.torn {
             self.file.set_len(self.size)?;
@@ -433,6 +451,12 @@
     /// Sets whether a sibling process has a file of its own in the folder, as during an upgrade.
     pub fn set_shared(&mut self, shared: bool) {
         self.shared = shared;
+        self.limit_reserve();
+    }
+
+    /// Whether the last write failed because the disk is full or the file may not grow.
+    pub fn is_out_of_space(&self) -> bool {
+        self.out_of_space
     }
 
     /// Whether `live` bytes of live records still fit beside `identities` bytes of identities. Also false if the
@@ -469,32 +493,28 @@
 
     /// Replaces the file by one that holds only these records.
     pub fn compact(&mut self, records: impl Iterator<Item = Record>) -> io::Result<()> {
-        let new = compacted_path(&self.path);
-        let written = self.write_compacted(records);
-        let done = written.and_then(|whole| std::fs::rename(&new, &self.path).map(|()| whole));
-        if done.is_err() {
-            let _ = std::fs::remove_file(&new);
-        }
-        let (file, size) = done?;
+        let (file, size) = self.write_compacted(records)?;
+        std::fs::rename(self.reserve.path(), &self.path)?;
+        self.reserve.renamed();
         (self.file, self.size) = (file, size);
         (self.torn, self.out_of_space) = (false, false);
         // The deferred records describe state that is still held, so the compacted records include them.
         self.deferred.clear();
-        write_length_mark(&self._lock, self.size)
+        let marked = write_length_mark(&self._lock, self.size);
+        // The next compaction needs its space, too. Without it new messages are rejected, so it is tried again.
+        let _ = self.reserve.grow(self.reserved_for, self.reserved_for);
+        marked
     }
 
     /// Writes the file that is to be renamed over the journal, and resets the recorded length before the
     /// rename. Otherwise a kill between the rename and the new length mark would make the shorter file look
     /// truncated, and every held message would count as possibly executed. A truncation goes undetected until
     /// the next length mark.
-    fn write_compacted(&self, records: impl Iterator<Item = Record>) -> io::Result<(File, u64)> {
-        let new = compacted_path(&self.path);
+    fn write_compacted(&mut self, records: impl Iterator<Item = Record>) -> io::Result<(File, u64)> {
         let mut bytes = Vec::new();
         let clocks = self.clocks.map(Record::ClockReading);
         clocks.into_iter().chain(records).for_each(|r| bytes.extend(r.encode()));
-        let _ = std::fs::remove_file(&new);
-        let mut file = OpenOptions::new().append(true).create_new(true).open(&new)?;
-        file.write_all(&bytes)?;
+        let file = self.reserve.overwrite(&bytes)?;
         write_length_mark(&self._lock, 0)?;
         Ok((file, bytes.len() as u64))
     }
--- a/src/journal/tests.rs
+++ b/src/journal/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of the journal that need access to its private items.
 
+use super::reserve::MIN_HEADROOM_BYTES;
 use super::*;
 
 fn folder(name: &str) -> PathBuf {
@@ -226,7 +227,7 @@
             1 => drop(j.write_compacted([taken(2)].into_iter()).unwrap()),
             _ => {
                 drop(j.write_compacted([taken(2)].into_iter()).unwrap());
-                std::fs::rename(compacted_path(&j.path), &j.path).unwrap();
+                std::fs::rename(reserve_path(&j.path), &j.path).unwrap();
             }
         }
         drop(j);
@@ -331,3 +332,62 @@
     assert!(!j.needs_compaction(), "{live} and {identities} of {limit} bytes");
     std::fs::remove_dir_all(dir).unwrap();
 }
+
+/// Guards against a compaction that needs space which the disk no longer has: it overwrites the reserve, and
+/// the next reserve is there when it ends.
+#[test]
+fn a_compaction_overwrites_its_reserve_and_leaves_another() {
+    let dir = folder("reserve");
+    let (mut j, _) = Journal::open(&dir, 1 << 20).unwrap();
+    (1..=20).for_each(|no| j.append(&taken(no)).unwrap());
+    let compacted = 10 * taken(1).size();
+    assert!(!j.has_reserved(compacted));
+    j.reserve(compacted).unwrap();
+    assert!(j.has_reserved(compacted) && j.reserved() >= compacted + MIN_HEADROOM_BYTES);
+    let inode = |name: &str| std::fs::metadata(dir.join(name)).unwrap().ino();
+    let reserve = inode("journal.new");
+    j.compact((1..=10).map(taken)).unwrap();
+    assert_eq!(inode("journal"), reserve, "the space of the reserve is reused");
+    assert_eq!((j.size(), std::fs::metadata(dir.join("journal")).unwrap().len()), (compacted, compacted));
+    assert!(
+        j.reserved() >= compacted
+            && j.reserved() == std::fs::metadata(dir.join("journal.new")).unwrap().len()
+    );
+    j.append(&taken(11)).unwrap();
+    drop(j);
+    let (j, back) = Journal::open(&dir, 1 << 20).unwrap();
+    assert_eq!(back, (1..=11).map(taken).collect::<Vec<_>>());
+    assert!(j.reserved() >= compacted, "the next start keeps the reserve");
+    std::fs::remove_dir_all(dir).unwrap();
+}
+
+/// Guards against a folder over its limit because of the reserve.
+#[test]
+fn the_reserve_stays_within_its_share_alone_and_beside_a_sibling() {
+    let dir = folder("reserve-share");
+    let limit = 600_000;
+    let (mut j, _) = Journal::open(&dir, limit).unwrap();
+    let largest = (limit as f64 * (LIVE_RECORDS_SHARE + IDENTITIES_SHARE)) as u64;
+    j.reserve(largest).unwrap();
+    assert!(j.has_reserved(largest) && j.reserved() >= largest, "{} of {largest}", j.reserved());
+    assert!(j.reserved() as f64 <= limit as f64 * (1.0 - MAX_FILE_SHARE));
+    j.set_shared(true);
+    assert!(j.reserved() as f64 <= limit as f64 * SIBLING_SHARE * (1.0 - MAX_FILE_SHARE));
+    std::fs::remove_dir_all(dir).unwrap();
+}
+
+/// Guards against the space of an ended sibling's reserve missing when its records are taken over.
+#[test]
+fn the_reserve_of_an_ended_sibling_is_removed() {
+    let dir = folder("reserve-sibling");
+    let (first, _) = Journal::open(&dir, 1 << 20).unwrap();
+    let (mut second, _) = Journal::open(&dir, 1 << 20).unwrap();
+    second.append(&taken(1)).unwrap();
+    second.reserve(1_000).unwrap();
+    assert!(dir.join("journal.1.new").exists());
+    assert!(first.orphaned_journal().unwrap().is_none() && dir.join("journal.1.new").exists());
+    drop(second);
+    assert!(first.orphaned_journal().unwrap().is_some());
+    assert!(!dir.join("journal.1.new").exists());
+    std::fs::remove_dir_all(dir).unwrap();
+}
