Reject what one file may not hold beside a sibling's, under a limit on file sizes

What callers saw: with a limit on file sizes below disk_mb (ulimit -f) and two processes on one folder, messages of both came back handed_back after the handover: 20 to 76 of 26 to 82 in four cases, each with +OK.

Cause: each process accepted up to three quarters of the largest file; the one that takes over has to write the sum into one file, and cannot.

Evidence: the four cases FileBlocks of a_handover_on_a_full_disk_... in tests/small_disks.rs failed before this (the cases on a small disk passed: the ended process's reserve makes the space).

Fix: while two processes share the folder, each accepts only what one file may hold with the sibling's file as it is now; the limit is read at the start (getrlimit). The second process knows of the first from its start.

--- a/src/journal.rs
+++ b/src/journal.rs
@@ -14,6 +14,7 @@
 use crate::timeline::{self, ClockReading};
 pub use record::{AcceptedMessage, AttemptSent, Ending, FileFingerprint, Identity, MessageNo, Record};
 use reserve::{reserve_path, Reserve};
+use rustix::process::{getrlimit, Resource};
 pub use scan::{highest_message_no, mark_open_messages_as_possibly_executed};
 use scan::{quarantine, scan, Scan};
 use slot::{lock, was_truncated, write_length_mark, SLOTS};
@@ -74,6 +75,8 @@
     reserve: Reserve,
     /// Bytes that the reserve must keep for the next compaction.
     reserved_for: u64,
+    /// Size of the largest file that this process may write, if that is limited.
+    max_file_size: Option<u64>,
 }
 
 /// Read position in the file that a sibling process appends to.
@@ -250,6 +253,7 @@
             sibling_tail: SiblingTail::default(),
             reserved_for: reserve.size(),
             reserve,
+            max_file_size: getrlimit(Resource::Fsize).current,
             _lock: lock,
         };
         journal.limit_reserve();
@@ -354,9 +358,8 @@
     /// Retry-after records that a running sibling process has written to the other file since the last call.
     /// Endpoints asked the dispatcher as a whole to wait, so these waits bind this process too.
     pub fn read_sibling_waits(&mut self) -> Vec<Record> {
-        let folder = self.path.parent().unwrap_or(Path::new("."));
-        let Some(other) = (0..SLOTS.len()).find(|s| *s != self.slot) else { return Vec::new() };
-        let records = self.sibling_tail.read_new_records(&folder.join(SLOTS[other])).unwrap_or_default();
+        let Some(path) = self.sibling_path() else { return Vec::new() };
+        let records = self.sibling_tail.read_new_records(&path).unwrap_or_default();
         let waits = on_timeline(records, self.clocks.as_ref()).into_iter();
         waits.filter(|r| matches!(r, Record::RetryAfter { .. })).collect()
     }
@@ -454,6 +457,13 @@
         self.limit_reserve();
     }
 
+    /// Path of the folder's other journal file.
+    fn sibling_path(&self) -> Option<PathBuf> {
+        let folder = self.path.parent().unwrap_or(Path::new("."));
+        let other = (0..SLOTS.len()).find(|slot| *slot != self.slot)?;
+        Some(folder.join(SLOTS[other]))
+    }
+
     /// Whether the last write failed because the disk is full or the file may not grow.
     pub fn is_out_of_space(&self) -> bool {
         self.out_of_space
--- a/src/journal/reserve.rs
+++ b/src/journal/reserve.rs
@@ -153,7 +153,15 @@
 
     /// Whether the next compaction has its space if it writes `compacted` bytes.
     pub fn has_reserved(&self, compacted: u64) -> bool {
-        self.reserve.size() >= self.needed_reserve(compacted)
+        self.reserve.size() >= self.needed_reserve(compacted) && self.may_hold_sibling_file(compacted)
+    }
+
+    /// Whether one file may hold `compacted` bytes and all records of a sibling process: one of the two takes
+    /// the other's records over.
+    fn may_hold_sibling_file(&self, compacted: u64) -> bool {
+        let Some(most) = self.max_file_size.filter(|_| self.shared) else { return true };
+        let sibling = self.sibling_path().and_then(|path| std::fs::metadata(path).ok());
+        with_headroom(compacted + sibling.map_or(0, |about| about.len())) <= most
     }
 
     /// Reserves the space for a compaction that writes `compacted` bytes, and for records after it.
@@ -163,6 +171,9 @@
     /// The disk does not have the space. Other failures are no error: they say nothing about the space, and
     /// an append finds out whether the folder can be written.
     pub fn reserve(&mut self, compacted: u64) -> io::Result<()> {
+        if !self.may_hold_sibling_file(compacted) {
+            return Err(io::ErrorKind::FileTooLarge.into());
+        }
         if !self.has_reserved(compacted) {
             let least = self.needed_reserve(compacted);
             let wanted = (least + RESERVE_STEP_BYTES).min(self.max_reserve()).max(least);
--- a/tests/small_disks.rs
+++ b/tests/small_disks.rs
@@ -242,7 +242,7 @@
 /// Guards against two processes on one small disk that accept more together than one of them can take over.
 #[test]
 fn a_handover_on_a_full_disk_delivers_what_both_processes_accepted() {
-    let disks = [Disk::Bytes(100_000), Disk::Bytes(300_000)];
+    let disks = [Disk::FileBlocks(60), Disk::FileBlocks(200), Disk::Bytes(100_000), Disk::Bytes(300_000)];
     let cases = disks.into_iter().flat_map(|disk| ["-TERM", "-KILL"].map(|signal| (disk, signal)));
     let runs = cases.map(|(disk, signal)| std::thread::spawn(move || check_handover(disk, signal)));
     let failed =
