--- a/src/dispatch/seats.rs
+++ b/src/dispatch/seats.rs
@@ -8,19 +8,21 @@
 //! a silent member. What was offered stays in this journal until the other dispatcher serves it. Only then is
 //! it removed: first the messages, then the ownership.
 
+mod contents;
+mod drain;
+
 use super::seats_read::OwnershipRecords;
 use super::{Core, HeldMessage, Order, Verdict, Withheld};
 use crate::api::*;
 use crate::config::index_of;
-use crate::guard::{self, CONFIRM_TIMEOUT};
-use crate::journal::{AcceptedMessage, AttemptSent, Ending, MessageNo, Record};
+use crate::journal::{Ending, MessageNo, Record};
 use lilacbank_cells::moving::{
     self, DispatcherId, Faults, HandoffMessage, Input, MoveError, Phase, TenantOwnership,
 };
 use lilacbank_cells::placement::{place_tenant, PlacedCell};
 use lilacbank_cells::wire::{
-    self, EndedMessage, Envelope, HandedOverMessage, MessageKind, OwnershipRecord, OwnershipReport, QuietKey,
-    TenantContents, ToolAnswer, ToolRequest, ToolRequestKind,
+    self, Envelope, MessageKind, OwnershipRecord, OwnershipReport, QuietKey, TenantContents, ToolAnswer,
+    ToolRequest, ToolRequestKind,
 };
 use prost::Message as _;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -228,25 +230,6 @@
     t.max(0.0) as u64
 }
 
-/// Encodes an [`Ending`] for the wire: its number, and the retry-after.
-fn encode_ending(ending: Option<Ending>) -> (u32, u64) {
-    match ending {
-        Some(Ending::Delivered) => (0, 0),
-        Some(Ending::GivenUp) => (1, 0),
-        Some(Ending::Returned(wait)) => (2, whole_ms(wait)),
-        None => (3, 0),
-    }
-}
-
-fn decode_ending(past: &EndedMessage) -> Option<Ending> {
-    match past.final_answer {
-        0 => Some(Ending::Delivered),
-        1 => Some(Ending::GivenUp),
-        2 => Some(Ending::Returned(past.retry_after_ms as Ms)),
-        _ => None,
-    }
-}
-
 fn phase_name<C>(phase: &Phase<C>) -> &'static str {
     match phase {
         Phase::OwnedElsewhere { .. } => "away",
@@ -673,99 +656,11 @@
         wanted.map(report).collect()
     }
 
-    /// Withdraws a tenant's messages from the decision module; outstanding attempts may end.
-    fn drain_tenant(&mut self, now: Ms, tenant: &str) {
-        let Some(p) = self.ownership.tenants.get_mut(tenant).filter(|p| p.drain_until.is_none()) else {
-            return;
-        };
-        (p.drain_until, p.confirm_until) = (Some(now + DRAIN_GRACE), None);
-        p.halted_since = now;
-        let mut withdrawn = Vec::new();
-        for (no, c) in
-            self.messages.iter_mut().filter(|(_, c)| c.taken.tenant == tenant && c.ending.is_none())
-        {
-            let near = c.taken.valid_until - now < MIN_LEFT_TO_MOVE && c.taken.key.is_none();
-            match c.withheld {
-                None if !near => {
-                    withdrawn.push((c.cell, *no));
-                    c.withheld = Some(Withheld::TenantMoving);
-                }
-                Some(Withheld::KeyParked) => c.withheld = Some(Withheld::TenantMoving),
-                _ => {}
-            }
-        }
-        withdrawn.into_iter().for_each(|(cell, no)| self.cells.post(cell, Event::ClientLeft(no)));
-    }
-
-    /// Gives the messages back to the decision module, in their order, after a move was taken back.
-    fn resume_tenant(&mut self, now: Ms, tenant: &str) {
-        if let Some(p) = self.ownership.tenants.get_mut(tenant) {
-            p.last_halt = now - p.halted_since;
-        }
-        let moving = |c: &HeldMessage| c.taken.tenant == tenant && c.withheld == Some(Withheld::TenantMoving);
-        let mut resumed = self.messages_where(moving);
-        // A message that is left to end by itself holds its key until then.
-        resumed.retain(|no| self.cancel_or_leave(now, *no));
-        resumed.iter().for_each(|no| self.book_any_cancelled(now, *no));
-        self.park_quiet_keys(now, tenant);
-        for no in resumed {
-            self.messages.entry(no).and_modify(|c| c.withheld = Some(Withheld::KeyParked));
-            self.resume_if_key_free(no);
-        }
-    }
-
-    /// Parks the keys of a tenant that are in a quiet period: the decision module did not hold their messages
-    /// and knows of no quiet period.
-    fn park_quiet_keys(&mut self, now: Ms, tenant: &str) {
-        let quiet_keys =
-            self.ownership.quiet_keys.iter().filter(|(_, quiet)| quiet.0 > now && quiet.1 == tenant);
-        for (key, quiet) in quiet_keys.map(|(key, quiet)| (*key, quiet.clone())).collect::<Vec<_>>() {
-            let parked = self.ownership.parked.entry(key).or_insert_with(|| quiet.clone());
-            parked.0 = parked.0.max(quiet.0);
-        }
-    }
-
     /// The numbers of the messages that match, in the order in which they were accepted.
     fn messages_where(&self, are: impl Fn(&HeldMessage) -> bool) -> Vec<MessageNo> {
         self.messages.iter().filter(|(_, c)| are(c)).map(|(no, _)| *no).collect()
     }
 
-    /// Cancels the outstanding attempt of a message whose tenant moves, or whose move was taken back, if the
-    /// message may be repeated or the attempt is not written whole. Otherwise the message is left to end
-    /// here, and the result is false.
-    fn cancel_or_leave(&mut self, now: Ms, no: MessageNo) -> bool {
-        let out = self.messages.get(&no).and_then(|c| c.out.as_ref()).map(|o| (o.attempt, o.written));
-        let Some((attempt, written)) = out else { return true };
-        let leave = written && self.is_at_most_once(no);
-        match leave {
-            true => drop(self.messages.entry(no).and_modify(|c| c.withheld = Some(Withheld::LeftBehind))),
-            false => self.cancel(now, no, attempt),
-        }
-        !leave
-    }
-
-    fn is_cancel_requested(&self, no: MessageNo) -> bool {
-        let out = self.messages.get(&no).and_then(|c| c.out.as_ref());
-        out.is_some_and(|o| o.cancel_requested.is_some())
-    }
-
-    /// Extends the drain of a tenant until endpoints must know of the cancelled attempts; false once that
-    /// time has passed.
-    fn extend_drain(&mut self, now: Ms, tenant: &str) -> bool {
-        let Some(state) = self.ownership.tenants.get_mut(tenant) else { return false };
-        let until = *state.confirm_until.get_or_insert(guard::confirmation_deadline(now));
-        state.drain_until = Some(until);
-        now < until
-    }
-
-    /// Books a cancelled attempt as ended, whether or not its endpoint knows: the send rules hold back other
-    /// attempts of the message until it does.
-    fn book_any_cancelled(&mut self, now: Ms, no: MessageNo) {
-        if let Some(attempt) = self.messages.get(&no).and_then(|c| Some(c.out.as_ref()?.attempt)) {
-            self.book_cancelled(now, no, attempt);
-        }
-    }
-
     /// Gives a message to the decision module, unless another message of its key must end first.
     fn resume_if_key_free(&mut self, no: MessageNo) {
         if self.messages.get(&no).is_some_and(|c| c.ending.is_none() && !self.is_parked(c.taken.key)) {
@@ -773,11 +668,6 @@
         }
     }
 
-    fn is_at_most_once(&self, no: MessageNo) -> bool {
-        let class = self.messages.get(&no).and_then(|c| index_of(&self.names.classes, &c.taken.class));
-        class.is_none_or(|c| self.settings.classes[c].effect == Effect::AtMostOnce)
-    }
-
     /// Whether messages of this key wait here for one that ends at another dispatcher.
     pub(super) fn is_parked(&self, key: Option<u64>) -> bool {
         key.is_some_and(|k| self.ownership.parked.contains_key(&k))
@@ -820,220 +710,6 @@
         self.finish(now, no, if ran { Ending::GivenUp } else { Ending::Returned(0.0) });
     }
 
-    /// Everything that is handed over of a tenant. A message that stays here appears only as a parked key and
-    /// in the list of past endings.
-    fn handoff_contents(&self, now: Ms, tenant: &str, still_since: Ms) -> TenantContents {
-        let is_moving = |c: &HeldMessage| {
-            c.withheld == Some(Withheld::TenantMoving) && c.out.is_none() && c.ending.is_none()
-        };
-        let own = || self.messages.iter().filter(|(_, c)| c.taken.tenant == tenant);
-        let mut contents =
-            TenantContents { suspended_since: whole_ms(still_since), ..TenantContents::default() };
-        let mut parked: BTreeMap<u64, u64> = BTreeMap::new();
-        for (no, c) in own() {
-            let t = &c.taken;
-            let name = self.at_most_once.entry_name(&t.class, &t.idempotency_key, &t.identity.1);
-            if is_moving(c) {
-                contents.messages.push(HandedOverMessage {
-                    client: t.identity.0.clone(),
-                    id: t.identity.1.clone(),
-                    class: t.class.clone(),
-                    key: t.key,
-                    idempotency_key: t.idempotency_key.clone(),
-                    destination: t.destination,
-                    valid_until: whole_ms(t.valid_until),
-                    reply_to: t.reply_to.clone(),
-                    body: t.body.clone(),
-                    attempts: c.attempts,
-                    first_attempt_at: c.ran.as_ref().map(|s| whole_ms(s.at)),
-                    first_attempt_zone: c.ran.as_ref().map(|s| s.zone.clone()).unwrap_or_default(),
-                    number: *no,
-                });
-                continue;
-            }
-            if let Some(key) = t.key {
-                // The message may run before later ones of its key until its end is known here and to its
-                // endpoint.
-                let unconfirmed = if c.out.is_some() { CONFIRM_TIMEOUT } else { 0.0 };
-                let until = whole_ms(t.valid_until.max(now) + unconfirmed + self.settings.key_quiet_period);
-                parked.entry(key).and_modify(|u| *u = (*u).max(until)).or_insert(until);
-            }
-            let until = whole_ms(t.valid_until + self.at_most_once.memory_span(&t.class));
-            contents.ended.extend(name.map(|id| EndedMessage {
-                id,
-                id_is_remembered_name: true,
-                final_answer: 1,
-                remembered_until: until,
-                ..EndedMessage::default()
-            }));
-        }
-        let waits = self.ownership.parked.iter().chain(&self.ownership.quiet_keys);
-        for (key, (until, _)) in waits.filter(|(_, w)| w.0 > now && w.1 == tenant) {
-            let until = whole_ms(*until).saturating_add(1);
-            parked.entry(*key).and_modify(|u| *u = (*u).max(until)).or_insert(until);
-        }
-        contents.quiet_keys = parked.into_iter().map(|(key, until)| QuietKey { key, until }).collect();
-        let number_is_moving = |no: &MessageNo| self.messages.get(no).is_some_and(is_moving);
-        for (identity, k) in
-            self.identities.iter().filter(|(_, k)| k.tenant == tenant && !number_is_moving(&k.no))
-        {
-            let (ending, wait) = encode_ending(k.ending);
-            let (client, id) = identity.clone();
-            contents.ended.push(EndedMessage {
-                client,
-                id,
-                id_is_remembered_name: false,
-                final_answer: ending,
-                retry_after_ms: wait,
-                remembered_until: whole_ms(k.until),
-            });
-        }
-        for (name, ending, until, _) in self.at_most_once.endings().filter(|e| e.3 == tenant) {
-            let (ending, wait) = encode_ending(Some(ending));
-            let (client, id) = (String::new(), name.clone());
-            contents.ended.push(EndedMessage {
-                client,
-                id,
-                id_is_remembered_name: true,
-                final_answer: ending,
-                retry_after_ms: wait,
-                remembered_until: whole_ms(until),
-            });
-        }
-        contents
-    }
-
-    /// Removes messages that another dispatcher serves now; their clients get no answer from here.
-    fn remove_handed_off(&mut self, now: Ms, contents: &TenantContents) {
-        for h in &contents.messages {
-            let Some(c) = self.remove_message(now, h.number) else { continue };
-            let name =
-                self.at_most_once.entry_name(&c.taken.class, &c.taken.idempotency_key, &c.taken.identity.1);
-            name.iter().for_each(|n| self.at_most_once.forget(n));
-            self.forget_identity(&c.taken.identity);
-            self.append_or_defer(&Record::Settled { no: h.number, until: 0.0 });
-        }
-    }
-
-    /// Gives up a tenant's messages after another dispatcher has taken the tenant over without this one,
-    /// which served from an old state folder or under an old map. The messages may have run there;     /// clients are told that they are given up.
-    fn give_up_superseded(&mut self, now: Ms, tenant: &str) {
-        let own = |c: &HeldMessage| c.taken.tenant == tenant && c.ending.is_none();
-        for no in self.messages_where(own) {
-            let Some(c) = self.messages.get_mut(&no) else { continue };
-            let (cell, known, out) = (c.cell, c.withheld.is_none(), c.out.is_some());
-            c.withheld = Some(Withheld::LeftBehind);
-            if known {
-                self.cells.post(cell, Event::ClientLeft(no));
-            }
-            if !out {
-                self.finish(now, no, Ending::GivenUp);
-            }
-        }
-    }
-
-    /// Writes received contents to this journal as messages of its own. None of it counts until the last
-    /// record is written.
-    fn adopt_tenant(
-        &mut self,
-        now: Ms,
-        tenant: &str,
-        ownership: &TenantOwnership<TenantContents>,
-        contents: &TenantContents,
-    ) -> bool {
-        self.compact_if_full();
-        let parked = contents.quiet_keys.clone();
-        let settled = OwnershipRecord {
-            quiet_keys: parked,
-            ..wire::to_record(tenant, ownership, |n| self.ownership.name(n))
-        };
-        let first = self.next_message_no;
-        let begun = OwnershipRecord { adopts_from: Some(first), ..settled.clone() };
-        if !self.append_ownership(&begun) {
-            return false;
-        }
-        self.next_message_no += contents.messages.len() as MessageNo;
-        let cell = self.cells.cell_of(tenant);
-        let mut messages = Vec::new();
-        for (h, no) in contents.messages.iter().zip(first..) {
-            let taken = AcceptedMessage {
-                no,
-                identity: (h.client.clone(), h.id.clone()),
-                class: h.class.clone(),
-                tenant: tenant.into(),
-                key: h.key,
-                idempotency_key: h.idempotency_key.clone(),
-                destination: h.destination,
-                valid_until: h.valid_until as Ms,
-                reply_to: h.reply_to.clone(),
-                body: h.body.clone(),
-            };
-            let ran =
-                h.first_attempt_at.map(|at| AttemptSent { at: at as Ms, zone: h.first_attempt_zone.clone() });
-            let record = Record::Accepted(taken);
-            let size = record.size() + super::admit::MESSAGE_OVERHEAD_BYTES;
-            let state =
-                Record::Attempts { no, attempts: h.attempts, may_have_run: ran.clone(), in_progress: None };
-            let both = [Some(&record), (h.attempts > 0).then_some(&state)];
-            for r in both.into_iter().flatten() {
-                if let Err(e) = self.journal.append(r) {
-                    log::error!(tenant = tenant, cause:% = e;
-                        "a handed-over message cannot be written to the journal: {e}");
-                    return false;
-                }
-            }
-            let Record::Accepted(taken) = record else { return false };
-            let withheld = Some(Withheld::KeyParked);
-            messages.push(HeldMessage {
-                taken,
-                attempts: h.attempts,
-                last_outcome: None,
-                ran,
-                out: None,
-                ending: None,
-                cell,
-                size,
-                withheld,
-                unreported_end: None,
-            });
-        }
-        // These records come before the one that settles the ownership. In the reverse order, a crash in
-        // between would leave at-most-once messages unknown here that have run, and they could run again.
-        for past in &contents.ended {
-            if let Err(e) = self.journal.append(&past_record(tenant, past)) {
-                log::error!(tenant = tenant, cause:% = e;
-                    "a handed-over ending cannot be written to the journal: {e}");
-                return false;
-            }
-        }
-        if !self.append_ownership(&settled) {
-            return false;
-        }
-        self.ownership.park_keys(tenant, &contents.quiet_keys);
-        // From here on a compacted journal must contain the ownership that was written above.
-        if let Some(state) = self.ownership.tenants.get_mut(tenant) {
-            state.ownership = ownership.clone();
-        }
-        for mut message in messages {
-            message.withheld = self.is_parked(message.taken.key).then_some(Withheld::KeyParked);
-            self.hold_restored(now, message);
-        }
-        contents.ended.iter().for_each(|past| self.restore_past(now, tenant, past));
-        true
-    }
-
-    /// Remembers a message that ended at the dispatcher the tenant came from.
-    fn restore_past(&mut self, now: Ms, tenant: &str, past: &EndedMessage) {
-        let (until, ending) = (past.remembered_until as Ms, decode_ending(past));
-        if past.id_is_remembered_name {
-            let ending = ending.unwrap_or(Ending::GivenUp);
-            self.at_most_once.remember(past.id.clone(), ending, until, tenant.to_string());
-        } else {
-            let identity = (past.client.clone(), past.id.clone());
-            self.restore_identity(now, identity, 0, ending, until, tenant.to_string());
-        }
-    }
-
     /// Handles what is due: drains, repeated peer messages, offers without an answer, and parked keys.
     pub(super) fn ownership_turn(&mut self, now: Ms) {
         if !self.ownership.is_active() {
@@ -1063,38 +739,6 @@
         }
     }
 
-    fn continue_drain(&mut self, now: Ms, tenant: &str, until: Ms) {
-        let is_moving = |c: &HeldMessage| {
-            c.taken.tenant == tenant && c.withheld == Some(Withheld::TenantMoving) && c.ending.is_none()
-        };
-        let moving_messages = self.messages_where(is_moving);
-        let is_out = |no: &MessageNo| self.messages.get(no).is_some_and(|c| c.out.is_some());
-        let outstanding: Vec<MessageNo> = moving_messages.iter().copied().filter(is_out).collect();
-        if now < until && !outstanding.is_empty() {
-            return;
-        }
-        // Another dispatcher sends these messages once it has them, so their endpoints must know of the end
-        // before.
-        for no in &outstanding {
-            self.cancel_or_leave(now, *no);
-        }
-        let unconfirmed =
-            |no: &MessageNo| self.unconfirmed.has_unconfirmed(*no, now) || self.is_cancel_requested(*no);
-        if moving_messages.iter().any(unconfirmed) && self.extend_drain(now, tenant) {
-            return;
-        }
-        outstanding.into_iter().for_each(|no| self.book_any_cancelled(now, no));
-        let since = self.ownership.tenants.get(tenant).map_or(now, |p| p.halted_since);
-        let contents = self.handoff_contents(now, tenant, since);
-        if contents.encoded_len() + 4_096 > wire::MAX_FRAME_BYTES {
-            log::error!(tenant = tenant;
-                "the messages of '{tenant}' do not fit in one frame; it is not moved");
-            let _ = self.step_ownership(now, tenant, Input::Abort);
-            return;
-        }
-        let _ = self.step_ownership(now, tenant, Input::Drained(contents));
-    }
-
     /// Releases parked keys whose time has passed.
     fn release_parked_keys(&mut self, now: Ms) {
         let due: Vec<u64> = self.ownership.parked.iter().filter(|(_, w)| w.0 <= now).map(|w| *w.0).collect();
@@ -1105,7 +749,8 @@
         }
     }
 
-    /// Ends withheld messages whose deadline has passed. Offered or committed messages are left alone:     /// fate is decided by the move.
+    /// Ends withheld messages whose deadline has passed. Offered or committed messages are left alone: their
+    /// fate is decided by the move.
     fn expire_withheld(&mut self, now: Ms) {
         let due = |c: &HeldMessage| match c.withheld {
             Some(Withheld::KeyParked) => true,
@@ -1178,17 +823,6 @@
     }
 }
 
-/// The journal record of a message that ended at the dispatcher the tenant came from. If its ending is not
-/// known there, a restart treats the message as one that may have taken effect.
-fn past_record(tenant: &str, past: &EndedMessage) -> Record {
-    let (until, ending) = (past.remembered_until as Ms, decode_ending(past).unwrap_or(Ending::GivenUp));
-    let tenant = tenant.to_string();
-    if past.id_is_remembered_name {
-        return Record::AtMostOnceEnded { name: past.id.clone(), ending, until, tenant };
-    }
-    Record::RememberedIdentity { identity: (past.client.clone(), past.id.clone()), ending, until, tenant }
-}
-
 /// When an offer is taken back without an answer.
 fn offer_until(now: Ms, contents: &TenantContents) -> Ms {
     let times =
