Move takeover and received copies out of keeper.rs, and name three numbers

Change: keeper/takeover.rs and keeper/received.rs, functions moved as they are but for `pub(super)`; EXPIRY_INTERVAL_MS, MIN_COMPARED_VALIDITY_MS and MAX_ACCEPTED_TIMES name the numbers, their values are the same.

--- a/crates/replica/src/keeper.rs
+++ b/crates/replica/src/keeper.rs
@@ -19,6 +19,8 @@
 
 mod comparison;
 mod fences;
+mod received;
+mod takeover;
 
 use self::comparison::{Comparison, PeerDigest, MAX_HASHES_PER_REQUEST};
 use crate::copies::{CopyEnding, Fence, MergeOutcome, MessageContent, MessageCopy, Stage};
@@ -49,6 +51,8 @@
 /// Interval between scans for messages whose owner is gone, and between checks for peer messages to send
 /// again.
 const SCAN_INTERVAL_MS: Ms = 200;
+/// Interval between removals of expired copies.
+const EXPIRY_INTERVAL_MS: Ms = 1_000;
 /// A copy without a final answer is kept this long after its message expired.
 const EXPIRED_RETENTION_MS: Ms = 60_000;
 /// How long to wait for the peers' answers to a query about a message.
@@ -642,7 +646,7 @@
             self.resend_unconfirmed(now);
         }
         if self.expiry_due <= now {
-            self.expiry_due = now + 1_000;
+            self.expiry_due = now + EXPIRY_INTERVAL_MS;
             self.remove_expired(now);
         }
     }
@@ -660,128 +664,6 @@
         due.iter().for_each(|id| drop(self.query_answers.remove(id)));
     }
 
-    /// Updates which peers count as gone.
-    fn update_gone(&mut self, now: Ms) {
-        let alive: BTreeSet<String> = self.membership.alive().into_iter().collect();
-        // After a loss of the majority no peer counts as gone until it had the time to answer again.
-        let since = self.majority_since.take().unwrap_or(now);
-        self.majority_since = self.has_majority(now).then_some(since);
-        let majority = self.majority_since.is_some_and(|t| t + PEER_GONE_AFTER_MS <= now);
-        let mut lost = Vec::new();
-        for (name, p) in &mut self.peers {
-            let silent = p.last_received.is_none_or(|t| t + PEER_GONE_AFTER_MS <= now);
-            let gone = majority && silent && p.incarnation != 0 && !alive.contains(name);
-            if gone && !p.gone {
-                p.gone = true;
-                p.needs_fences = true;
-                lost.push((name.clone(), p.open_messages));
-            }
-        }
-        for (name, open) in lost {
-            let here = |p: &&Replica| p.copy.fence.owner == name && !p.copy.stage.is_end();
-            let here = self.replicas.values().filter(here).count();
-            // If all dispatchers with a copy are gone together, this log entry is the only trace of those
-            // messages.
-            let text = format!(
-                "{name} counts as gone; it last reported {open} messages without a final answer, \
-                 {here} of its messages have a copy here"
-            );
-            self.events.push(ReplicationEvent::MembershipChanged(text));
-        }
-    }
-
-    fn is_gone(&self, name: &str) -> bool {
-        self.peers.get(name).is_some_and(|p| p.gone)
-    }
-
-    /// Takes over messages of owners that are gone, if this dispatcher is the first live one in the order of
-    /// succession. Gives up own messages that wait for a grant of an arbiter that is gone.
-    fn take_over_from_gone_owners(&mut self, now: Ms) {
-        if !self.peers.values().any(|p| p.gone) {
-            return;
-        }
-        let first = |p: &Replica| {
-            let mut order = std::iter::once(&p.copy.content.accepted_by).chain(&p.copy.holders);
-            order.find(|n| !self.is_gone(n)) == Some(&self.spec.name)
-        };
-        let due = |p: &&Replica| {
-            !p.copy.stage.is_end() && !p.is_owner() && self.is_gone(&p.copy.fence.owner) && first(p)
-        };
-        let due: Vec<String> = self.replicas.values().filter(due).map(|p| p.copy.id.clone()).collect();
-        due.iter().for_each(|id| self.take_over(now, id));
-        let lost = |id: &&String| {
-            let arbiter = self.replicas.get(id).and_then(|p| p.copy.holders.first());
-            arbiter.is_some_and(|a| self.is_gone(a))
-        };
-        let lost: Vec<String> = self.grant_requests.iter().filter(lost).cloned().collect();
-        for id in lost {
-            self.grant_requests.remove(&id);
-            self.events.push(ReplicationEvent::GiveUp(id));
-        }
-    }
-
-    fn take_over(&mut self, now: Ms, id: &str) {
-        let born = self.spec.incarnation_id;
-        let taken = self.replicas.update(id, |replica| {
-            // An arbiter of another incarnation has lost the grants that it gave.
-            let grants_lost = replica.is_arbiter() && replica.copy.content.arbiter_incarnation != born;
-            let step = replica.take_over();
-            let unproven = replica.kind == Repeatability::AtMostOnce && grants_lost;
-            // The message may have expired before the takeover; its final answer is still required.
-            let expired = replica.copy.content.valid_until <= now;
-            match step {
-                ReplicaAction::NoAction => None,
-                ReplicaAction::Start if unproven => Some(ReplicaAction::GiveUp),
-                _ if expired => Some(ReplicaAction::GiveUp),
-                step => Some(step),
-            }
-        });
-        let Some(step) = taken.flatten() else { return };
-        let Some(copy) = self.replicas.get(id).map(|r| r.copy.clone()) else { return };
-        self.counts.takeovers += 1;
-        self.events.push(ReplicationEvent::OwnershipTaken(Box::new(copy), step));
-        self.replicate(now, id);
-    }
-
-    /// Settles restored messages once the comparison with every reachable peer has completed, and these peers
-    /// and this dispatcher are a majority.
-    fn settle_restored(&mut self, now: Ms) {
-        let Some(by) = self.settle_deadline else { return };
-        let reachable: Vec<&Peer> = self.peers.values().filter(|p| p.has_lease(now)).collect();
-        let compared = reachable.iter().filter(|p| p.compared).count();
-        let done = 2 * (compared + 1) > self.spec.dispatcher_count && compared == reachable.len();
-        let alone = self.spec.dispatcher_count <= 1;
-        if !(done || alone || now >= by) {
-            return;
-        }
-        self.settle_deadline = None;
-        self.events.push(ReplicationEvent::Settled(done || alone));
-        if !(done || alone) {
-            // The dispatcher serves, but restored messages wait for a majority of the peers.
-            if !self.unsettled.is_empty() {
-                self.settle_deadline = Some(now + SCAN_INTERVAL_MS);
-            }
-            return;
-        }
-        let later = self.unsettled.iter().nth(MAX_MESSAGES_PER_SCAN).cloned();
-        let remaining = later.map(|l| self.unsettled.split_off(&l)).unwrap_or_default();
-        if !remaining.is_empty() {
-            self.settle_deadline = Some(now);
-        }
-        for id in std::mem::replace(&mut self.unsettled, remaining) {
-            let Some(replica) = self.replicas.get(&id) else { continue };
-            if replica.copy.holders.is_empty() && replica.copy.stage == Stage::Accepted {
-                // No peer has a copy: it is treated as if it had been accepted just now.
-                let (content, kind) = (replica.copy.content.clone(), replica.kind);
-                if self.accept(now, &id, content, kind) {
-                    self.events.push(ReplicationEvent::Start(id));
-                }
-            } else if self.request_grant(now, &id) {
-                self.events.push(ReplicationEvent::Start(id));
-            }
-        }
-    }
-
     /// Sends states again that peers have not acknowledged, and repeats unanswered grant requests.
     fn resend_unconfirmed(&mut self, now: Ms) {
         let mut due = Vec::new();
@@ -1001,176 +883,6 @@
         self.unsettled.remove(id);
         self.events.push(ReplicationEvent::OwnershipLost(id.to_string()));
     }
-
-    /// Processes a peer's answer to a query. It has no body, so it is kept apart from the copies: a holder of
-    /// an incomplete copy would acknowledge the message, and deliver it after a takeover.
-    fn on_query_answer(&mut self, now: Ms, from: &str, wire: WireCopy) {
-        let id = wire.id.clone();
-        let Some((asked, _)) = self.queries.get_mut(&id) else { return };
-        asked.remove(from);
-        let all = asked.is_empty();
-        let answer = Some(wire).filter(|w| !w.owner.is_empty()).and_then(WireCopy::read);
-        let is_known = answer.is_some();
-        if let Some(mut copy) = answer.filter(|_| !self.replicas.contains(&id)) {
-            copy.content.valid_until = copy.content.valid_until.saturating_add(now);
-            self.keep_query_answer(copy);
-        }
-        if all || is_known {
-            self.finish_query(id);
-        }
-    }
-
-    fn keep_query_answer(&mut self, answer: MessageCopy) {
-        if self.query_answers.update(&answer.id, |known| known.merge(&answer)).is_none()
-            && self.has_room_for(&answer)
-        {
-            self.query_answers.insert(answer.id.clone(), answer);
-        }
-    }
-
-    fn on_copy(&mut self, now: Ms, from: &str, wire: WireCopy) {
-        let kind = if wire.at_most_once { Repeatability::AtMostOnce } else { Repeatability::Repeatable };
-        let Some(mut copy) = wire.read() else {
-            self.counts.invalid_messages += 1;
-            return;
-        };
-        copy.content.valid_until = copy.content.valid_until.saturating_add(now);
-        match self.replicas.contains(&copy.id) {
-            true => self.merge_copy(now, from, copy),
-            false => self.add_copy(now, from, copy, kind),
-        }
-    }
-
-    /// Adds a peer's copy of a message that is not held here.
-    fn add_copy(&mut self, now: Ms, from: &str, mut copy: MessageCopy, kind: Repeatability) {
-        let me = self.spec.name.clone();
-        let same_message = |known: &&MessageCopy| known.content.accepted_by == copy.content.accepted_by;
-        if let Some(known) = self.query_answers.get(&copy.id).filter(same_message).cloned() {
-            copy.merge(&known);
-        }
-        copy.drop_body_if_ended();
-        let accepted_here = copy.content.accepted_by == me;
-        if accepted_here && !copy.stage.is_end() && copy.fence.owner == me {
-            return self.reclaim_own(now, copy, kind);
-        }
-        if !copy.holders.contains(&me) && !accepted_here {
-            self.counts.invalid_messages += 1;
-            return;
-        }
-        if !self.has_room_for(&copy) {
-            self.counts.copies_rejected += 1;
-            return self.send(from, Payload::NotStored(copy.id));
-        }
-        self.counts.copies_accepted += 1;
-        self.acknowledge(from, &copy);
-        self.insert(Replica::new(&me, copy, kind));
-    }
-
-    /// Merges a peer's copy into the one that is held here.
-    fn merge_copy(&mut self, now: Ms, from: &str, copy: MessageCopy) {
-        let (id, me) = (copy.id.clone(), self.spec.name.clone());
-        let unsettled = self.unsettled.contains(&id);
-        let accepted_by = |k: &Replicator| k.replicas.get(&id).map(|r| r.copy.content.accepted_by.clone());
-        if unsettled && accepted_by(self).is_some_and(|by| by != copy.content.accepted_by) {
-            // The message was taken over in an earlier incarnation, and the state folder has it as if it had
-            // been accepted here.
-            self.replicas.update(&id, |replica| replica.copy.adopt_ownership(&copy));
-            if copy.fence.owner != me {
-                return self.release_own(&id);
-            }
-        }
-        if accepted_by(self).is_some_and(|by| by != copy.content.accepted_by) {
-            // The client submitted the message to two dispatchers: each has its own, and the arbiter's grant
-            // decides between them.
-            return self.acknowledge(from, &copy);
-        }
-        let state = |r: &Replica| (r.kind, r.copy.stage, r.is_owner());
-        let Some((kind, stage_before, owned)) = self.replicas.get(&id).map(state) else { return };
-        // The state folder was restored from an older copy: an attempt begun after that copy was made may
-        // have run.
-        let begun = kind == Repeatability::AtMostOnce
-            && stage_before == Stage::Accepted
-            && copy.stage == Stage::Started
-            && owned
-            && unsettled;
-        let merged = self.replicas.update(&id, |replica| {
-            // After a restart the holders may be unknown here.
-            if replica.copy.holders.is_empty() {
-                replica.copy.holders = copy.holders.clone();
-                replica.copy.content.arbiter_incarnation = copy.content.arbiter_incarnation;
-            }
-            let outcome = replica.merge(&copy, false, Faults::default());
-            replica.copy.drop_body_if_ended();
-            (outcome, replica.is_owner(), replica.copy.clone())
-        });
-        let Some((outcome, owns, after)) = merged else { return };
-        if outcome == MergeOutcome::Conflict {
-            self.counts.conflicts += 1;
-            self.events.push(ReplicationEvent::MembershipChanged(format!(
-                "{id} has two different final answers; keeping {:?}",
-                after.stage
-            )));
-        }
-        self.acknowledge(from, &after);
-        let ended_elsewhere = !stage_before.is_end() && after.stage.is_end();
-        if begun && owns {
-            self.events.push(ReplicationEvent::GiveUp(id));
-        } else if owned && (!owns || ended_elsewhere) {
-            self.release_own(&id);
-        } else if (after.fence, after.stage) > (copy.fence, copy.stage) {
-            // The sender does not know a later stage, or that its fence was replaced.
-            self.send_copy(now, from, &id);
-        }
-    }
-
-    fn acknowledge(&mut self, to: &str, copy: &MessageCopy) {
-        let stage = wire::stage_number(copy.stage).0;
-        self.send(to, Payload::Stored(CopyAck { id: copy.id.clone(), epoch: copy.fence.epoch, stage }));
-    }
-
-    /// Takes up an own message that was lost with the state folder and that a peer returned, under a higher
-    /// fence. An at-most-once message is given up: nobody can prove that it was never sent.
-    fn reclaim_own(&mut self, now: Ms, mut copy: MessageCopy, kind: Repeatability) {
-        let participants = copy.holders.len() as u64 + 1;
-        copy.fence = Fence {
-            epoch: (copy.fence.epoch / participants + 1) * participants,
-            owner: self.spec.name.clone(),
-        };
-        let step =
-            if kind == Repeatability::Repeatable { ReplicaAction::Start } else { ReplicaAction::GiveUp };
-        let (id, me) = (copy.id.clone(), self.spec.name.clone());
-        self.counts.takeovers += 1;
-        self.insert(Replica::new(&me, copy.clone(), kind));
-        self.events.push(ReplicationEvent::OwnershipTaken(Box::new(copy), step));
-        self.replicate(now, &id);
-    }
-
-    fn on_grant_request(&mut self, now: Ms, from: &str, wire: WireCopy) {
-        let fence = Fence { epoch: wire.epoch, owner: wire.owner.clone() };
-        let (id, born) = (wire.id.clone(), wire.arbiter_incarnation);
-        if !self.replicas.contains(&id) {
-            self.on_copy(now, from, wire);
-        }
-        if !self.replicas.contains(&id) {
-            return;
-        }
-        let incarnation = self.spec.incarnation_id;
-        let answer = match born == incarnation {
-            true => self.replicas.update(&id, |r| r.on_grant_request(&fence, Faults::default())),
-            false => Some(PeerMessage::DenyGrant),
-        };
-        let Some(answer) = answer else { return };
-        let mut wire = self.replicas.get(&id).map(|p| self.to_wire(now, p)).unwrap_or_default();
-        wire.body = Vec::new();
-        if answer == PeerMessage::Grant {
-            self.counts.grants_given += 1;
-            (wire.epoch, wire.owner) = (fence.epoch, fence.owner);
-            self.send(from, Payload::Grant(wire));
-        } else {
-            self.counts.grants_denied += 1;
-            self.send(from, Payload::DenyGrant(wire));
-        }
-    }
 }
 
 impl Peer {
--- a/crates/replica/src/keeper/comparison.rs
+++ b/crates/replica/src/keeper/comparison.rs
@@ -6,6 +6,8 @@
 const COMPARISON_INTERVAL_MS: Ms = 5_000;
 /// A comparison that makes no progress for this long is restarted.
 const COMPARISON_TIMEOUT_MS: Ms = 2_000;
+/// Copies with a final answer that are valid for less than this are not compared.
+const MIN_COMPARED_VALIDITY_MS: Ms = 2_000;
 /// Buckets requested in one message of a comparison, at most.
 const MAX_BUCKETS_PER_REQUEST: usize = 64;
 /// Entry hashes sent for the requested buckets, at most.
@@ -41,7 +43,9 @@
         let made = self.peers.get(with)?.digest.as_ref().is_some_and(|t| t.at + DIGEST_CACHE_MS > now);
         if !made {
             // Copies that either side drops soon do not count as a difference.
-            let open = |p: &Replica| !p.copy.stage.is_end() || p.copy.content.valid_until > now + 2_000;
+            let open = |p: &Replica| {
+                !p.copy.stage.is_end() || p.copy.content.valid_until > now + MIN_COMPARED_VALIDITY_MS
+            };
             let both: Vec<&MessageCopy> = self
                 .replicas
                 .values()
--- a/src/state.rs
+++ b/src/state.rs
@@ -240,6 +240,9 @@
     }
 }
 
+/// Number of accepted calls whose times are kept.
+const MAX_ACCEPTED_TIMES: usize = 256;
+
 /// Times of accepted calls since a start, the newest last, and their rate.
 #[derive(Debug, Default)]
 pub(crate) struct AcceptedCalls {
@@ -257,7 +260,7 @@
     pub(crate) fn add(&mut self, now: Ms, span: Ms, least: usize, half: Ms) {
         let last = self.times.back().copied().unwrap_or(now);
         self.times.push_back(now);
-        if self.times.len() > 256 {
+        if self.times.len() > MAX_ACCEPTED_TIMES {
             self.times.pop_front();
         }
         self.best = (self.best * (0.5f64).powf((now - last) / half)).max(self.rate(now, span, least));
