Count a test's times from the start of its process; one way to run cases

Cause: accepting_goes_on_once_the_disk_has_room_again failed once (2.04 s, under 1 s wanted) where the build of crates/faults, which another build held up, came between its clock and the start of the process, whose schedule then began later. A fault of the test; its check is the same.

Change: the library is built first, the wait counts from the start. The cases of tests/small_disks.rs run through one function, and a test that accepts nothing fails.

--- a/tests/small_disks.rs
+++ b/tests/small_disks.rs
@@ -4,6 +4,7 @@
 mod stand;
 use stand::*;
 use std::collections::BTreeSet;
+use std::fmt::Debug;
 use std::time::{Duration, Instant};
 
 /// Rejections in a row after which the disk counts as full.
@@ -115,6 +116,7 @@
     let site = TestInstallation::new(&[]);
     let mut d = disk.start(&site);
     let accepted = messages.fill(&d);
+    assert!(!accepted.is_empty(), "{what}");
     if killed {
         d.kill();
         d = disk.start(&site);
@@ -144,13 +146,20 @@
 
 /// Runs the cases beside each other and waits for all before it fails: a dispatcher that outlives the test
 /// would keep its output open.
-fn run_all(cases: Vec<(Disk, Messages, bool)>) {
-    let runs: Vec<_> = cases
-        .into_iter()
-        .map(|(disk, messages, killed)| std::thread::spawn(move || check_full_disk(disk, messages, killed)))
-        .collect();
-    let failed = runs.into_iter().map(std::thread::JoinHandle::join).filter(Result::is_err).count();
-    assert_eq!(failed, 0, "cases failed");
+fn check_all<C: Debug + Send + 'static>(cases: impl IntoIterator<Item = C>, check: fn(&C)) {
+    let start = |case: C| {
+        let name = format!("{case:?}");
+        (name, std::thread::spawn(move || check(&case)))
+    };
+    let runs: Vec<_> = cases.into_iter().map(start).collect();
+    let failed = runs.into_iter().filter_map(|(name, run)| run.join().is_err().then_some(name));
+    let failed: Vec<String> = failed.collect();
+    assert!(failed.is_empty(), "{failed:#?}");
+}
+
+/// Each of these disks with messages of each class.
+fn with_each_class<const N: usize>(disks: [Disk; N]) -> impl Iterator<Item = (Disk, Messages)> {
+    disks.into_iter().flat_map(|disk| [SAFE, ORDER, PAY].map(|messages| (disk, messages)))
 }
 
 /// Guards against a file whose last bytes go to new messages, so that the attempts of those accepted before
@@ -158,28 +167,28 @@
 #[test]
 fn messages_accepted_until_no_file_may_grow_are_delivered() {
     let sizes = [40, 60, 200, 700].map(Disk::FileBlocks);
-    run_all(sizes.into_iter().flat_map(|disk| [SAFE, ORDER, PAY].map(|m| (disk, m, false))).collect());
+    check_all(with_each_class(sizes), |(disk, messages)| check_full_disk(*disk, *messages, false));
 }
 
 /// The same on a disk on which the journal and its compacted copy need space at the same time.
 #[test]
 fn messages_accepted_until_the_disk_is_full_are_delivered() {
     let sizes = [60_000, 100_000, 500_000].map(Disk::Bytes);
-    run_all(sizes.into_iter().flat_map(|disk| [SAFE, ORDER, PAY].map(|m| (disk, m, false))).collect());
+    check_all(with_each_class(sizes), |(disk, messages)| check_full_disk(*disk, *messages, false));
 }
 
 /// The same with messages that have little time.
 #[test]
 fn messages_with_little_time_are_delivered_from_a_full_disk() {
     let disks = [Disk::FileBlocks(60), Disk::FileBlocks(200), Disk::Bytes(100_000)];
-    run_all(disks.into_iter().map(|disk| (disk, SHORT, false)).collect());
+    check_all(disks, |disk| check_full_disk(*disk, SHORT, false));
 }
 
 /// The same if the process is killed while the disk is full.
 #[test]
 fn messages_on_a_full_disk_are_delivered_after_a_kill() {
     let disks = [Disk::FileBlocks(60), Disk::FileBlocks(200), Disk::Bytes(60_000), Disk::Bytes(300_000)];
-    run_all(disks.into_iter().flat_map(|disk| [SAFE, ORDER, PAY].map(|m| (disk, m, true))).collect());
+    check_all(with_each_class(disks), |(disk, messages)| check_full_disk(*disk, *messages, true));
 }
 
 /// Guards against the attempts of messages that an endpoint refuses: each writes records, and the file is
@@ -188,10 +197,7 @@
 fn refused_messages_on_a_full_disk_are_delivered_once_the_endpoint_accepts() {
     let disks = [Disk::FileBlocks(60), Disk::FileBlocks(200), Disk::Bytes(60_000), Disk::Bytes(200_000)];
     let cases = disks.into_iter().flat_map(|disk| [LARGE, PAY].map(|messages| (disk, messages)));
-    let runs = cases.map(|(disk, messages)| std::thread::spawn(move || check_refused(disk, messages)));
-    let failed =
-        runs.collect::<Vec<_>>().into_iter().map(std::thread::JoinHandle::join).filter(Result::is_err);
-    assert_eq!(failed.count(), 0, "cases failed");
+    check_all(cases, |(disk, messages)| check_refused(*disk, *messages));
 }
 
 fn check_refused(disk: Disk, messages: Messages) {
@@ -200,9 +206,10 @@
         TestInstallation::new(&[list_entry("w1", &endpoint.address.to_string(), "a", 1, "in_service")]);
     let d = disk.start(&site);
     let accepted = messages.fill(&d);
+    let what = format!("{disk:?}, {messages:?}");
+    assert!(!accepted.is_empty(), "{what}");
     std::thread::sleep(Duration::from_millis(1_500));
     open.store(true, std::sync::atomic::Ordering::SeqCst);
-    let what = format!("{disk:?}, {messages:?}");
     wait_until(&format!("{what}: all accepted messages end"), || {
         let delivered = delivered.lock().unwrap();
         accepted
@@ -221,12 +228,15 @@
 #[test]
 fn accepting_goes_on_once_the_disk_has_room_again() {
     let site = TestInstallation::new(&[]);
+    // The times of the schedule count from the start of the process, not from the build of the library.
+    faults::fault_library();
     let begun = Instant::now();
     let d = start_with_disk(&site, "disk 0 4000 60000");
+    let started = Instant::now();
     let accepted = PAY.fill(&d);
     assert!(begun.elapsed() < Duration::from_millis(3_500), "the machine is too slow for this test");
     let first_new = accepted.last().unwrap() + REJECTIONS_OF_A_FULL_DISK + 1;
-    std::thread::sleep(Duration::from_millis(4_100).saturating_sub(begun.elapsed()));
+    std::thread::sleep(Duration::from_millis(4_100).saturating_sub(started.elapsed()));
     let mut client = d.client();
     let opened = Instant::now();
     for number in first_new..first_new + 10 {
@@ -244,10 +254,7 @@
 fn a_handover_on_a_full_disk_delivers_what_both_processes_accepted() {
     let disks = [Disk::FileBlocks(60), Disk::FileBlocks(200), Disk::Bytes(100_000), Disk::Bytes(300_000)];
     let cases = disks.into_iter().flat_map(|disk| ["-TERM", "-KILL"].map(|signal| (disk, signal)));
-    let runs = cases.map(|(disk, signal)| std::thread::spawn(move || check_handover(disk, signal)));
-    let failed =
-        runs.collect::<Vec<_>>().into_iter().map(std::thread::JoinHandle::join).filter(Result::is_err);
-    assert_eq!(failed.count(), 0, "cases failed");
+    check_all(cases, |(disk, signal)| check_handover(*disk, signal));
 }
 
 fn check_handover(disk: Disk, signal: &str) {
@@ -270,9 +277,7 @@
 #[test]
 fn a_disk_full_of_identities_rejects_what_it_cannot_work() {
     let disks = [Disk::FileBlocks(60), Disk::Bytes(80_000), Disk::Bytes(200_000)];
-    let runs = disks.map(|disk| std::thread::spawn(move || check_identities(disk)));
-    let failed = runs.map(|run| run.join().is_err());
-    assert!(failed.iter().all(|failed| !failed), "{failed:?} of {disks:?}");
+    check_all(disks, |disk| check_identities(*disk));
 }
 
 fn check_identities(disk: Disk) {
@@ -298,11 +303,7 @@
 fn a_kill_while_a_full_disk_empties_loses_nothing() {
     let disks = [Disk::FileBlocks(60), Disk::FileBlocks(200), Disk::Bytes(60_000), Disk::Bytes(200_000)];
     let cases = disks.into_iter().flat_map(|disk| [(disk, SAFE, 150), (disk, ORDER, 60), (disk, PAY, 300)]);
-    let runs: Vec<_> = cases
-        .map(|(disk, messages, after_ms)| std::thread::spawn(move || check_kill(disk, messages, after_ms)))
-        .collect();
-    let failed = runs.into_iter().map(std::thread::JoinHandle::join).filter(Result::is_err).count();
-    assert_eq!(failed, 0, "cases failed");
+    check_all(cases, |(disk, messages, after_ms)| check_kill(*disk, *messages, *after_ms));
 }
 
 fn check_kill(disk: Disk, messages: Messages, after_ms: u64) {
@@ -311,6 +312,7 @@
     let site = TestInstallation::new(&[]);
     let d = disk.start(&site);
     let accepted = messages.fill(&d);
+    assert!(!accepted.is_empty(), "{what}");
     list_endpoint(&site, &endpoint);
     std::thread::sleep(Duration::from_millis(after_ms));
     d.kill();
