--- a/src/journal.rs
+++ b/src/journal.rs
@@ -511,8 +511,7 @@
         // The deferred records describe state that is still held, so the compacted records include them.
         self.deferred.clear();
         let marked = write_length_mark(&self._lock, self.size);
-        // The next compaction needs its space, too. Without it new messages are rejected, so it is tried again.
-        let _ = self.reserve.grow(self.reserved_for, self.reserved_for);
+        self.renew_reserve();
         marked
     }
 
--- a/src/journal/reserve.rs
+++ b/src/journal/reserve.rs
@@ -185,6 +185,17 @@
         Ok(())
     }
 
+    /// Makes a new reserve after a compaction has used up the former one. If another program has taken the
+    /// space meanwhile, the reserve is only as large as the journal is now. Best effort: without it new messages
+    /// are rejected, which tries again.
+    pub(super) fn renew_reserve(&mut self) {
+        for size in [self.reserved_for, self.size] {
+            if self.reserve.grow(size, size).is_ok() {
+                return;
+            }
+        }
+    }
+
     /// Size of the reserve in bytes.
     pub fn reserved(&self) -> u64 {
         self.reserve.size()
