--- a/review/stand/mqtt.rs
+++ b/review/stand/mqtt.rs
@@ -21,6 +21,8 @@
     stream: TcpStream,
     buffer: Vec<u8>,
     next_packet: u16,
+    /// What the CONNACK said: the server still has the session, with its subscriptions.
+    pub session_present: bool,
 }
 
 fn text(out: &mut Vec<u8>, t: &str) {
@@ -106,10 +108,13 @@
         body.extend([5, 0x11]);
         body.extend(300u32.to_be_bytes());
         text(&mut body, client);
-        let mut session = Session { stream, buffer: Vec::new(), next_packet: 1 };
+        let mut session = Session { stream, buffer: Vec::new(), next_packet: 1, session_present: false };
         session.stream.write_all(&packet(0x10, &body))?;
         match session.read(1_000)? {
-            Some(Packet::Connack { reason: 0, .. }) => Ok(session),
+            Some(Packet::Connack { reason: 0, session_present }) => {
+                session.session_present = session_present;
+                Ok(session)
+            }
             _ => Err(ErrorKind::ConnectionRefused.into()),
         }
     }
