--- a/review/stand/mod.rs
+++ b/review/stand/mod.rs
@@ -50,6 +50,12 @@
 /// Opens the record and the temporary folder, and starts the watchdog.
 pub fn begin(case: &str) {
     START.get_or_init(Instant::now);
+    // A stand-in that fails ends the case with the status 2, and all that it started with it.
+    std::panic::set_hook(Box::new(|why| {
+        note(format!("a stand-in failed: {why}"));
+        eprintln!("{why}");
+        end(COULD_NOT_RUN)
+    }));
     let record = File::create(format!("review/{case}/record.txt")).expect("the record cannot be written");
     let _ = RECORD.set(Mutex::new(record));
     let folder = std::env::temp_dir().join(format!("lilacbank-review-{}-{}", case.replace('/', "-"), std::process::id()));
@@ -69,12 +75,12 @@
 
 /// Ends all processes that the case started, removes the temporary folder and exits.
 pub fn end(status: i32) -> ! {
-    for pid in CHILDREN.lock().unwrap().drain(..) {
+    for pid in CHILDREN.lock().unwrap_or_else(|e| e.into_inner()).drain(..) {
         let _ = signal(pid, "KILL");
     }
     thread::sleep(Duration::from_millis(100));
-    if std::env::var("KEEP").is_err() {
-        let _ = fs::remove_dir_all(folder());
+    if let (Some(folder), Err(_)) = (FOLDER.get(), std::env::var("KEEP")) {
+        let _ = fs::remove_dir_all(folder);
     }
     note(match status {
         HELD => "the rule held",
