Both processes of an upgrade know what the other has accepted, and do not accept it again

It looks before it writes a message and again after, so of two that accept one at the same moment at least one sees the other's record and withdraws; a handover withdraws what a process that ended had no time to.

--- a/src/dispatch/admit.rs
+++ b/src/dispatch/admit.rs
@@ -65,6 +65,10 @@
         }
         let Record::Accepted(taken) = record else { return Err(NO_ROOM_RETRY_AFTER) };
         let no = taken.no;
+        if self.is_accepted_by_sibling(now, &taken) {
+            self.cancel_place(cell, size);
+            return Err(self.withdraw(now, no));
+        }
         self.next_message_no = no + 1;
         self.live_bytes += size;
         name.into_iter().for_each(|n| self.at_most_once.hold(n, no));
@@ -368,14 +372,7 @@
         tenant: String,
     ) {
         if until > now {
-            // The journal does not say whether a client of the platform got this ending as the rejection of
-            // its submission or as a later final answer. A repeat of a rejected submission must not be
-            // answered as accepted: its end would never be reported.
-            let verdict = match ending {
-                Some(Ending::Returned(wait)) if identity.0.is_empty() => Verdict::Busy(wait),
-                Some(Ending::GivenUp) if identity.0.is_empty() => Verdict::Failed("given up".into()),
-                _ => Verdict::Accepted,
-            };
+            let verdict = verdict_after(&identity, ending);
             self.remember_identity(identity, KnownIdentity { no, verdict, ending, until, tenant });
         }
     }
@@ -388,6 +385,19 @@
     }
 }
 
+/// The verdict on a repeated submission of a message that another process accepted.
+///
+/// The journal does not say whether a client of the platform got this ending as the rejection of its submission or
+/// as a later final answer. A repeat of a rejected submission must not be answered as accepted: its end would never
+/// be reported.
+pub(super) fn verdict_after(identity: &Identity, ending: Option<Ending>) -> Verdict {
+    match ending {
+        Some(Ending::Returned(wait)) if identity.0.is_empty() => Verdict::Busy(wait),
+        Some(Ending::GivenUp) if identity.0.is_empty() => Verdict::Failed("given up".into()),
+        _ => Verdict::Accepted,
+    }
+}
+
 /// An attempt dated in the future was sent before the clock was set back. How long ago is not known, so it
 /// counts as sent long ago.
 fn clamp_to_past(now: Ms, sent: AttemptSent) -> AttemptSent {
--- a/src/dispatch/handover.rs
+++ b/src/dispatch/handover.rs
@@ -5,9 +5,11 @@
 //! they are. A marker in the journal tells a start that finds both files that this has happened. No I/O but
 //! the journal's.
 
+use super::once::RepeatCheck;
+use super::sibling_messages::SiblingMessages;
 use super::Core;
 use crate::api::Ms;
-use crate::journal::{FileFingerprint, Identity, MessageNo, Record};
+use crate::journal::{AcceptedMessage, FileFingerprint, Identity, MessageNo, Record};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// The delay before writing the deferred journal records is tried again.
@@ -19,6 +21,15 @@
     /// messages come in the order of their numbers whichever file holds them. Returns how many messages came
     /// from the other file.
     pub fn restore_journals(&mut self, now: Ms, own: Vec<Record>, left: EndedJournal) -> usize {
+        let has_left = !left.records.is_empty();
+        let messages = self.restore_both(now, own, left);
+        if has_left {
+            self.forget_sibling_messages();
+        }
+        messages
+    }
+
+    fn restore_both(&mut self, now: Ms, own: Vec<Record>, left: EndedJournal) -> usize {
         // A process took the other file over and ended before it could empty it.
         if own.contains(&Record::TakenOver(left.fingerprint)) {
             // A compacted journal repeats the marker for as long as the other file may exist.
@@ -32,7 +43,7 @@
             return self.messages.len();
         }
         let (own, records) = without_copies(own, left.records);
-        let left = EndedJournal { records, ..left };
+        let mut left = EndedJournal { records, ..left };
         let taken = |rs: &[Record]| -> BTreeSet<MessageNo> { rs.iter().filter_map(taken_number).collect() };
         let has_ownership = own.iter().chain(&left.records).any(|r| matches!(r, Record::TenantOwnership(_)));
         let messages = taken(&left.records);
@@ -42,12 +53,16 @@
             self.restore(now, own);
             return self.take_over(now, left);
         }
+        if left.records.is_empty() {
+            self.restore(now, own);
+            return 0;
+        }
+        let withdrawn = self.withdrawn_from_either(now, &own, &left.records);
+        left.records.extend(withdrawn);
         let mut all = own;
         all.extend(left.records.iter().cloned());
         self.restore(now, all);
-        if !left.records.is_empty() {
-            self.write_taken_over(left.records, Some(left.fingerprint));
-        }
+        self.write_taken_over(left.records, Some(left.fingerprint));
         messages.len()
     }
 
@@ -58,14 +73,54 @@
     pub fn take_over(&mut self, now: Ms, left: EndedJournal) -> usize {
         let known = crate::journal::highest_message_no(&left.records) < self.first_message_no;
         let base = if known { 0 } else { self.next_message_no };
-        let records: Vec<Record> = left.records.into_iter().map(|r| renumber(r, base)).collect();
+        let mut records: Vec<Record> = left.records.into_iter().map(|r| renumber(r, base)).collect();
         let messages = records.iter().filter(|r| matches!(r, Record::Accepted(_))).count();
+        records.extend(withdrawals(now, &records, |message| self.knows_another(message)));
         self.restore(now, records.clone());
         self.apply_waits(now, &records);
         self.write_taken_over(records, Some(left.fingerprint));
+        self.forget_sibling_messages();
         messages
     }
 
+    /// Whether another message is known here under the same identity or the same at-most-once name.
+    fn knows_another(&self, message: &AcceptedMessage) -> bool {
+        let other = |no: MessageNo| no != message.no;
+        let name = self.at_most_once_name(message);
+        let named = name.is_some_and(|name| match self.at_most_once.check(&name) {
+            RepeatCheck::New => false,
+            RepeatCheck::Held(no) => other(no),
+            RepeatCheck::Ended(_) => true,
+        });
+        named || self.identities.get(&message.identity).is_some_and(|known| other(known.no))
+    }
+
+    /// Withdraws the messages that both processes wrote to their journals at the same time: see
+    /// [`withdrawals`]. If neither process had begun with such a message, this journal's own one stays.
+    fn withdrawn_from_either(&self, now: Ms, own: &[Record], left: &[Record]) -> Vec<Record> {
+        let known_in = |records: &[Record]| {
+            let mut known = SiblingMessages::default();
+            known.add(now, records, &self.at_most_once);
+            known
+        };
+        let is_known = |known: &SiblingMessages, message: &AcceptedMessage| {
+            let name = self.at_most_once_name(message);
+            let named = name.is_some_and(|name| known.check(&name) != RepeatCheck::New);
+            named || known.identity(now, &message.identity).is_some()
+        };
+        let known_to_own = known_in(own);
+        let mut records = withdrawals(now, left, |message| is_known(&known_to_own, message));
+        let mut begun = left.to_vec();
+        begun.extend(records.iter().cloned());
+        let known_to_left = known_in(&begun);
+        records.extend(withdrawals(now, own, |message| is_known(&known_to_left, message)));
+        records
+    }
+
+    fn at_most_once_name(&self, message: &AcceptedMessage) -> Option<String> {
+        self.at_most_once.entry_name(&message.class, &message.idempotency_key, &message.identity.1)
+    }
+
     /// Writes records of messages that are held already, before any other record. Does not use
     /// `append_or_defer`: a compaction before all of them are written would leave out the rest.
     pub(super) fn write_taken_over(&mut self, mut records: Vec<Record>, mark: Option<FileFingerprint>) {
@@ -120,6 +175,21 @@
     pub fingerprint: FileFingerprint,
 }
 
+/// Records that end those messages for which nothing but their acceptance was recorded, and that the other process
+/// knows too. Two processes that accept the same message at the same time both write it; the one that ended before
+/// it withdrew its record had neither answered the client nor sent the message.
+fn withdrawals(now: Ms, records: &[Record], is_known: impl Fn(&AcceptedMessage) -> bool) -> Vec<Record> {
+    let mut untouched: BTreeMap<MessageNo, &AcceptedMessage> = BTreeMap::new();
+    for record in records {
+        match record {
+            Record::Accepted(message) => drop(untouched.insert(message.no, message)),
+            other => untouched.retain(|no, _| other.message_no() != Some(*no)),
+        }
+    }
+    let repeated = untouched.into_values().filter(|message| is_known(message));
+    repeated.map(|message| Record::Settled { no: message.no, until: now }).collect()
+}
+
 fn taken_number(record: &Record) -> Option<MessageNo> {
     match record {
         Record::Accepted(t) => Some(t.no),
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -26,6 +26,7 @@
 mod seats;
 mod seats_read;
 mod send;
+mod sibling_messages;
 mod space;
 mod take_in;
 mod unconfirmed;
@@ -384,6 +385,8 @@
     backlog: backlog::Backlog,
     /// The sibling process on the state folder, during an upgrade.
     sibling: beside::SiblingProcess,
+    /// What the sibling process has accepted.
+    sibling_messages: sibling_messages::SiblingMessages,
     /// Retry-afters that endpoints asked this dispatcher for.
     waits: waits::RetryAfters,
     /// Messages of ordered keys that have not ended.
@@ -466,6 +469,7 @@
             next_message_no: 1,
             first_message_no: 1,
             sibling: beside::SiblingProcess::default(),
+            sibling_messages: sibling_messages::SiblingMessages::default(),
             waits: waits::RetryAfters::default(),
             key_order: order::KeyOrder::default(),
             unconfirmed: unconfirmed::UnconfirmedAttempts::default(),
--- a/src/dispatch/take_in.rs
+++ b/src/dispatch/take_in.rs
@@ -6,7 +6,7 @@
 use super::{ClientTicket, Core, Order, Verdict};
 use crate::api::{Effect, Ms};
 use crate::config::index_of;
-use crate::journal::{AcceptedMessage, Ending, Identity};
+use crate::journal::{AcceptedMessage, Ending, Identity, MessageNo};
 
 /// The largest body, in bytes.
 pub const MAX_BODY_BYTES: usize = 64 * 1024;
@@ -53,7 +53,7 @@
     NotListed,
     /// The promised share of its destination is used up beyond its deadline.
     NotInTime,
-    /// There is no capacity for it, or the state folder cannot be written.
+    /// There is no capacity for it, or the state folder cannot be read or written.
     NoRoom,
 }
 
@@ -91,6 +91,11 @@
         if self.identities.contains_key(&s.identity) {
             return self.answer_known(now, ticket, s);
         }
+        match self.verdict_from_sibling(now, &s) {
+            Ok(None) => {}
+            Ok(Some(verdict)) => return self.answer_repeat(&s, ticket, verdict),
+            Err(e) => return self.reject_unknown(&s, ticket, &e),
+        }
         if let Some(verdict) = self.verdict_from_copy(&s.identity) {
             return self.answer_repeat(&s, ticket, verdict);
         }
@@ -112,6 +117,14 @@
         self.answer_now(&s.class, ticket, verdict);
     }
 
+    /// Rejects a submission because the journal of the sibling process cannot be read: it may have accepted the
+    /// message.
+    fn reject_unknown(&mut self, s: &Submission, ticket: ClientTicket, e: &std::io::Error) {
+        self.log_full_journal(e);
+        let wait = NO_ROOM_RETRY_AFTER.min(self.settings.max_retry_after);
+        self.reject(&s.class, &s.identity.1, ticket, RejectReason::NoRoom, Verdict::Busy(wait));
+    }
+
     /// Answers a submission under an identity that is known.
     fn answer_known(&mut self, now: Ms, ticket: ClientTicket, s: Submission) {
         let Some(no) = self.identities.get(&s.identity).map(|k| k.no) else { return };
@@ -242,25 +255,30 @@
     /// whichever dispatcher.
     fn once_verdict(&mut self, now: Ms, s: &Submission) -> Option<Verdict> {
         let name = self.at_most_once.entry_name(&s.class, &s.idempotency_key, &s.identity.1)?;
-        match self.at_most_once.check(&name) {
+        let own = self.identities.get(&s.identity).map(|known| known.no);
+        self.verdict_on_repeat(now, s, self.at_most_once.check(&name), own)
+    }
+
+    /// The answer to a message of an at-most-once class of which `check` is known. `own` is the number of the
+    /// message that has the submission's identity, if there is one.
+    pub(super) fn verdict_on_repeat(
+        &mut self,
+        now: Ms,
+        s: &Submission,
+        check: RepeatCheck,
+        own: Option<MessageNo>,
+    ) -> Option<Verdict> {
+        match check {
             RepeatCheck::New => None,
             // The message is held and its end not known yet. Its own client is answered by its identity; any
             // other has to submit again, as it would not get the final answer.
-            RepeatCheck::Held(no) if self.identities.get(&s.identity).is_some_and(|k| k.no == no) => None,
+            RepeatCheck::Held(no) if own == Some(no) => None,
             RepeatCheck::Held(_) => {
                 Some(Verdict::Busy(NO_ROOM_RETRY_AFTER.min(self.settings.max_retry_after)))
             }
             RepeatCheck::Ended(ending @ Ending::Delivered) => {
                 if !s.identity.0.is_empty() {
-                    let until = now + super::ANSWER_KEPT;
-                    let (identity, reply) = (s.identity.clone(), s.reply_to.clone());
-                    self.orders.push(Order::SendFinalAnswer(super::FinalAnswer {
-                        message_no: 0,
-                        identity,
-                        ending,
-                        reply_to: reply,
-                        expires_at: until,
-                    }));
+                    self.order_answer_to_repeat(now, s, ending);
                 }
                 Some(Verdict::Accepted)
             }
@@ -270,6 +288,17 @@
         }
     }
 
+    /// Orders the final answer to a session's submission of a message that ended before and is not held here.
+    pub(super) fn order_answer_to_repeat(&mut self, now: Ms, s: &Submission, ending: Ending) {
+        self.orders.push(Order::SendFinalAnswer(super::FinalAnswer {
+            message_no: 0,
+            identity: s.identity.clone(),
+            ending,
+            reply_to: s.reply_to.clone(),
+            expires_at: now + super::ANSWER_KEPT,
+        }));
+    }
+
     /// The class of a valid message, or the error text.
     fn validate(&self, s: &Submission) -> Result<usize, String> {
         let class = index_of(&self.names.classes, &s.class).ok_or("unknown class")?;
--- a/src/dispatch/waits.rs
+++ b/src/dispatch/waits.rs
@@ -114,12 +114,6 @@
             }
         }
     }
-
-    /// Applies the retry-afters that the sibling process received since the last call.
-    pub fn apply_sibling_retry_afters(&mut self, now: Ms) {
-        let records = self.journal.read_sibling_waits();
-        self.apply_waits(now, &records);
-    }
 }
 
 #[cfg(test)]
--- a/src/journal.rs
+++ b/src/journal.rs
@@ -9,6 +9,7 @@
 mod record;
 mod reserve;
 mod scan;
+mod sibling;
 mod slot;
 
 use crate::timeline::{self, ClockReading};
@@ -17,10 +18,11 @@
 use rustix::process::{getrlimit, Resource};
 pub use scan::{highest_message_no, mark_open_messages_as_possibly_executed};
 use scan::{quarantine, scan, Scan};
+pub use sibling::SiblingRecords;
+use sibling::SiblingTail;
 use slot::{lock, was_truncated, write_length_mark, SLOTS};
 use std::fs::{File, OpenOptions};
 use std::io::{self, Read, Write};
-use std::os::unix::fs::{FileExt, MetadataExt};
 use std::path::{Path, PathBuf};
 
 /// Share of the size limit that live records may fill; above it no new message is accepted.
@@ -79,37 +81,6 @@
     max_file_size: Option<u64>,
 }
 
-/// Read position in the file that a sibling process appends to.
-#[derive(Debug, Default)]
-struct SiblingTail {
-    /// Inode of the file; it changes when a compaction replaces the file.
-    inode: u64,
-    read: u64,
-    /// The clock reading that applies to the next records.
-    clocks: Option<ClockReading>,
-}
-
-impl SiblingTail {
-    /// Reads the records appended since the last call, preceded by the clock reading that applies to them.
-    fn read_new_records(&mut self, path: &Path) -> io::Result<Vec<Record>> {
-        let file = File::open(path)?;
-        let about = file.metadata()?;
-        if about.ino() != self.inode || about.len() < self.read {
-            *self = SiblingTail { inode: about.ino(), ..SiblingTail::default() };
-        }
-        let mut bytes = vec![0; (about.len() - self.read) as usize];
-        file.read_exact_at(&mut bytes, self.read)?;
-        let found = scan(&bytes);
-        self.read += found.valid_len as u64;
-        let mut records: Vec<Record> = self.clocks.map(Record::ClockReading).into_iter().collect();
-        records.extend(found.records);
-        let clocks =
-            records.iter().rev().find_map(|r| if let Record::ClockReading(c) = r { Some(*c) } else { None });
-        self.clocks = clocks.or(self.clocks);
-        Ok(records)
-    }
-}
-
 /// The journal file of an ended process, locked by this process until the file is truncated.
 #[derive(Debug)]
 pub struct OrphanedJournal {
@@ -355,13 +326,22 @@
         Ok(found)
     }
 
-    /// Retry-after records that a running sibling process has written to the other file since the last call.
-    /// Endpoints asked the dispatcher as a whole to wait, so these waits bind this process too.
-    pub fn read_sibling_waits(&mut self) -> Vec<Record> {
-        let Some(path) = self.sibling_path() else { return Vec::new() };
-        let records = self.sibling_tail.read_new_records(&path).unwrap_or_default();
-        let waits = on_timeline(records, self.clocks.as_ref()).into_iter();
-        waits.filter(|r| matches!(r, Record::RetryAfter { .. })).collect()
+    /// What a sibling process has written to the other file since the last call. It binds this process too: for
+    /// clients and endpoints the two are one dispatcher.
+    ///
+    /// # Errors
+    ///
+    /// The file exists and cannot be read; the next call returns the same records.
+    pub fn read_sibling_records(&mut self) -> io::Result<SiblingRecords> {
+        let Some(path) = self.sibling_path() else { return Ok(SiblingRecords::default()) };
+        let found = self.sibling_tail.read_new_records(&path)?;
+        let records = on_timeline(found.records, self.clocks.as_ref());
+        Ok(SiblingRecords { records, ..found })
+    }
+
+    /// Reads the other file from its start the next time: it was emptied, and another process may write it.
+    pub fn restart_sibling_records(&mut self) {
+        self.sibling_tail = SiblingTail::default();
     }
 
     /// The other file, if [`Journal::check_sibling_file`] finds that an ended process left it.
--- a/src/journal/tests.rs
+++ b/src/journal/tests.rs
@@ -2,6 +2,7 @@
 
 use super::reserve::MIN_HEADROOM_BYTES;
 use super::*;
+use std::os::unix::fs::MetadataExt;
 
 fn folder(name: &str) -> PathBuf {
     let dir = std::env::temp_dir().join(format!("lilacbank-journal-{name}-{}", std::process::id()));
@@ -193,6 +194,34 @@
     std::fs::remove_dir_all(dir).unwrap();
 }
 
+/// Guards against records of a sibling process that are missed or read twice: after an append, a compaction, an
+/// emptied file and a new process on it.
+#[test]
+fn a_siblings_records_are_read_once_and_anew_after_its_file_was_replaced() {
+    let dir = folder("sibling-records");
+    let (mut first, _) = Journal::open(&dir, 1 << 20).unwrap();
+    let (mut second, _) = Journal::open(&dir, 1 << 20).unwrap();
+    let mut read = || second.read_sibling_records().map(|found| (found.replaced, found.records)).unwrap();
+    assert_eq!(read().1, []);
+    first.append(&taken(1)).unwrap();
+    assert_eq!(read().1, [taken(1)]);
+    assert_eq!(read(), (false, vec![]));
+    first.append(&taken(2)).unwrap();
+    assert_eq!(read(), (false, vec![taken(2)]));
+    first.compact([taken(2), taken(3)].into_iter()).unwrap();
+    assert_eq!(read(), (true, vec![taken(2), taken(3)]));
+    drop(first);
+    second.orphaned_journal().unwrap().unwrap().truncate_and_release().unwrap();
+    second.restart_sibling_records();
+    let (mut third, _) = Journal::open(&dir, 1 << 20).unwrap();
+    for no in 4..9 {
+        third.append(&taken(no)).unwrap();
+    }
+    let found = second.read_sibling_records().unwrap();
+    assert_eq!(found.records, (4..9).map(taken).collect::<Vec<_>>());
+    std::fs::remove_dir_all(dir).unwrap();
+}
+
 #[test]
 fn compaction_keeps_the_given_records_and_appends_after_them() {
     let dir = folder("compact");
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -569,15 +569,10 @@
             Ok(SiblingFile::Orphaned(orphan)) => orphan,
             Ok(SiblingFile::InUse) => {
                 self.core.observe_sibling(now, true);
-                return self.core.apply_sibling_retry_afters(now);
+                return self.follow_sibling(now);
             }
             Ok(SiblingFile::Unused) => return self.core.observe_sibling(now, false),
-            Err(e) => {
-                if let Some(count) = self.sibling_read_failures.record(now) {
-                    log::warn!(cause:% = e, count = count; "the journal of the sibling process cannot be read: {e}");
-                }
-                return;
-            }
+            Err(e) => return self.log_sibling_read_failure(now, &e),
         };
         let calls = self.core.take_over(now, take_records(&mut orphan));
         log::info!(calls = calls; "took over {calls} calls from the journal of a process that has ended");
@@ -586,6 +581,19 @@
         self.core.observe_sibling(now, false);
     }
 
+    /// Reads what a sibling process has written to its journal.
+    fn follow_sibling(&mut self, now: Ms) {
+        if let Err(e) = self.core.follow_sibling(now) {
+            self.log_sibling_read_failure(now, &e);
+        }
+    }
+
+    fn log_sibling_read_failure(&mut self, now: Ms, e: &io::Error) {
+        if let Some(count) = self.sibling_read_failures.record(now) {
+            log::warn!(cause:% = e, count = count; "the journal of the sibling process cannot be read: {e}");
+        }
+    }
+
     /// Empties the journal of an ended sibling process once its records are in this process's journal.
     /// Returns true if no such journal is left.
     fn empty_adopted_journal(&mut self) -> bool {
@@ -597,7 +605,10 @@
                     log::debug!(cause:% = e; "a journal that was taken over cannot be emptied yet; will retry: {e}");
                 })
                 .is_ok();
-        self.adopted_journal.take_if(|_| done);
+        if done {
+            self.core.sibling_file_emptied();
+            self.adopted_journal = None;
+        }
         done
     }
 
@@ -652,7 +663,7 @@
         }
         if self.core.has_sibling() && now >= self.sibling_waits_due_at {
             self.sibling_waits_due_at = now + SIBLING_WAITS_INTERVAL;
-            self.core.apply_sibling_retry_afters(now);
+            self.follow_sibling(now);
         }
         if now >= self.cache_due_at {
             self.cache_due_at = now + self.together.recovery.keep_ms;
--- a/tests/stand/in_process.rs
+++ b/tests/stand/in_process.rs
@@ -5,9 +5,20 @@
 use lilacbank::config::{Config, EndpointList, RegistryEndpoint};
 use lilacbank::dispatch::{Attempt, Core, CoreParts, Order, Submission};
 use lilacbank::journal::Journal;
+use std::path::Path;
+
+/// How long, in milliseconds, an at-most-once message is remembered after its end.
+const REMEMBERED_FOR: Ms = 60_000.0;
 
 /// A core with the settings of the tests and no endpoints. The folder of its journal is already removed.
 pub fn new_core() -> Core {
+    let site = super::TestInstallation::new(&[]);
+    new_core_in(&site.dir.join("state"), &[])
+}
+
+/// A core with the settings of the tests and no endpoints, and a journal in this folder. A second one in the same
+/// folder is a sibling process of the first. Messages of the classes in `at_most_once` are remembered after their end.
+pub fn new_core_in(folder: &Path, at_most_once: &[&str]) -> Core {
     let text = lilacbank_rig::config::dispatcher_json("n0", "0a", 3.0, 1, 1_000, "\"127.0.0.1:1\"");
     let env = |key: &str| match key {
         "ROUTER_STATE" => Some("unused".to_string()),
@@ -15,9 +26,9 @@
         _ => None,
     };
     let Config { settings, names, .. } = Config::reload(&text, &env).unwrap();
-    let site = super::TestInstallation::new(&[]);
-    let (journal, _) = Journal::open(&site.dir.join("state"), 1 << 20).unwrap();
-    let (promises, once, cells) = (Vec::new(), Vec::new(), Vec::new());
+    let (journal, _) = Journal::open(folder, 1 << 20).unwrap();
+    let once = at_most_once.iter().map(|class| (class.to_string(), REMEMBERED_FOR)).collect();
+    let (promises, cells) = (Vec::new(), Vec::new());
     Core::new(CoreParts {
         settings,
         names,
