A late copy of an answer does not count for the next call on its connection

Callers saw: endpoints write some answers twice, the second copy some milliseconds behind. Refused messages were reported as delivered and never ran; those after them were sent again while or after they ran, keyed ones in another building, keys out of order.

Cause: a response does not name its request, and a connection was reused as soon as its response was complete. A copy that came after the next request was written was taken for its response, and each one after that counted for the request before.

Change: a connection is reused only after a delay (src/net/reuse.rs): 60 ms, or its fastest call if that is less; twice the longest span once unsolicited bytes were seen. Meanwhile requests take another connection, at most twice as many as are busy, or wait where no more are promised. An exact copy is discarded, anything else closes.

--- a/crates/limits/src/ceilings.rs
+++ b/crates/limits/src/ceilings.rs
@@ -280,6 +280,11 @@
         Some(self.destinations.get_mut(&dest)?.room(now, endpoint))
     }
 
+    /// The number of connections to each endpoint of a destination that is promised, idle ones included.
+    pub fn max_connections(&self, dest: u64) -> Option<u32> {
+        self.destinations.get(&dest)?.promise.connections
+    }
+
     /// When a message accepted now could be sent, after all that wait for the same destination. `endpoints`
     /// are the destination's available endpoints; if each has a window of its own, the queue is assumed to
     /// spread evenly over them.
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -107,6 +107,9 @@
     /// No byte may be written after this time, however late the connection comes up: from then on the
     /// endpoint no longer drops repeats.
     pub latest_write: Ms,
+    /// The most connections that this dispatcher may have to the endpoint, idle ones included, if a number is
+    /// promised.
+    pub max_connections: Option<u32>,
 }
 
 /// How an attempt or a probe ended.
--- a/src/dispatch/send.rs
+++ b/src/dispatch/send.rs
@@ -117,6 +117,7 @@
             body: c.taken.body.clone(),
             timeout: out.timeout_at - out.sent_at,
             latest_write: guard::latest_write(&self.guard_message(c), &self.guard_process()),
+            max_connections: self.ceilings.max_connections(c.taken.destination),
         })
     }
 
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -1,14 +1,18 @@
 //! HTTP connections to endpoints: one request at a time on each, kept open while they are useful.
 
+mod pending;
+
 use super::closing::Closing;
 use super::finding::{answered, ended, refused, EndpointEvent, RequestKind, PROBE_TIMEOUT};
 use super::head::{head, status, Head, HEAD_MAX};
 use super::reactor::Reactor;
+use super::reuse::ReuseDelay;
 use super::stream::{Fill, Stream};
 use super::{token, SourceKind};
 use crate::api::*;
 use crate::dispatch::{Attempt, AttemptResult};
 use crate::guard::{self, ClosedFirst, Confirmation, Reason};
+use pending::{PendingRequests, Request};
 use slab::Slab;
 use std::collections::HashMap;
 use std::fmt::Write as _;
@@ -27,6 +31,8 @@
 /// it was idle. The other connections to that endpoint are as old and no better, and each would cost an
 /// attempt.
 const STALE_WITHIN: Ms = 10.0;
+/// Maximum size, in bytes, of a response that is kept to recognize a second copy of it.
+const COPY_MAX: usize = 4 * 1024;
 /// Maximum number of 1xx responses before a final response.
 const INTERIM_MAX: u32 = 16;
 
@@ -39,6 +45,8 @@
     up: bool,
     opened: Ms,
     task: Option<(RequestKind, Ms)>,
+    /// When the connection got its last request.
+    begun: Ms,
     /// The request is not written after this time.
     write_by: Ms,
     /// Id of the message, for the log.
@@ -54,27 +62,62 @@
     /// Head of a response whose body is still incomplete.
     head: Option<Head>,
     idle_since: Ms,
+    /// When the last bytes arrived: a response, or a second copy of it.
+    last_input: Ms,
+    /// The last response, if it is short; empty before the first one.
+    last_response: Vec<u8>,
+    /// The least time, in milliseconds, in which a request on this connection was answered.
+    fastest_call: Option<Ms>,
 }
 
 impl Conn {
+    /// Whether the connection has carried another request before this one.
+    fn is_reused(&self) -> bool {
+        self.fastest_call.is_some()
+    }
+
+    /// When the next request may be written: no more bytes are expected behind the last response by then. `None`
+    /// before the first response.
+    fn reusable_at(&self, now: Ms, delay: &ReuseDelay) -> Option<Ms> {
+        self.fastest_call.map(|fastest| self.last_input + delay.delay(now, fastest))
+    }
+
+    /// Makes the connection idle after a complete response, whose body is in the read buffer.
+    fn complete_response(&mut self, now: Ms) {
+        let took = self.first_byte_at.unwrap_or(now) - self.begun;
+        self.fastest_call = Some(self.fastest_call.map_or(took, |fastest| fastest.min(took)));
+        self.last_response.append(&mut self.stream.read_buf);
+        if self.last_response.len() > COPY_MAX {
+            self.last_response = Vec::new();
+        }
+        (self.head, self.first_byte_at) = (None, None);
+        (self.idle_since, self.last_input) = (now, now);
+    }
+
+    /// Discards a second copy of the last response; false if something else has arrived.
+    fn discard_copy(&mut self, now: Ms) -> bool {
+        let is_copy = !self.last_response.is_empty() && self.stream.read_buf == self.last_response;
+        if is_copy {
+            self.stream.read_buf.clear();
+            self.last_input = now;
+        }
+        is_copy
+    }
+
+    /// Whether bytes have arrived that cannot belong to the response: an endpoint begins a call once the last
+    /// byte of its request has arrived.
+    fn has_input_of_earlier_request(&self) -> bool {
+        self.task.is_some() && !self.written && self.is_reused() && !self.stream.read_buf.is_empty()
+    }
+
     /// Whether the connection had been closed unnoticed while it was idle: it broke as soon as a request was
     /// written to it.
-    fn is_stale(&self, now: Ms, started: Ms) -> bool {
-        let at_once = now - started < STALE_WITHIN && self.first_byte_at.is_none();
-        at_once && started > self.opened
+    fn is_stale(&self, now: Ms) -> bool {
+        let at_once = now - self.begun < STALE_WITHIN && self.first_byte_at.is_none();
+        at_once && self.begun > self.opened
     }
 }
 
-/// A request to write, with its task.
-struct Request<'a> {
-    task: RequestKind,
-    /// Id of the message.
-    id: &'a str,
-    bytes: &'a [u8],
-    /// The request is not written after this time.
-    write_by: Ms,
-}
-
 /// All HTTP connections to endpoints.
 #[derive(Debug)]
 pub struct HttpEndpoints {
@@ -84,6 +127,9 @@
     max: usize,
     connect_timeout: Ms,
     keep_idle: Ms,
+    reuse_delay: ReuseDelay,
+    /// Requests that wait for a connection to be reusable.
+    pending: PendingRequests,
 }
 
 impl HttpEndpoints {
@@ -96,6 +142,8 @@
             max,
             connect_timeout: 0.0,
             keep_idle: 0.0,
+            reuse_delay: ReuseDelay::default(),
+            pending: PendingRequests::default(),
         };
         workers.apply_settings(settings);
         workers
@@ -126,8 +174,21 @@
         let mut bytes = text.into_bytes();
         bytes.extend_from_slice(&d.body);
         let task = RequestKind::Delegation(d.message_no, d.attempt);
-        let request = Request { task, id: &d.id, bytes: &bytes, write_by: d.latest_write };
-        self.start(now, request, &d.address, (d.dest, d.endpoint), reactor, findings);
+        let Ok(address) = d.address.parse() else {
+            return findings.push(ended(task, Outcome::NoConnection, 0.0));
+        };
+        let request = Request {
+            task,
+            started: now,
+            id: d.id.clone(),
+            bytes,
+            write_by: d.latest_write,
+            address,
+            target: (d.dest, d.endpoint),
+            max_connections: d.max_connections.unwrap_or(u32::MAX),
+            reactor: Rc::clone(reactor),
+        };
+        self.start(now, request, findings);
     }
 
     /// Starts a probe.
@@ -141,84 +202,132 @@
     ) {
         let text = format!("GET /health HTTP/1.1\r\nHost: {address}\r\n\r\n");
         let task = RequestKind::Probe(target.1);
-        if !self.busy.contains_key(&task) {
-            let request = Request { task, id: "", bytes: text.as_bytes(), write_by: f64::MAX };
-            self.start(now, request, address, target, reactor, findings);
+        if self.busy.contains_key(&task) || self.pending.contains(&task) {
+            return;
         }
+        let Ok(address) = address.parse() else {
+            return findings.push(ended(task, Outcome::NoConnection, 0.0));
+        };
+        let request = Request {
+            task,
+            started: now,
+            id: String::new(),
+            bytes: text.into_bytes(),
+            write_by: f64::MAX,
+            address,
+            target,
+            max_connections: 1,
+            reactor: Rc::clone(reactor),
+        };
+        self.start(now, request, findings);
     }
 
-    fn start(
-        &mut self,
-        now: Ms,
-        request: Request,
-        address: &str,
-        target: (DestId, EndpointId),
-        reactor: &Rc<Reactor>,
-        findings: &mut Vec<EndpointEvent>,
-    ) {
-        let Request { task, id, bytes, write_by } = request;
-        let index = match self.take_idle(target.1) {
+    /// Gives a request to an idle connection or to a new one, or lets it wait until one can be reused.
+    fn start(&mut self, now: Ms, request: Request, findings: &mut Vec<EndpointEvent>) {
+        let index = match self.take_idle(now, request.target.1) {
             Some(index) => index,
-            None => match self.open(now, address, target, reactor) {
-                Ok(index) => index,
-                Err(outcome) => return findings.push(ended(task, outcome, 0.0)),
+            None => match self.reusable_at(now, &request) {
+                Some(retry_at) => return self.pending.add(retry_at, request),
+                None => match self.open(now, &request) {
+                    Ok(index) => index,
+                    Err(outcome) => {
+                        return findings.push(ended(request.task, outcome, now - request.started));
+                    }
+                },
             },
         };
         let Some(c) = self.conns.get_mut(index) else { return };
-        (c.task, c.written, c.first_byte_at, c.interim) = (Some((task, now)), false, None, 0);
-        (c.write_by, c.id, c.size) = (write_by, id.to_string(), bytes.len());
-        c.stream.queue(bytes);
-        log::debug!(id = id, task:? = task, conn = index, bytes = bytes.len(), kept = c.up; "a request is queued");
-        self.busy.insert(task, index);
+        (c.task, c.written, c.first_byte_at, c.interim) =
+            (Some((request.task, request.started)), false, None, 0);
+        (c.begun, c.write_by, c.id, c.size) = (now, request.write_by, request.id, request.bytes.len());
+        c.stream.queue(&request.bytes);
+        log::debug!(id = c.id.as_str(), task:? = request.task, conn = index, bytes = c.size, kept = c.up,
+            waited_ms = now - request.started; "a request is queued");
+        self.busy.insert(request.task, index);
         if self.conns[index].up {
             self.transfer(now, index, findings);
         }
     }
 
-    /// Takes an idle connection to an endpoint. Skips connections that were closed meanwhile or hold
-    /// unsolicited data, which would be taken for the response to the next request.
-    fn take_idle(&mut self, route: EndpointId) -> Option<usize> {
+    /// When a request finds an idle connection that can be reused; `None` if it is given a new one instead. The
+    /// delay before a connection is reused at most doubles the number of connections.
+    fn reusable_at(&self, now: Ms, request: &Request) -> Option<Ms> {
+        let idle = self.idle.get(&request.target.1)?;
+        let waits =
+            idle.iter().filter_map(|index| self.conns.get(*index)?.reusable_at(now, &self.reuse_delay));
+        let soonest = waits.min_by(f64::total_cmp)?;
+        let open = self.conns.iter().filter(|(_, c)| c.target == request.target).count();
+        let busy = open.saturating_sub(idle.len());
+        let most = (request.max_connections as usize).min(2 * (busy + 1));
+        (open >= most).then_some(soonest)
+    }
+
+    /// Takes the idle connection to an endpoint that was used last among those that may be reused now. Skips
+    /// connections that were closed meanwhile or hold unsolicited bytes, which would be taken for the response to
+    /// the next request.
+    fn take_idle(&mut self, now: Ms, route: EndpointId) -> Option<usize> {
         loop {
-            let index = self.idle.get_mut(&route)?.pop()?;
+            let idle = self.idle.get_mut(&route)?;
+            let (conns, delay) = (&self.conns, &self.reuse_delay);
+            let is_reusable = |index: &usize| {
+                conns.get(*index).and_then(|c| c.reusable_at(now, delay)).is_none_or(|at| at <= now)
+            };
+            let index = idle.remove(idle.iter().rposition(is_reusable)?);
             let Some(c) = self.conns.get_mut(index) else { continue };
             if c.stream.fill(1) == Fill::Blocked && c.stream.read_buf.is_empty() {
                 return Some(index);
             }
-            self.close(index);
+            self.handle_unsolicited_input(now, index);
         }
     }
 
+    /// Handles bytes that arrived on a connection without a request, or its end. After a second copy of its last
+    /// response it stays; after anything else it is closed.
+    fn handle_unsolicited_input(&mut self, now: Ms, index: usize) {
+        let Some(c) = self.conns.get_mut(index) else { return };
+        let fill = c.stream.fill(HEAD_MAX);
+        let (bytes, after) = (c.stream.read_buf.len(), now - c.idle_since);
+        let is_copy = c.discard_copy(now);
+        if bytes > 0 && c.is_reused() {
+            log::debug!(route = c.target.1, conn = index, bytes = bytes, after_ms = after, copy = is_copy;
+                "unsolicited bytes arrived behind a response");
+            self.reuse_delay.unsolicited_bytes(now, after);
+        }
+        if !is_copy || fill != Fill::Blocked {
+            return self.close(index);
+        }
+        let idle = self.idle.entry(c.target.1).or_default();
+        idle.retain(|other| *other != index);
+        idle.push(index);
+    }
+
     /// Changes the maximum number of connections.
     pub fn set_max(&mut self, max: usize) {
         self.max = max;
     }
 
-    fn open(
-        &mut self,
-        now: Ms,
-        address: &str,
-        target: (DestId, EndpointId),
-        reactor: &Rc<Reactor>,
-    ) -> Result<usize, Outcome> {
+    fn open(&mut self, now: Ms, request: &Request) -> Result<usize, Outcome> {
         if self.conns.len() >= self.max {
             let oldest = self.conns.iter().filter(|(_, c)| c.task.is_none());
             let oldest = oldest.min_by(|a, b| a.1.idle_since.total_cmp(&b.1.idle_since)).map(|c| c.0);
             self.close(oldest.ok_or(Outcome::NotSent)?);
         }
-        let to = address.parse().map_err(|_| Outcome::NoConnection)?;
+        let (address, target) = (request.address, request.target);
         let entry = self.conns.vacant_entry();
         let index = entry.key();
-        let stream = Stream::connect(to, reactor, token(SourceKind::Endpoint, index)).map_err(|e| {
-            log::debug!(worker = address, cause:% = e; "cannot connect to {address}: {e}");
+        let token = token(SourceKind::Endpoint, index);
+        let stream = Stream::connect(address, &request.reactor, token).map_err(|e| {
+            log::debug!(worker:% = address, cause:% = e; "cannot connect to {address}: {e}");
             Outcome::NoConnection
         })?;
-        log::debug!(worker = address, route = target.1, conn = index; "connecting to an endpoint");
+        log::debug!(worker:% = address, route = target.1, conn = index; "connecting to an endpoint");
         entry.insert(Conn {
             stream,
             target,
             up: false,
             opened: now,
             task: None,
+            begun: now,
             write_by: f64::MAX,
             id: String::new(),
             size: 0,
@@ -228,6 +337,9 @@
             closing: None,
             head: None,
             idle_since: now,
+            last_input: now,
+            last_response: Vec::new(),
+            fastest_call: None,
         });
         Ok(index)
     }
@@ -256,6 +368,9 @@
         outcome: Outcome,
         findings: &mut Vec<EndpointEvent>,
     ) {
+        for request in self.pending.take(|request| request.task == task) {
+            findings.push(ended(task, Outcome::NotSent, now - request.started));
+        }
         let Some(index) = self.busy.get(&task).copied() else { return };
         let Some(c) = self.conns.get_mut(index) else { return };
         if !c.up || !c.written {
@@ -319,6 +434,11 @@
         let cancelled = |c: &Conn| {
             !c.written && c.task.is_some() && c.target.0 == dest && route.is_none_or(|r| r == c.target.1)
         };
+        let is_pending =
+            |request: &Request| request.target.0 == dest && route.is_none_or(|r| r == request.target.1);
+        for request in self.pending.take(is_pending) {
+            findings.push(ended(request.task, Outcome::NotSent, now - request.started));
+        }
         let due: Vec<usize> =
             self.conns.iter().filter(|(_, c)| cancelled(c)).map(|(index, _)| index).collect();
         due.into_iter().for_each(|index| self.end(now, index, Outcome::NotSent, findings));
@@ -374,10 +494,13 @@
         if c.task.is_none() && c.head.is_none() {
             // Idle: unsolicited data or the end of the connection makes it useless.
             if fill != Fill::Blocked || !c.stream.read_buf.is_empty() {
-                self.close(index);
+                self.handle_unsolicited_input(now, index);
             }
             return;
         }
+        if c.has_input_of_earlier_request() {
+            return self.end(now, index, Outcome::NoConnection, findings);
+        }
         while c.head.is_none() {
             if !c.stream.read_buf.is_empty() {
                 c.first_byte_at.get_or_insert(now);
@@ -390,7 +513,7 @@
                     c.first_byte_at = None;
                 }
                 Ok(Some(h)) => {
-                    c.stream.read_buf.drain(..h.size);
+                    c.last_response = c.stream.read_buf.drain(..h.size).collect();
                     // Status 200 means delivered, whatever follows.
                     if let Some((task, started)) = c.task.take_if(|_| h.code == 200) {
                         findings.push(answered(task, &h, now - started));
@@ -430,8 +553,7 @@
         if !reusable {
             return self.close(index);
         }
-        c.stream.read_buf.clear();
-        (c.head, c.first_byte_at, c.idle_since) = (None, None, now);
+        c.complete_response(now);
         self.idle.entry(c.target.1).or_default().push(index);
     }
 
@@ -445,7 +567,7 @@
             (h, _) if c.written => (Outcome::Reset, h.as_ref().map_or(0.0, |h| h.wait)),
             (_, _) => (Outcome::NoConnection, 0.0),
         };
-        let (route, stale) = (c.target.1, c.is_stale(now, started));
+        let (route, stale) = (c.target.1, c.is_stale(now));
         if outcome == Outcome::Reset && matches!(task, RequestKind::Delegation(..)) {
             let end = AttemptResult {
                 retry_after: wait,
@@ -538,7 +660,8 @@
 
     /// Time at which [`HttpEndpoints::tick`] is due.
     pub fn next_due(&self) -> Option<Ms> {
-        self.conns.iter().filter_map(|(_, c)| self.due(c)).min_by(f64::total_cmp)
+        let connections = self.conns.iter().filter_map(|(_, c)| self.due(c));
+        connections.chain(self.pending.next_due()).min_by(f64::total_cmp)
     }
 
     fn due(&self, c: &Conn) -> Option<Ms> {
@@ -560,7 +683,7 @@
     }
 
     /// Ends connections that were not established in time, probes without a response and incomplete
-    /// responses; closes connections that were idle too long.
+    /// responses; closes connections that were idle too long. Tries pending requests again.
     pub fn tick(&mut self, now: Ms, findings: &mut Vec<EndpointEvent>) {
         let due = |c: &Conn| self.due(c).is_some_and(|t| t <= now);
         let due: Vec<usize> = self.conns.iter().filter(|(_, c)| due(c)).map(|(index, _)| index).collect();
@@ -575,5 +698,11 @@
                 _ => self.end(now, index, Outcome::NoConnection, findings),
             }
         }
+        for request in self.pending.take_due(now) {
+            match guard::may_write(now, request.write_by) {
+                Ok(()) => self.start(now, request, findings),
+                Err(reason) => findings.push(refused(request.task, reason, now - request.started)),
+            }
+        }
     }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -15,6 +15,7 @@
 pub mod reactor;
 pub mod registry;
 pub mod resp;
+mod reuse;
 mod start;
 pub mod stream;
 
--- /dev/null
+++ b/src/net/reuse.rs
@@ -0,0 +1,55 @@
+//! How long a connection is not reused after a response. No I/O.
+//!
+//! A response in HTTP/1.1 does not name its request: it answers the oldest one on its connection. An endpoint may write
+//! more than its response, such as a second copy of it, and these bytes may arrive a while later. If the next request
+//! has been written by then, they are taken for its response. So the next request is written only after a delay in
+//! which they would have arrived.
+//!
+//! Such bytes cross a request only while it is on its way, and they spread with the path. So the delay is no longer than
+//! a call takes, until such bytes have been seen.
+
+use crate::api::Ms;
+
+/// Milliseconds after a response for which its connection is not reused, unless a call takes less.
+const DELAY: Ms = 60.0;
+/// Once unsolicited bytes were seen, the delay is at least this multiple of the longest span between a response and
+/// them.
+const DELAY_FACTOR: Ms = 2.0;
+/// Bytes that arrive later than this many milliseconds after a response have another cause, such as an endpoint that
+/// ends idle connections with a status.
+const MAX_SEEN_DELAY: Ms = 250.0;
+/// Milliseconds for which unsolicited bytes count.
+const SEEN_DELAY_MEMORY: Ms = 60_000.0;
+
+/// The delay before a connection is reused; it grows with what endpoints do.
+#[derive(Debug, Default)]
+pub(super) struct ReuseDelay {
+    /// The longest span seen lately between a response and unsolicited bytes, and until when it counts.
+    longest_seen: Option<(Ms, Ms)>,
+}
+
+impl ReuseDelay {
+    /// Records that unsolicited bytes arrived `after` milliseconds after a response.
+    pub(super) fn unsolicited_bytes(&mut self, now: Ms, after: Ms) {
+        if after > MAX_SEEN_DELAY {
+            return;
+        }
+        let longest = self.longest_seen(now).map_or(after, |seen| seen.max(after));
+        self.longest_seen = Some((longest, now + SEEN_DELAY_MEMORY));
+    }
+
+    fn longest_seen(&self, now: Ms) -> Option<Ms> {
+        self.longest_seen.filter(|(_, until)| *until > now).map(|(seen, _)| seen)
+    }
+
+    /// The delay on a connection whose fastest call took `fastest_call` milliseconds.
+    pub(super) fn delay(&self, now: Ms, fastest_call: Ms) -> Ms {
+        match self.longest_seen(now) {
+            Some(seen) => (DELAY_FACTOR * seen).max(DELAY),
+            None => DELAY.min(fastest_call),
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/net/reuse/tests.rs
@@ -0,0 +1,32 @@
+//! Tests of the module `reuse`.
+
+use super::*;
+
+/// Guards against a delay that costs endpoints on a short path more than a call does.
+#[test]
+fn the_delay_is_no_longer_than_a_call() {
+    let delay = ReuseDelay::default();
+    assert_eq!(delay.delay(1_000.0, 130.0), DELAY);
+    assert_eq!(delay.delay(1_000.0, 0.4), 0.4);
+}
+
+/// Guards against an endpoint whose unsolicited bytes take longer than the usual delay.
+#[test]
+fn the_delay_is_twice_the_longest_one_seen_lately() {
+    let mut delay = ReuseDelay::default();
+    delay.unsolicited_bytes(1_000.0, 80.0);
+    delay.unsolicited_bytes(1_100.0, 30.0);
+    assert_eq!(delay.delay(1_200.0, 130.0), 160.0);
+    assert_eq!(delay.delay(1_200.0, 0.4), 160.0, "on a short path, too");
+    assert_eq!(delay.delay(1_100.0 + SEEN_DELAY_MEMORY, 0.4), 0.4);
+    delay.unsolicited_bytes(200_000.0, 5.0);
+    assert_eq!(delay.delay(200_000.0, 0.4), DELAY);
+}
+
+/// Guards against a delay of seconds because an endpoint writes a status before it ends an idle connection.
+#[test]
+fn bytes_long_after_a_response_do_not_count() {
+    let mut delay = ReuseDelay::default();
+    delay.unsolicited_bytes(20_000.0, 10_000.0);
+    assert_eq!(delay.delay(20_000.0, 0.4), 0.4);
+}
--- a/tests/attempt_ends.rs
+++ b/tests/attempt_ends.rs
@@ -137,6 +137,7 @@
         body,
         timeout: patience,
         latest_write: write_by,
+        max_connections: None,
     }
 }
 
--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -300,6 +300,7 @@
         body: b"x".to_vec(),
         timeout: 5_000.0,
         latest_write: 40.0,
+        max_connections: None,
     };
     let mut found = Vec::new();
     brokers.start_attempt(0.0, &delegation, &reactor, &mut found);
@@ -365,6 +366,7 @@
         body: b"x".to_vec(),
         timeout: 5_000.0,
         latest_write: write_by,
+        max_connections: None,
     };
     let mut found = Vec::new();
     let mut events = mio::Events::with_capacity(8);
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -2,6 +2,7 @@
 //! itself is the built program.
 #![allow(dead_code)]
 
+pub mod distant;
 pub mod faults;
 pub mod in_process;
 
