Divide the HTTP side of endpoints into connections, pending requests and the set of both

Change: src/net/http/connection.rs has the connection with whole names and a function for each step; times after which connections are closed are one value. No decision and no log line changed.

--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -1,10 +1,11 @@
 //! HTTP connections to endpoints: one request at a time on each, kept open while they are useful.
 
+mod connection;
 mod pending;
 
 use super::closing::Closing;
-use super::finding::{answered, ended, refused, EndpointEvent, RequestKind, PROBE_TIMEOUT};
-use super::head::{head, status, Head, HEAD_MAX};
+use super::finding::{answered, ended, refused, EndpointEvent, RequestKind};
+use super::head::{head, status, HEAD_MAX};
 use super::reactor::Reactor;
 use super::reuse::ReuseDelay;
 use super::stream::{Fill, Stream};
@@ -12,6 +13,7 @@
 use crate::api::*;
 use crate::dispatch::{Attempt, AttemptResult};
 use crate::guard::{self, ClosedFirst, Confirmation, Reason};
+use connection::{Connection, Timeouts};
 use pending::{PendingRequests, Request};
 use slab::Slab;
 use std::collections::HashMap;
@@ -21,112 +23,21 @@
 /// Milliseconds by which an idle connection is closed before the endpoint would close it: the endpoint's idle
 /// clock started earlier.
 const IDLE_MARGIN: Ms = 600.0;
-/// Milliseconds within which a response must be complete, head and body, once its first byte has arrived;
-/// endpoints write it in one go. Without this limit a head that never ends, or a body that is too short,
-/// would hold a message until its deadline.
-const RESPONSE_TIMEOUT: Ms = 500.0;
+/// Milliseconds within which a connection must be established if the settings do not say.
+const DEFAULT_CONNECT_TIMEOUT: Ms = 1_000.0;
 /// Maximum size of a response body in bytes; a response that announces more is malformed.
 const BODY_MAX: u64 = 64 * 1024;
-/// A reused connection that breaks within this many milliseconds of a request had been closed unnoticed while
-/// it was idle. The other connections to that endpoint are as old and no better, and each would cost an
-/// attempt.
-const STALE_WITHIN: Ms = 10.0;
-/// Maximum size, in bytes, of a response that is kept to recognize a second copy of it.
-const COPY_MAX: usize = 4 * 1024;
 /// Maximum number of 1xx responses before a final response.
 const INTERIM_MAX: u32 = 16;
 
-#[derive(Debug)]
-struct Conn {
-    stream: Stream,
-    /// Destination and endpoint. The connection belongs to the endpoint's id, not to its address, because
-    /// another endpoint may get that address later.
-    target: (DestId, EndpointId),
-    up: bool,
-    opened: Ms,
-    task: Option<(RequestKind, Ms)>,
-    /// When the connection got its last request.
-    begun: Ms,
-    /// The request is not written after this time.
-    write_by: Ms,
-    /// Id of the message, for the log.
-    id: String,
-    /// Size of the request in bytes.
-    size: usize,
-    written: bool,
-    /// When the first byte of the response arrived.
-    first_byte_at: Option<Ms>,
-    interim: u32,
-    /// Set when the task ended without a response and its endpoint may not know yet.
-    closing: Option<Closing>,
-    /// Head of a response whose body is still incomplete.
-    head: Option<Head>,
-    idle_since: Ms,
-    /// When the last bytes arrived: a response, or a second copy of it.
-    last_input: Ms,
-    /// The last response, if it is short; empty before the first one.
-    last_response: Vec<u8>,
-    /// The least time, in milliseconds, in which a request on this connection was answered.
-    fastest_call: Option<Ms>,
-}
-
-impl Conn {
-    /// Whether the connection has carried another request before this one.
-    fn is_reused(&self) -> bool {
-        self.fastest_call.is_some()
-    }
-
-    /// When the next request may be written: no more bytes are expected behind the last response by then. `None`
-    /// before the first response.
-    fn reusable_at(&self, now: Ms, delay: &ReuseDelay) -> Option<Ms> {
-        self.fastest_call.map(|fastest| self.last_input + delay.delay(now, fastest))
-    }
-
-    /// Makes the connection idle after a complete response, whose body is in the read buffer.
-    fn complete_response(&mut self, now: Ms) {
-        let took = self.first_byte_at.unwrap_or(now) - self.begun;
-        self.fastest_call = Some(self.fastest_call.map_or(took, |fastest| fastest.min(took)));
-        self.last_response.append(&mut self.stream.read_buf);
-        if self.last_response.len() > COPY_MAX {
-            self.last_response = Vec::new();
-        }
-        (self.head, self.first_byte_at) = (None, None);
-        (self.idle_since, self.last_input) = (now, now);
-    }
-
-    /// Discards a second copy of the last response; false if something else has arrived.
-    fn discard_copy(&mut self, now: Ms) -> bool {
-        let is_copy = !self.last_response.is_empty() && self.stream.read_buf == self.last_response;
-        if is_copy {
-            self.stream.read_buf.clear();
-            self.last_input = now;
-        }
-        is_copy
-    }
-
-    /// Whether bytes have arrived that cannot belong to the response: an endpoint begins a call once the last
-    /// byte of its request has arrived.
-    fn has_input_of_earlier_request(&self) -> bool {
-        self.task.is_some() && !self.written && self.is_reused() && !self.stream.read_buf.is_empty()
-    }
-
-    /// Whether the connection had been closed unnoticed while it was idle: it broke as soon as a request was
-    /// written to it.
-    fn is_stale(&self, now: Ms) -> bool {
-        let at_once = now - self.begun < STALE_WITHIN && self.first_byte_at.is_none();
-        at_once && self.begun > self.opened
-    }
-}
-
 /// All HTTP connections to endpoints.
 #[derive(Debug)]
 pub struct HttpEndpoints {
-    conns: Slab<Conn>,
+    conns: Slab<Connection>,
     idle: HashMap<EndpointId, Vec<usize>>,
     busy: HashMap<RequestKind, usize>,
     max: usize,
-    connect_timeout: Ms,
-    keep_idle: Ms,
+    timeouts: Timeouts,
     reuse_delay: ReuseDelay,
     /// Requests that wait for a connection to be reusable.
     pending: PendingRequests,
@@ -140,8 +51,7 @@
             idle: HashMap::new(),
             busy: HashMap::new(),
             max,
-            connect_timeout: 0.0,
-            keep_idle: 0.0,
+            timeouts: Timeouts::default(),
             reuse_delay: ReuseDelay::default(),
             pending: PendingRequests::default(),
         };
@@ -151,10 +61,11 @@
 
     /// Applies the timeouts of changed settings.
     pub fn apply_settings(&mut self, settings: &Settings) {
-        self.connect_timeout =
-            if settings.connect_timeout > 0.0 { settings.connect_timeout } else { 1_000.0 };
-        let keep = settings.idle_timeout;
-        self.keep_idle = if keep > 0.0 { (keep - IDLE_MARGIN).max(keep / 2.0) } else { f64::MAX };
+        let (connect, idle) = (settings.connect_timeout, settings.idle_timeout);
+        self.timeouts = Timeouts {
+            connect: if connect > 0.0 { connect } else { DEFAULT_CONNECT_TIMEOUT },
+            idle: if idle > 0.0 { (idle - IDLE_MARGIN).max(idle / 2.0) } else { f64::MAX },
+        };
     }
 
     /// Starts an attempt.
@@ -237,13 +148,10 @@
             },
         };
         let Some(c) = self.conns.get_mut(index) else { return };
-        (c.task, c.written, c.first_byte_at, c.interim) =
-            (Some((request.task, request.started)), false, None, 0);
-        (c.begun, c.write_by, c.id, c.size) = (now, request.write_by, request.id, request.bytes.len());
-        c.stream.queue(&request.bytes);
-        log::debug!(id = c.id.as_str(), task:? = request.task, conn = index, bytes = c.size, kept = c.up,
-            waited_ms = now - request.started; "a request is queued");
+        log::debug!(id = request.id.as_str(), task:? = request.task, conn = index, bytes = request.bytes.len(),
+            kept = c.up, waited_ms = now - request.started; "a request is queued");
         self.busy.insert(request.task, index);
+        c.begin(now, request);
         if self.conns[index].up {
             self.transfer(now, index, findings);
         }
@@ -321,26 +229,7 @@
             Outcome::NoConnection
         })?;
         log::debug!(worker:% = address, route = target.1, conn = index; "connecting to an endpoint");
-        entry.insert(Conn {
-            stream,
-            target,
-            up: false,
-            opened: now,
-            task: None,
-            begun: now,
-            write_by: f64::MAX,
-            id: String::new(),
-            size: 0,
-            written: false,
-            first_byte_at: None,
-            interim: 0,
-            closing: None,
-            head: None,
-            idle_since: now,
-            last_input: now,
-            last_response: Vec::new(),
-            fastest_call: None,
-        });
+        entry.insert(Connection::new(now, stream, target));
         Ok(index)
     }
 
@@ -431,7 +320,7 @@
         route: Option<EndpointId>,
         findings: &mut Vec<EndpointEvent>,
     ) {
-        let cancelled = |c: &Conn| {
+        let cancelled = |c: &Connection| {
             !c.written && c.task.is_some() && c.target.0 == dest && route.is_none_or(|r| r == c.target.1)
         };
         let is_pending =
@@ -660,32 +549,14 @@
 
     /// Time at which [`HttpEndpoints::tick`] is due.
     pub fn next_due(&self) -> Option<Ms> {
-        let connections = self.conns.iter().filter_map(|(_, c)| self.due(c));
+        let connections = self.conns.iter().filter_map(|(_, c)| c.due(&self.timeouts));
         connections.chain(self.pending.next_due()).min_by(f64::total_cmp)
     }
 
-    fn due(&self, c: &Conn) -> Option<Ms> {
-        if let Some(closing) = &c.closing {
-            return Some(closing.until);
-        }
-        let timeout = c.first_byte_at.map(|t| t + RESPONSE_TIMEOUT);
-        match c.task {
-            Some(_) if !c.up => Some((c.opened + self.connect_timeout).min(c.write_by)),
-            Some((RequestKind::Delegation(..), _)) if !c.written => {
-                Some(c.write_by.min(timeout.unwrap_or(f64::MAX))).filter(|t| *t < f64::MAX)
-            }
-            Some((RequestKind::Probe(_), started)) => {
-                Some((started + PROBE_TIMEOUT).min(timeout.unwrap_or(f64::MAX)))
-            }
-            Some(_) => timeout,
-            None => timeout.or(Some(c.idle_since + self.keep_idle)).filter(|t| *t < f64::MAX),
-        }
-    }
-
     /// Ends connections that were not established in time, probes without a response and incomplete
     /// responses; closes connections that were idle too long. Tries pending requests again.
     pub fn tick(&mut self, now: Ms, findings: &mut Vec<EndpointEvent>) {
-        let due = |c: &Conn| self.due(c).is_some_and(|t| t <= now);
+        let due = |c: &Connection| c.due(&self.timeouts).is_some_and(|t| t <= now);
         let due: Vec<usize> = self.conns.iter().filter(|(_, c)| due(c)).map(|(index, _)| index).collect();
         for index in due {
             match &self.conns[index] {
