Wait for a resting connection where that takes at most half of its fastest call

Cause: with the delay before a connection is reused, requests that follow an answer at once opened a second connection, which takes longer than the rest of the delay on a long path.

Change: such a request waits for the connection; one request for each. Else it goes over another connection, as before this commit.

--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -7,7 +7,7 @@
 use super::finding::{answered, ended, refused, EndpointEvent, RequestKind};
 use super::head::{head, status, HEAD_MAX};
 use super::reactor::Reactor;
-use super::reuse::ReuseDelay;
+use super::reuse::{ReuseDelay, ReuseWait};
 use super::stream::{Fill, Stream};
 use super::{token, SourceKind};
 use crate::api::*;
@@ -161,13 +161,19 @@
     /// delay before a connection is reused at most doubles the number of connections.
     fn reusable_at(&self, now: Ms, request: &Request) -> Option<Ms> {
         let idle = self.idle.get(&request.target.1)?;
-        let waits =
-            idle.iter().filter_map(|index| self.conns.get(*index)?.reusable_at(now, &self.reuse_delay));
-        let soonest = waits.min_by(f64::total_cmp)?;
+        let connections = idle.iter().filter_map(|index| self.conns.get(*index));
+        let mut waits: Vec<ReuseWait> =
+            connections.filter_map(|c| c.reuse_wait(now, &self.reuse_delay)).collect();
+        waits.sort_by(|a, b| a.until.total_cmp(&b.until));
+        // Each request that waits already takes one of them.
+        let ahead = self.pending.count(request.target);
+        if let Some(wait) = waits.get(ahead).filter(|wait| wait.is_worth_it(now)) {
+            return Some(wait.until);
+        }
         let open = self.conns.iter().filter(|(_, c)| c.target == request.target).count();
         let busy = open.saturating_sub(idle.len());
         let most = (request.max_connections as usize).min(2 * (busy + 1));
-        (open >= most).then_some(soonest)
+        waits.get(ahead).or(waits.last()).filter(|_| open >= most).map(|wait| wait.until)
     }
 
     /// Takes the idle connection to an endpoint that was used last among those that may be reused now. Skips
@@ -178,7 +184,7 @@
             let idle = self.idle.get_mut(&route)?;
             let (conns, delay) = (&self.conns, &self.reuse_delay);
             let is_reusable = |index: &usize| {
-                conns.get(*index).and_then(|c| c.reusable_at(now, delay)).is_none_or(|at| at <= now)
+                conns.get(*index).and_then(|c| c.reuse_wait(now, delay)).is_none_or(|wait| wait.until <= now)
             };
             let index = idle.remove(idle.iter().rposition(is_reusable)?);
             let Some(c) = self.conns.get_mut(index) else { continue };
--- a/src/net/http/connection.rs
+++ b/src/net/http/connection.rs
@@ -3,7 +3,7 @@
 use super::super::closing::Closing;
 use super::super::finding::{RequestKind, PROBE_TIMEOUT};
 use super::super::head::Head;
-use super::super::reuse::ReuseDelay;
+use super::super::reuse::{ReuseDelay, ReuseWait};
 use super::super::stream::Stream;
 use super::pending::Request;
 use crate::api::{DestId, EndpointId, Ms};
@@ -122,10 +122,11 @@
         self.fastest_call.is_some()
     }
 
-    /// When the next request may be written: no more bytes are expected behind the last response by then. `None`
-    /// before the first response.
-    pub(super) fn reusable_at(&self, now: Ms, delay: &ReuseDelay) -> Option<Ms> {
-        self.fastest_call.map(|fastest| self.last_input + delay.delay(now, fastest))
+    /// Until when the next request may not be written: no more bytes are expected behind the last response then.
+    /// `None` before the first response.
+    pub(super) fn reuse_wait(&self, now: Ms, delay: &ReuseDelay) -> Option<ReuseWait> {
+        let fastest_call = self.fastest_call?;
+        Some(ReuseWait { until: self.last_input + delay.delay(now, fastest_call), fastest_call })
     }
 
     /// Discards a second copy of the last response; false if something else has arrived.
--- a/src/net/http/pending.rs
+++ b/src/net/http/pending.rs
@@ -44,6 +44,11 @@
         self.requests.iter().any(|(_, request)| request.task == *task)
     }
 
+    /// How many requests wait for a connection to this destination and endpoint.
+    pub(super) fn count(&self, target: (DestId, EndpointId)) -> usize {
+        self.requests.iter().filter(|(_, request)| request.target == target).count()
+    }
+
     /// Removes the requests for which the condition holds.
     pub(super) fn take(&mut self, mut condition: impl FnMut(&Request) -> bool) -> Vec<Request> {
         self.take_where(|(_, request)| condition(request))
--- a/src/net/reuse.rs
+++ b/src/net/reuse.rs
@@ -21,6 +21,26 @@
 /// Milliseconds for which unsolicited bytes count.
 const SEEN_DELAY_MEMORY: Ms = 60_000.0;
 
+/// A request waits for a connection, rather than for a new one to be established, if that takes at most this share of
+/// the fastest call.
+const WORTHWHILE_SHARE: f64 = 0.5;
+
+/// The wait until a connection may be reused.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(super) struct ReuseWait {
+    /// When it is over.
+    pub(super) until: Ms,
+    /// The time of the fastest call on the connection, in milliseconds.
+    pub(super) fastest_call: Ms,
+}
+
+impl ReuseWait {
+    /// Whether a request waits, although a new connection could be established.
+    pub(super) fn is_worth_it(&self, now: Ms) -> bool {
+        self.until - now <= WORTHWHILE_SHARE * self.fastest_call
+    }
+}
+
 /// The delay before a connection is reused; it grows with what endpoints do.
 #[derive(Debug, Default)]
 pub(super) struct ReuseDelay {
--- a/src/net/reuse/tests.rs
+++ b/src/net/reuse/tests.rs
@@ -30,3 +30,13 @@
     delay.unsolicited_bytes(20_000.0, 10_000.0);
     assert_eq!(delay.delay(20_000.0, 0.4), 0.4);
 }
+
+/// Guards against slots that are held by requests which wait for a connection, where a new one costs less.
+#[test]
+fn a_request_waits_for_half_of_a_call_at_most() {
+    let wait = |until: Ms, fastest_call: Ms| ReuseWait { until, fastest_call };
+    assert!(wait(1_060.0, 130.0).is_worth_it(1_000.0));
+    assert!(!wait(1_060.0, 100.0).is_worth_it(1_000.0));
+    assert!(wait(1_060.0, 100.0).is_worth_it(1_010.0));
+    assert!(!wait(1_000.4, 0.4).is_worth_it(1_000.0));
+}
--- a/tests/reuse.rs
+++ b/tests/reuse.rs
@@ -114,11 +114,13 @@
 #[test]
 fn a_connection_is_not_reused_right_after_a_response() {
     let mut connections = Connections::after_one_response();
-    connections.start(REUSABLE_AT - 1.0, 1, None);
+    connections.start(ANSWERED_AT, 1, None);
     connections.accept();
-    connections.handle_events(REUSABLE_AT - 1.0);
+    connections.handle_events(ANSWERED_AT);
     assert!(connections.read_request(1).contains("X-Txn: m-1"), "it goes over a new connection");
-    connections.start(REUSABLE_AT, 2, None);
+    connections.start(REUSABLE_AT - 1.0, 2, None);
+    assert!(!connections.has_request(0) && !connections.has_new_connection(), "the rest is worth a wait");
+    connections.workers.tick(REUSABLE_AT, &mut connections.found);
     assert!(connections.read_request(0).contains("X-Txn: m-2"));
 }
 
