--- a/src/dispatch/take_in.rs
+++ b/src/dispatch/take_in.rs
@@ -120,7 +120,10 @@
     /// Rejects a submission because the journal of the sibling process cannot be read: it may have accepted the
     /// message.
     fn reject_unknown(&mut self, s: &Submission, ticket: ClientTicket, e: &std::io::Error) {
-        self.log_full_journal(e);
+        if let Some(count) = self.append_errors.record(self.now) {
+            log::error!(cause:% = e, count = count;
+                "the journal of the sibling process cannot be read, and messages are rejected meanwhile: {e}");
+        }
         let wait = NO_ROOM_RETRY_AFTER.min(self.settings.max_retry_after);
         self.reject(&s.class, &s.identity.1, ticket, RejectReason::NoRoom, Verdict::Busy(wait));
     }
