Count calls after a run in the test of late copies, refused ones too

Cause: the rule is broken when a message that may have run is sent again, also where the endpoint refuses it; the test counted what ran, not what was sent.

Change: the stand-in records each call that comes after a call of the same message had run, and the test fails on one.

--- a/tests/late_copies.rs
+++ b/tests/late_copies.rs
@@ -98,6 +98,7 @@
             }
         }
         found.extend(self.seen.overlapping.iter().map(|id| format!("{id} was out twice at once")));
+        found.extend(self.seen.sent_again.iter().map(|id| format!("{id} was sent again after it had run")));
         found.extend(self.out_of_order());
         found
     }
--- a/tests/stand/distant.rs
+++ b/tests/stand/distant.rs
@@ -35,6 +35,8 @@
     pub refused: usize,
     /// Ids of calls that began while an earlier call with the same id was out.
     pub overlapping: Vec<String>,
+    /// Ids of calls that came after a call with the same id had run, whether or not they were refused.
+    pub sent_again: Vec<String>,
     /// Number of second copies written.
     pub copies: usize,
     /// Number of those written while the next request was on its way.
@@ -55,6 +57,9 @@
         if *out > 1 {
             self.overlapping.push(id.to_string());
         }
+        if self.ran.iter().any(|ran| ran == id) {
+            self.sent_again.push(id.to_string());
+        }
         let runs = !self.calls.is_multiple_of(refuse_each);
         match runs {
             true => self.ran.push(id.to_string()),
