A late copy of the platform's answer does not acknowledge the next notices

Callers saw: nothing yet; a related path of the fault of late copies, found by reading and shown with a stand-in. Notices that a late second copy of a 204 acknowledged would never be sent again, and their messages would have no end.

Cause: the connection for notices was reused as soon as a response was complete.

Change: it keeps the delay of connections to endpoints and discards a copy in the same way; ResponseHistory in src/net/reuse.rs has what both need of a connection.

Evidence: tests/notices.rs failed before (message 2 was acknowledged by the copy; no delay), passes now. 80 unit tests and the tests of crossings, endings, platform, restarts, overlaps, attempt_ends, reuse and late_copies pass.

--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -163,7 +163,7 @@
         let idle = self.idle.get(&request.target.1)?;
         let connections = idle.iter().filter_map(|index| self.conns.get(*index));
         let mut waits: Vec<ReuseWait> =
-            connections.filter_map(|c| c.reuse_wait(now, &self.reuse_delay)).collect();
+            connections.filter_map(|c| c.history.reuse_wait(now, &self.reuse_delay)).collect();
         waits.sort_by(|a, b| a.until.total_cmp(&b.until));
         // Each request that waits already takes one of them.
         let ahead = self.pending.count(request.target);
@@ -184,7 +184,8 @@
             let idle = self.idle.get_mut(&route)?;
             let (conns, delay) = (&self.conns, &self.reuse_delay);
             let is_reusable = |index: &usize| {
-                conns.get(*index).and_then(|c| c.reuse_wait(now, delay)).is_none_or(|wait| wait.until <= now)
+                let wait = conns.get(*index).and_then(|c| c.history.reuse_wait(now, delay));
+                wait.is_none_or(|wait| wait.until <= now)
             };
             let index = idle.remove(idle.iter().rposition(is_reusable)?);
             let Some(c) = self.conns.get_mut(index) else { continue };
@@ -200,13 +201,7 @@
     fn handle_unsolicited_input(&mut self, now: Ms, index: usize) {
         let Some(c) = self.conns.get_mut(index) else { return };
         let fill = c.stream.fill(HEAD_MAX);
-        let (bytes, after) = (c.stream.read_buf.len(), now - c.idle_since);
-        let is_copy = c.discard_copy(now);
-        if bytes > 0 && c.is_reused() {
-            log::debug!(route = c.target.1, conn = index, bytes = bytes, after_ms = after, copy = is_copy;
-                "unsolicited bytes arrived behind a response");
-            self.reuse_delay.unsolicited_bytes(now, after);
-        }
+        let is_copy = c.history.discard_copy(now, &mut c.stream.read_buf, &mut self.reuse_delay);
         if !is_copy || fill != Fill::Blocked {
             return self.close(index);
         }
@@ -408,7 +403,7 @@
                     c.first_byte_at = None;
                 }
                 Ok(Some(h)) => {
-                    c.last_response = c.stream.read_buf.drain(..h.size).collect();
+                    c.head_bytes = c.stream.read_buf.drain(..h.size).collect();
                     // Status 200 means delivered, whatever follows.
                     if let Some((task, started)) = c.task.take_if(|_| h.code == 200) {
                         findings.push(answered(task, &h, now - started));
--- a/src/net/http/connection.rs
+++ b/src/net/http/connection.rs
@@ -3,7 +3,7 @@
 use super::super::closing::Closing;
 use super::super::finding::{RequestKind, PROBE_TIMEOUT};
 use super::super::head::Head;
-use super::super::reuse::{ReuseDelay, ReuseWait};
+use super::super::reuse::ResponseHistory;
 use super::super::stream::Stream;
 use super::pending::Request;
 use crate::api::{DestId, EndpointId, Ms};
@@ -16,8 +16,6 @@
 /// it was idle. The other connections to that endpoint are as old and no better, and each would cost an
 /// attempt.
 const STALE_WITHIN: Ms = 10.0;
-/// Maximum size, in bytes, of a response that is kept to recognize a second copy of it.
-const COPY_MAX: usize = 4 * 1024;
 
 /// The times, in milliseconds, after which connections are closed.
 #[derive(Debug, Clone, Copy, Default)]
@@ -56,13 +54,11 @@
     pub(super) closing: Option<Closing>,
     /// Head of a response whose body is still incomplete.
     pub(super) head: Option<Head>,
+    /// The bytes of that head, or of the last one.
+    pub(super) head_bytes: Vec<u8>,
     pub(super) idle_since: Ms,
-    /// When the last bytes arrived: a response, or a second copy of it.
-    last_input: Ms,
-    /// The last response, if it is short; empty before the first one.
-    pub(super) last_response: Vec<u8>,
-    /// The least time, in milliseconds, in which a request on this connection was answered.
-    fastest_call: Option<Ms>,
+    /// The responses so far.
+    pub(super) history: ResponseHistory,
 }
 
 impl Connection {
@@ -83,10 +79,9 @@
             interim: 0,
             closing: None,
             head: None,
+            head_bytes: Vec::new(),
             idle_since: now,
-            last_input: now,
-            last_response: Vec::new(),
-            fastest_call: None,
+            history: ResponseHistory::default(),
         }
     }
 
@@ -105,44 +100,20 @@
 
     /// Makes the connection idle after a complete response, whose body is in the read buffer.
     pub(super) fn complete_response(&mut self, now: Ms) {
-        let took = self.first_byte_at.unwrap_or(now) - self.begun;
-        self.fastest_call = Some(self.fastest_call.map_or(took, |fastest| fastest.min(took)));
-        self.last_response.append(&mut self.stream.read_buf);
-        if self.last_response.len() > COPY_MAX {
-            self.last_response = Vec::new();
-        }
+        let call = self.first_byte_at.unwrap_or(now) - self.begun;
+        let mut response = std::mem::take(&mut self.head_bytes);
+        response.append(&mut self.stream.read_buf);
+        self.history.record(now, call, response);
         self.head = None;
         self.first_byte_at = None;
         self.idle_since = now;
-        self.last_input = now;
-    }
-
-    /// Whether the connection has carried another request before this one.
-    pub(super) fn is_reused(&self) -> bool {
-        self.fastest_call.is_some()
-    }
-
-    /// Until when the next request may not be written: no more bytes are expected behind the last response then.
-    /// `None` before the first response.
-    pub(super) fn reuse_wait(&self, now: Ms, delay: &ReuseDelay) -> Option<ReuseWait> {
-        let fastest_call = self.fastest_call?;
-        Some(ReuseWait { until: self.last_input + delay.delay(now, fastest_call), fastest_call })
-    }
-
-    /// Discards a second copy of the last response; false if something else has arrived.
-    pub(super) fn discard_copy(&mut self, now: Ms) -> bool {
-        let is_copy = !self.last_response.is_empty() && self.stream.read_buf == self.last_response;
-        if is_copy {
-            self.stream.read_buf.clear();
-            self.last_input = now;
-        }
-        is_copy
     }
 
     /// Whether bytes have arrived that cannot belong to the response: an endpoint begins a call once the last
     /// byte of its request has arrived.
     pub(super) fn has_input_of_earlier_request(&self) -> bool {
-        self.task.is_some() && !self.written && self.is_reused() && !self.stream.read_buf.is_empty()
+        let is_unwritten = self.task.is_some() && !self.written;
+        is_unwritten && self.history.has_response() && !self.stream.read_buf.is_empty()
     }
 
     /// Whether the connection had been closed unnoticed while it was idle: it broke as soon as a request was
--- a/src/net/notice.rs
+++ b/src/net/notice.rs
@@ -2,6 +2,7 @@
 
 use super::head::{head, HEAD_MAX};
 use super::reactor::Reactor;
+use super::reuse::{ResponseHistory, ReuseDelay};
 use super::stream::{Fill, Stream};
 use super::{token, SourceKind};
 use crate::api::Ms;
@@ -35,6 +36,9 @@
     /// Number of notices in the request in flight.
     in_flight: usize,
     stream: Option<Stream>,
+    /// The responses on that connection.
+    history: ResponseHistory,
+    reuse_delay: ReuseDelay,
     since: Ms,
     open_at: Ms,
     retry_delay: Ms,
@@ -67,6 +71,8 @@
             pending: VecDeque::new(),
             in_flight: 0,
             stream: None,
+            history: ResponseHistory::default(),
+            reuse_delay: ReuseDelay::default(),
             since: 0.0,
             open_at: 0.0,
             retry_delay: RETRY_DELAY_FIRST,
@@ -111,13 +117,19 @@
         let Some(address) = self.address.filter(|_| self.next_due().is_some_and(|t| t <= now)) else {
             return;
         };
+        if self.in_flight == 0 {
+            self.discard_unsolicited_input(now);
+            if self.open_at > now {
+                return;
+            }
+        }
         if self.in_flight > 0 {
             self.timeout = (self.timeout * 2.0).min(RESPONSE_TIMEOUT_MAX);
             return self.schedule_retry(now);
         }
         if self.stream.is_none() {
             match Stream::connect(address, reactor, token(SourceKind::Notice, 0)) {
-                Ok(stream) => self.stream = Some(stream),
+                Ok(stream) => (self.stream, self.history) = (Some(stream), ResponseHistory::default()),
                 Err(_) => return self.schedule_retry(now),
             }
         }
@@ -138,6 +150,28 @@
         }
     }
 
+    /// Handles bytes that arrived on the idle connection, or its end. After a second copy of the last response it can
+    /// be reused a while later; after anything else it is closed.
+    fn discard_unsolicited_input(&mut self, now: Ms) {
+        let Some(stream) = &mut self.stream else { return };
+        let fill = stream.fill(HEAD_MAX);
+        if fill == Fill::Blocked && stream.read_buf.is_empty() {
+            return;
+        }
+        let is_copy = self.history.discard_copy(now, &mut stream.read_buf, &mut self.reuse_delay);
+        if fill == Fill::Blocked && is_copy {
+            self.open_at = self.open_at.max(self.reusable_at(now));
+        } else {
+            self.stream = None;
+            self.open_at = self.open_at.min(now);
+        }
+    }
+
+    /// When the next request may be written to the connection.
+    fn reusable_at(&self, now: Ms) -> Ms {
+        self.history.reuse_wait(now, &self.reuse_delay).map_or(now, |wait| wait.until)
+    }
+
     fn schedule_retry(&mut self, now: Ms) {
         log::debug!(out = self.in_flight, up = self.stream.as_mut().is_some_and(|s| s.is_up().unwrap_or(false)), waited_ms = now - self.since;
             "notices were not acknowledged and will be sent again");
@@ -158,15 +192,12 @@
             }
         }
         let flushed = stream.flush();
-        let fill = stream.fill(HEAD_MAX);
-        let answer = head(&stream.read_buf);
         if self.in_flight == 0 {
-            // Idle: the platform closed the connection or sent unsolicited data.
-            if fill != Fill::Blocked || !stream.read_buf.is_empty() {
-                self.stream = None;
-            }
+            self.discard_unsolicited_input(now);
             return Vec::new();
         }
+        let fill = stream.fill(HEAD_MAX);
+        let answer = head(&stream.read_buf);
         match answer {
             Ok(Some(h)) => {
                 let acknowledged: Vec<MessageNo> = match h.code {
@@ -182,7 +213,7 @@
                 };
                 self.one_by_one = acknowledged.is_empty();
                 let whole = h.length.is_some_and(|l| h.size as u64 + l == stream.read_buf.len() as u64);
-                stream.read_buf.clear();
+                self.history.record(now, now - self.since, std::mem::take(&mut stream.read_buf));
                 self.in_flight = 0;
                 if !(h.reusable && whole && fill == Fill::Blocked) {
                     self.stream = None;
@@ -190,8 +221,8 @@
                 if acknowledged.is_empty() {
                     self.schedule_retry(now);
                 } else {
-                    (self.retry_delay, self.open_at, self.timeout) =
-                        (RETRY_DELAY_FIRST, now, RESPONSE_TIMEOUT);
+                    (self.retry_delay, self.timeout) = (RETRY_DELAY_FIRST, RESPONSE_TIMEOUT);
+                    self.open_at = if self.stream.is_some() { self.reusable_at(now) } else { now };
                     log::debug!(count = acknowledged.len(), took_ms = now - self.since; "notices were acknowledged");
                 }
                 acknowledged
--- a/src/net/reuse.rs
+++ b/src/net/reuse.rs
@@ -21,6 +21,8 @@
 /// Milliseconds for which unsolicited bytes count.
 const SEEN_DELAY_MEMORY: Ms = 60_000.0;
 
+/// Maximum size, in bytes, of a response that is kept to recognize a second copy of it.
+const COPY_MAX: usize = 4 * 1024;
 /// A request waits for a connection, rather than for a new one to be established, if that takes at most this share of
 /// the fastest call.
 const WORTHWHILE_SHARE: f64 = 0.5;
@@ -71,5 +73,57 @@
     }
 }
 
+/// What the responses on one connection tell of its reuse.
+#[derive(Debug, Default)]
+pub(super) struct ResponseHistory {
+    /// The least time, in milliseconds, in which a request was answered.
+    fastest_call: Option<Ms>,
+    /// When the last response was complete.
+    answered_at: Ms,
+    /// When the last bytes arrived: a response, or a second copy of it.
+    last_input: Ms,
+    /// The last response, if it is short.
+    last_response: Vec<u8>,
+}
+
+impl ResponseHistory {
+    /// Records a complete response to a request that took `call` milliseconds.
+    pub(super) fn record(&mut self, now: Ms, call: Ms, response: Vec<u8>) {
+        self.fastest_call = Some(self.fastest_call.map_or(call, |fastest| fastest.min(call)));
+        self.answered_at = now;
+        self.last_input = now;
+        self.last_response = if response.len() <= COPY_MAX { response } else { Vec::new() };
+    }
+
+    /// Whether there was a response.
+    pub(super) fn has_response(&self) -> bool {
+        self.fastest_call.is_some()
+    }
+
+    /// Until when the next request may not be written: no more bytes are expected behind the last response then.
+    /// `None` before the first response.
+    pub(super) fn reuse_wait(&self, now: Ms, delay: &ReuseDelay) -> Option<ReuseWait> {
+        let fastest_call = self.fastest_call?;
+        Some(ReuseWait { until: self.last_input + delay.delay(now, fastest_call), fastest_call })
+    }
+
+    /// Handles bytes that arrived without a request. A second copy of the last response is removed from the read
+    /// buffer; false if they are anything else.
+    pub(super) fn discard_copy(&mut self, now: Ms, read_buf: &mut Vec<u8>, delay: &mut ReuseDelay) -> bool {
+        if read_buf.is_empty() || !self.has_response() {
+            return false;
+        }
+        delay.unsolicited_bytes(now, now - self.answered_at);
+        let is_copy = *read_buf == self.last_response;
+        log::debug!(bytes = read_buf.len(), after_ms = now - self.answered_at, copy = is_copy;
+            "unsolicited bytes arrived behind a response");
+        if is_copy {
+            read_buf.clear();
+            self.last_input = now;
+        }
+        is_copy
+    }
+}
+
 #[cfg(test)]
 mod tests;
