Test that a late copy through a broker is ignored

Cause: brokers are a related path of late copies; their answers name the attempt, and no test showed it. Change: the broker's stand-in sends an answer again before the next. Result: the test passes; no code of the product changed.

--- a/tests/mqtt.rs
+++ b/tests/mqtt.rs
@@ -50,6 +50,25 @@
     assert!(site.platform.notices.lock().unwrap().is_empty(), "the registry gets no notice for MQTT clients");
 }
 
+/// Guards against a second copy of an answer that counts for the next call: it names its own attempt.
+#[test]
+fn a_late_copy_of_an_answer_through_a_broker_is_ignored() {
+    let broker = Broker::start(|_, nth| match nth {
+        0 => EndpointBehavior::Answer(200, None),
+        1 => EndpointBehavior::AnswerBehindCopy(503),
+        _ => EndpointBehavior::AnswerBehindCopy(200),
+    });
+    let site = site_with_brokers(&[&broker]);
+    let d = site.start();
+    let mut c = MqttClient::connect(d.mqtt.unwrap(), "bank-1");
+    for id in ["first", "second"] {
+        c.submit(id, PAY, 10);
+        assert_eq!(c.wait_for_outcome(id), "delivered");
+        assert_eq!(broker.effect_count(id), 1, "{id} has run, as its outcome says");
+    }
+    assert_eq!(broker.calls.lock().unwrap().len(), 3, "the second message was refused once");
+}
+
 /// Guards against a broker's PUBACK that counts as a delivery: it confirms that the broker has the message,
 /// not that the endpoint ran it.
 #[test]
--- a/tests/stand/mqtt.rs
+++ b/tests/stand/mqtt.rs
@@ -121,6 +121,8 @@
 pub enum EndpointBehavior {
     /// Answers with this status and, if given, a retry-after in seconds.
     Answer(u16, Option<&'static str>),
+    /// Sends the answer before this one again, and then answers with this status.
+    AnswerBehindCopy(u16),
     /// Runs the call and never answers.
     NoAnswer,
     /// The session ends before the broker has passed the call on.
@@ -164,6 +166,7 @@
         let end = tcp.try_clone().unwrap();
         let mut connection = MqttConnection::<role::Server>::new(tcp);
         let mut filters = Vec::new();
+        let mut last_answer: Option<(String, MqttMessage)> = None;
         while let Some(packet) = connection.next() {
             match packet {
                 Packet::V5_0Connect(_) => {
@@ -191,6 +194,7 @@
                         let ran = matches!(
                             does,
                             EndpointBehavior::Answer(200 | 500, _)
+                                | EndpointBehavior::AnswerBehindCopy(200 | 500)
                                 | EndpointBehavior::NoAnswer
                                 | EndpointBehavior::BrokenAfterRun
                         );
@@ -206,7 +210,17 @@
                     }
                     let ack = Puback::builder().packet_id(p.packet_id().unwrap());
                     connection.send(ack.reason_code(PubackReasonCode::Success).build().unwrap());
-                    if let EndpointBehavior::Answer(status, wait) = does {
+                    let behind_copy = matches!(does, EndpointBehavior::AnswerBehindCopy(_));
+                    if let Some((topic, copy)) = last_answer.as_ref().filter(|_| behind_copy) {
+                        let id = connection.mqtt.acquire_packet_id().unwrap();
+                        connection.send(publish_packet(id, topic, copy));
+                    }
+                    let answer = match does {
+                        EndpointBehavior::Answer(status, wait) => Some((status, wait)),
+                        EndpointBehavior::AnswerBehindCopy(status) => Some((status, None)),
+                        _ => None,
+                    };
+                    if let Some((status, wait)) = answer {
                         assert!(
                             filters.contains(&m.response_topic),
                             "no subscription for '{}'",
@@ -223,6 +237,7 @@
                         };
                         let id = connection.mqtt.acquire_packet_id().unwrap();
                         connection.send(publish_packet(id, &topic, &answer));
+                        last_answer = Some((topic, answer));
                     }
                 }
                 _ => {}
