Ask what the sibling knows in one place, and search its identities once a second

Change: SiblingMessages::knows and AtMostOnce::name_of; the search runs once a second, as a lookup looks at the time itself.

--- a/src/dispatch/admit.rs
+++ b/src/dispatch/admit.rs
@@ -37,7 +37,7 @@
         let record = Record::Accepted(taken);
         let size = record.size() + MESSAGE_OVERHEAD_BYTES;
         let Record::Accepted(t) = &record else { return Err(NO_ROOM_RETRY_AFTER) };
-        let name = self.at_most_once.entry_name(&t.class, &t.idempotency_key, &t.identity.1);
+        let name = self.at_most_once.name_of(t);
         let added = size + name.as_ref().map_or(0, |n| AtMostOnce::entry_size(n));
         let live = self.live_record_bytes() + added;
         let identity = identity_size(&t.identity, &self.tenant_if_movable(&t.tenant));
@@ -300,7 +300,7 @@
             self.cells.add_restored(now, &message);
             self.ceilings.message_queued(t.destination);
         }
-        let name = self.at_most_once.entry_name(&t.class, &t.idempotency_key, &t.identity.1);
+        let name = self.at_most_once.name_of(t);
         name.into_iter().for_each(|n| self.at_most_once.hold(n, no));
         let (until, tenant) =
             (t.valid_until.max(now) + IDENTITY_MEMORY_AFTER_DEADLINE, self.tenant_if_movable(&t.tenant));
--- a/src/dispatch/handover.rs
+++ b/src/dispatch/handover.rs
@@ -86,7 +86,7 @@
     /// Whether another message is known here under the same identity or the same at-most-once name.
     fn knows_another(&self, message: &AcceptedMessage) -> bool {
         let other = |no: MessageNo| no != message.no;
-        let name = self.at_most_once_name(message);
+        let name = self.at_most_once.name_of(message);
         let named = name.is_some_and(|name| match self.at_most_once.check(&name) {
             RepeatCheck::New => false,
             RepeatCheck::Held(no) => other(no),
@@ -104,9 +104,7 @@
             known
         };
         let is_known = |known: &SiblingMessages, message: &AcceptedMessage| {
-            let name = self.at_most_once_name(message);
-            let named = name.is_some_and(|name| known.check(&name) != RepeatCheck::New);
-            named || known.identity(now, &message.identity).is_some()
+            known.knows(now, message, self.at_most_once.name_of(message).as_deref())
         };
         let known_to_own = known_in(own);
         let mut records = withdrawals(now, left, |message| is_known(&known_to_own, message));
@@ -117,10 +115,6 @@
         records
     }
 
-    fn at_most_once_name(&self, message: &AcceptedMessage) -> Option<String> {
-        self.at_most_once.entry_name(&message.class, &message.idempotency_key, &message.identity.1)
-    }
-
     /// Writes records of messages that are held already, before any other record. Does not use
     /// `append_or_defer`: a compaction before all of them are written would leave out the rest.
     pub(super) fn write_taken_over(&mut self, mut records: Vec<Record>, mark: Option<FileFingerprint>) {
--- a/src/dispatch/once.rs
+++ b/src/dispatch/once.rs
@@ -6,7 +6,7 @@
 //! restart. No I/O, no clock.
 
 use crate::api::Ms;
-use crate::journal::{Ending, MessageNo};
+use crate::journal::{AcceptedMessage, Ending, MessageNo};
 use std::collections::{BTreeSet, HashMap};
 
 /// Bytes that a remembered message takes in the journal beyond its name.
@@ -76,6 +76,11 @@
         self.classes.contains_key(class).then(|| entry_name(class, idempotency, id))
     }
 
+    /// The name of an accepted message; `None` if its class is not at-most-once.
+    pub fn name_of(&self, message: &AcceptedMessage) -> Option<String> {
+        self.entry_name(&message.class, &message.idempotency_key, &message.identity.1)
+    }
+
     /// What is known of a message.
     pub fn check(&self, name: &str) -> RepeatCheck {
         match self.entries.get(name) {
--- a/src/dispatch/sibling_messages.rs
+++ b/src/dispatch/sibling_messages.rs
@@ -14,6 +14,9 @@
 use std::collections::{BTreeMap, HashMap};
 use std::io;
 
+/// Milliseconds between two searches for identities that the sibling process no longer remembers.
+const EXPIRY_INTERVAL: Ms = 1_000.0;
+
 /// What the sibling process knows of an identity.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(super) struct SiblingIdentity {
@@ -41,6 +44,8 @@
     at_most_once: AtMostOnce,
     held: BTreeMap<MessageNo, HeldBySibling>,
     ownership: OwnershipRecords,
+    /// When identities are next searched for those that are remembered no more.
+    expire_at: Ms,
 }
 
 impl SiblingMessages {
@@ -74,7 +79,7 @@
 
     fn accepted(&mut self, message: &AcceptedMessage, names: &AtMostOnce) {
         let (no, identity) = (message.no, message.identity.clone());
-        let name = names.entry_name(&message.class, &message.idempotency_key, &identity.1);
+        let name = names.name_of(message);
         name.iter().for_each(|name| self.at_most_once.hold(name.clone(), no));
         let known = SiblingIdentity { no, ending: None, settled_until: None };
         self.identities.insert(identity.clone(), known);
@@ -118,7 +123,10 @@
     /// Forgets what the sibling process itself no longer remembers.
     fn expire(&mut self, now: Ms) {
         self.at_most_once.expire(now);
-        self.identities.retain(|_, known| known.settled_until.is_none_or(|until| until > now));
+        if now >= self.expire_at {
+            self.expire_at = now + EXPIRY_INTERVAL;
+            self.identities.retain(|_, known| known.settled_until.is_none_or(|until| until > now));
+        }
     }
 
     /// What is known of an identity.
@@ -131,6 +139,12 @@
     pub(super) fn check(&self, name: &str) -> RepeatCheck {
         self.at_most_once.check(name)
     }
+
+    /// Whether a message is known by its identity or, if it is an at-most-once message, by its name.
+    pub(super) fn knows(&self, now: Ms, message: &AcceptedMessage, name: Option<&str>) -> bool {
+        let is_named = name.is_some_and(|name| self.check(name) != RepeatCheck::New);
+        is_named || self.identity(now, &message.identity).is_some()
+    }
 }
 
 impl Core {
@@ -196,10 +210,8 @@
         if self.follow_sibling(now).is_err() {
             return true;
         }
-        let name =
-            self.at_most_once.entry_name(&message.class, &message.idempotency_key, &message.identity.1);
-        let named = name.is_some_and(|name| self.sibling_messages.check(&name) != RepeatCheck::New);
-        named || self.sibling_messages.identity(now, &message.identity).is_some()
+        let name = self.at_most_once.name_of(message);
+        self.sibling_messages.knows(now, message, name.as_deref())
     }
 
     /// Withdraws a message that was written to the journal and that nothing else was done with; returns the
