Count a key's turns strictly in the test of late copies, and play it over an upgrade

Cause: the test compared the first runs of a key's messages and missed one that was sent while an earlier one had neither run nor ended; and no play had two processes on one folder, each with connections of its own.

Change: each call of a key is checked against all earlier messages of the key; the twelve plays run once more over an upgrade in their middle.

--- a/tests/late_copies.rs
+++ b/tests/late_copies.rs
@@ -4,7 +4,6 @@
 
 use stand::distant::{self, Behaviour, Seen};
 use stand::*;
-use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -39,7 +38,13 @@
     key: Option<usize>,
 }
 
-fn play((messages, refuse_each): (usize, usize), one_way_ms: u64, copy_after_ms: Option<u64>) -> Play {
+/// With `upgraded`, a second process takes over from the first one after half of the messages.
+fn play(
+    (messages, refuse_each): (usize, usize),
+    one_way_ms: u64,
+    copy_after_ms: Option<u64>,
+    upgraded: bool,
+) -> Play {
     let behaviour = Behaviour {
         one_way: Duration::from_millis(one_way_ms),
         service: Duration::from_millis(25),
@@ -51,9 +56,19 @@
         list_entry(uid, &distant::start(behaviour, &seen).to_string(), zone, 1, "in_service")
     };
     let site = TestInstallation::new(&[listed("w1", "a"), listed("w2", "b")]);
-    let dispatcher = site.start();
+    let mut dispatcher = site.start();
     let mut client = dispatcher.client();
-    let accepted: Vec<Submitted> = (0..messages).filter_map(|n| submit(&mut client, n)).collect();
+    let mut accepted: Vec<Submitted> = (0..messages / 2).filter_map(|n| submit(&mut client, n)).collect();
+    if upgraded {
+        let next = site.start();
+        client = next.client();
+        let mut old = std::mem::replace(&mut dispatcher, next);
+        old.signal("-TERM");
+        accepted.extend((messages / 2..messages).filter_map(|n| submit(&mut client, n)));
+        old.wait_for_success();
+    } else {
+        accepted.extend((messages / 2..messages).filter_map(|n| submit(&mut client, n)));
+    }
     let is_over = |message: &Submitted| {
         seen.lock().unwrap().ran.contains(&message.id) || !site.platform.notices_for(&message.id).is_empty()
     };
@@ -103,19 +118,22 @@
         found
     }
 
-    /// The keys whose messages did not run in the order in which they were accepted.
+    /// The calls of a key's messages that came before an earlier message of the key had run or ended by a notice.
     fn out_of_order(&self) -> Vec<String> {
-        let mut by_key: BTreeMap<usize, Vec<&String>> = BTreeMap::new();
-        for message in &self.accepted {
-            message.key.into_iter().for_each(|key| by_key.entry(key).or_default().push(&message.id));
+        let mut found = Vec::new();
+        for (n, message) in self.accepted.iter().enumerate().filter(|(_, message)| message.key.is_some()) {
+            let Some(call) = self.seen.calls.iter().position(|(id, _)| *id == message.id) else { continue };
+            let earlier = self.accepted[..n].iter().filter(|other| other.key == message.key);
+            let is_over = |other: &&Submitted| {
+                self.seen.calls[..call].contains(&(other.id.clone(), true))
+                    || self.notices.contains(&other.id)
+            };
+            let before = earlier.filter(|other| !is_over(other));
+            found.extend(
+                before.map(|other| format!("{} was sent out of its turn, before {}", message.id, other.id)),
+            );
         }
-        let first_run = |id: &&String| self.seen.ran.iter().position(|ran| ran == *id);
-        let is_sorted = |ids: &Vec<&String>| ids.iter().filter_map(first_run).is_sorted();
-        by_key
-            .iter()
-            .filter(|(_, ids)| !is_sorted(ids))
-            .map(|(key, _)| format!("key {key} ran out of order"))
-            .collect()
+        found
     }
 }
 
@@ -123,11 +141,21 @@
 /// messages were lost, and those after them were sent again while they ran.
 #[test]
 fn a_late_copy_of_an_answer_does_not_answer_the_next_request() {
+    check_plays(false);
+}
+
+/// The same while two processes serve on one state folder, each with connections of its own.
+#[test]
+fn a_late_copy_of_an_answer_does_not_answer_the_next_request_during_an_upgrade() {
+    check_plays(true);
+}
+
+fn check_plays(upgraded: bool) {
     let plays: Vec<_> = [1, 15, 45]
         .into_iter()
         .flat_map(|one_way| [2, 6, 12, 25].map(|copy_after| (one_way, copy_after)))
         .map(|(one_way, copy_after)| {
-            thread::spawn(move || play((MESSAGES, REFUSE_EACH), one_way, Some(copy_after)))
+            thread::spawn(move || play((MESSAGES, REFUSE_EACH), one_way, Some(copy_after), upgraded))
         })
         .collect();
     let plays: Vec<Play> = plays.into_iter().map(|play| play.join().unwrap()).collect();
@@ -168,7 +196,7 @@
 fn measure_connections_refusals_and_cpu() {
     for one_way in [1, 15, 45] {
         for copy_after in [None, Some(6), Some(12)] {
-            let play = play((MEASURED_MESSAGES, MEASURED_REFUSE_EACH), one_way, copy_after);
+            let play = play((MEASURED_MESSAGES, MEASURED_REFUSE_EACH), one_way, copy_after, false);
             println!("{}: {}", play.name, summary(&play));
         }
     }
--- a/tests/stand/distant.rs
+++ b/tests/stand/distant.rs
@@ -31,6 +31,8 @@
 pub struct Seen {
     /// Ids of the calls that ran, in the order in which they began.
     pub ran: Vec<String>,
+    /// Ids of all calls in the order in which they began, each with whether it ran.
+    pub calls: Vec<(String, bool)>,
     /// Number of calls that were refused.
     pub refused: usize,
     /// Ids of calls that began while an earlier call with the same id was out.
@@ -45,13 +47,11 @@
     pub connections: usize,
     /// Number of calls that are out, by id.
     out: HashMap<String, usize>,
-    calls: usize,
 }
 
 impl Seen {
     /// Begins a call; whether it runs.
     fn begin(&mut self, id: &str, refuse_each: usize) -> bool {
-        self.calls += 1;
         let out = self.out.entry(id.to_string()).or_default();
         *out += 1;
         if *out > 1 {
@@ -60,7 +60,8 @@
         if self.ran.iter().any(|ran| ran == id) {
             self.sent_again.push(id.to_string());
         }
-        let runs = !self.calls.is_multiple_of(refuse_each);
+        let runs = !(self.calls.len() + 1).is_multiple_of(refuse_each);
+        self.calls.push((id.to_string(), runs));
         match runs {
             true => self.ran.push(id.to_string()),
             false => self.refused += 1,
