--- a/src/dispatch/handover.rs
+++ b/src/dispatch/handover.rs
@@ -175,9 +175,10 @@
 fn withdrawals(now: Ms, records: &[Record], is_known: impl Fn(&AcceptedMessage) -> bool) -> Vec<Record> {
     let mut untouched: BTreeMap<MessageNo, &AcceptedMessage> = BTreeMap::new();
     for record in records {
-        match record {
-            Record::Accepted(message) => drop(untouched.insert(message.no, message)),
-            other => untouched.retain(|no, _| other.message_no() != Some(*no)),
+        if let Record::Accepted(message) = record {
+            untouched.insert(message.no, message);
+        } else if let Some(no) = record.message_no() {
+            untouched.remove(&no);
         }
     }
     let repeated = untouched.into_values().filter(|message| is_known(message));
