--- a/review/stand-2/mqtt.rs
+++ b/review/stand-2/mqtt.rs
@@ -125,6 +125,7 @@
         }
     }
 
+    /// Sends a PUBLISH with QoS 1 and returns its packet id.
     pub fn publish(
         &mut self,
         topic: &str,
@@ -132,7 +133,7 @@
         expiry_s: u32,
         response: &str,
         payload: &[u8],
-    ) {
+    ) -> u16 {
         let mut properties = vec![2];
         properties.extend(expiry_s.to_be_bytes());
         properties.push(8);
@@ -143,11 +144,13 @@
             properties.extend(string(value));
         }
         let mut body = string(topic);
-        body.extend(self.id().to_be_bytes());
+        let packet_id = self.id();
+        body.extend(packet_id.to_be_bytes());
         body.extend(length(properties.len()));
         body.extend(properties);
         body.extend(payload);
         let _ = self.stream.write_all(&packet(0x32, &body));
+        packet_id
     }
 
     pub fn puback(&mut self, packet_id: u16) {
