--- a/review/9/case.rs
+++ b/review/9/case.rs
@@ -1,180 +1,172 @@
-//! An upgrade of a dispatcher whose tenant was moved to another one, with a reimbursement call in flight.
+//! A planned restart of a dispatcher whose clients hear of a message once another dispatcher has a copy.
 
 #[path = "../stand-2/lib.rs"]
 mod lib;
 use lib::*;
-use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::Arc;
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+
+/// Settings in the form of the deployment page, like those of a small deployment.
+fn settings(zone: &str, rank: usize) -> String {
+    format!(
+        r#"{{"balancers":3,"rank":{rank},"round":5.0,"family":"deliver","counted_by":"request","discovery":"pushed",
+"classes":[
+{{"name":"claim-status","effect":"idempotent","group":"all","promise":1000.0,"deadline":8000.0,"window":5000.0,"late_worth":0.0,"worth":2.0,"stream":false}},
+{{"name":"approval-order","effect":"deduplicated","group":"zone","promise":4000.0,"deadline":20000.0,"window":20000.0,"in_order":true,"late_worth":0.5,"worth":1.0,"stream":false}},
+{{"name":"reimbursement","effect":"at_most_once","group":"all","promise":3000.0,"deadline":20000.0,"window":5000.0,"late_worth":0.5,"worth":4.0,"stream":false}}],
+"ceilings":{{"cancel":true,"connect_timeout":1000.0,"keepalive":10000.0,"max_open":200,"max_retry_after":2000.0,"most_tries":8,"peers":false,"probes":true,"retry_after":true,"second_copies":false,"streams_per_conn":1}},
+"guarantees":{{"answer_slack":20.0,"ask_within":10000.0,"cold":13000.0,"cold_from":0.22,"drain_grace":2000.0,"key_quiet":100.0,"overload_factor":2.0,"overload_for":2000.0}},
+"family_info":{{"batch_by_kind":[1],"decay":"line","kind_apart":[false],"slots":12}},
+"kinds":["low-volume"],"zones":["building-a","building-b"],"zone":"{zone}",
+"tenants":[{{"name":"sotrans-dakar","quota_per_s":100.0,"share":1.0}}],"telemetry":{{"fields":[],"via":"none"}},"weights":"none","over_share_worth":0.2}}"#
+    )
+}
 
 fn main() {
     main_of(run)
 }
 
-/// The address behind `MOVED NAME ADDRESS` in an answer.
-fn moved_to(answer: &str) -> Option<SocketAddr> {
-    answer.split_whitespace().skip_while(|w| *w != "MOVED").nth(2)?.parse().ok()
+/// A request of a client and its answer.
+struct Asked {
+    id: String,
+    sent: u64,
+    answer: Option<String>,
+}
+
+/// Requests that a client has sent and that are not answered yet, at most.
+const AT_ONCE: usize = 3;
+
+/// A client that keeps some commands on its connection for as long as that stays open, and ends it itself if an
+/// answer does not come within 400 ms. Returns its requests, and whether the dispatcher ended the connection.
+fn client(number: usize, at: SocketAddr, stop_at: u64, record: &Record) -> (Vec<Asked>, bool) {
+    let Ok(stream) = TcpStream::connect(at) else { return (Vec::new(), false) };
+    let _ = stream.set_nodelay(true);
+    let _ = stream.set_read_timeout(Some(Duration::from_millis(400)));
+    let mut stream = BufReader::new(stream);
+    let (mut requests, mut answered) = (Vec::<Asked>::new(), 0);
+    loop {
+        while requests.len() - answered < AT_ONCE && record.now() < stop_at {
+            let id = format!("status-{number}-{}", requests.len());
+            let options = "c=claim-status,t=sotrans-dakar,d=8000,dest=7";
+            let words = ["SUBMIT", "0000000000000000", &id, options, "status"];
+            let mut bytes = format!("*{}\r\n", words.len());
+            words.iter().for_each(|w| bytes += &format!("${}\r\n{w}\r\n", w.len()));
+            if stream.get_mut().write_all(bytes.as_bytes()).is_err() {
+                return (requests, true);
+            }
+            requests.push(Asked { id, sent: record.now(), answer: None });
+        }
+        if answered == requests.len() {
+            return (requests, false);
+        }
+        let (mut line, begun) = (String::new(), Instant::now());
+        match stream.read_line(&mut line) {
+            Ok(n) if n > 0 => {
+                requests[answered].answer = Some(line.trim_end().to_string());
+                answered += 1;
+            }
+            Err(e) if begun.elapsed() >= Duration::from_millis(390) => {
+                record.add(format!("client {number}: no answer within 400 ms ({e}); it ends the connection"));
+                return (requests, false);
+            }
+            _ => {
+                record.add(format!("client {number}: the dispatcher has ended the connection"));
+                return (requests, true);
+            }
+        }
+    }
 }
 
 fn run() -> i32 {
     let (folder, record) = (Folder::new(), Record::new());
     let endpoints = Endpoints::new(&record);
-    let slow = Arc::new(AtomicBool::new(false));
-    let sotrans = endpoints.start("sotrans-1", |_| 130);
-    // A member system of usual pace, 17 times slower later on.
-    let is_slow = slow.clone();
-    let textile = endpoints.start("textile-1", move |_| if is_slow.load(Ordering::SeqCst) { 2_550 } else { 150 });
-    let platform = Platform::start(&record, "platform", "");
+    let at = endpoints.start("s1", |_| 100);
     let free = addresses(6);
-    let (resp, peer) = ([free[0], free[1]], [free[2], free[3]]);
-    let doors = [free[4], free[5]];
-    // n1 stands in building-a and n2 in building-b, 30 ms away.
-    let (to_n1, to_n2) = (Route::start_with_delay(peer[0], 30), Route::start_with_delay(peer[1], 30));
-    let map_of = |peer: [SocketAddr; 2]| {
-        format!(
-            "map = \"m\"\nversion = 1\n[dispatchers.n1]\npeer = \"{}\"\nresp = \"{}\"\n[dispatchers.n2]\npeer = \"{}\"\nresp = \"{}\"\n\
-             [cells.one]\ndispatchers = [\"n1\"]\ntenants = [\"sotrans\", \"textile\"]\n[[cells.one.members]]\nagreement = \"sotrans.toml\"\n\
-             [[cells.one.members]]\nagreement = \"textile.toml\"\n[cells.two]\ndispatchers = [\"n2\"]\n[[cells.two.members]]\n\
-             agreement = \"sotrans.toml\"\n[[cells.two.members]]\nagreement = \"textile.toml\"\n",
-            peer[0], resp[0], peer[1], resp[1]
-        )
-    };
-    let map = folder.write("map.toml", &map_of(peer));
-    folder.write("map-n1.toml", &map_of([peer[0], to_n2.address]));
-    folder.write("map-n2.toml", &map_of([to_n1.address, peer[1]]));
-    for (member, dest, at) in [("sotrans", 7, sotrans), ("textile", 12, textile)] {
-        folder.write(
-            &format!("{member}.toml"),
+    let (resp, peer) = (&free[..3], &free[3..]);
+    // n1 stands in building-a, n2 and n3 in building-b, 40 ms away.
+    let to: Vec<Route> = peer.iter().map(|at| Route::start_with_delay(*at, 40)).collect();
+    let list = format!(
+        r#"{{"rev":41,"all":true,"targets":[{{"uid":"s1","endpoint":"{at}","az":"building-a","model":"low-volume","pod_group":7,"state":"in_service","capacity_hint":1.0,"boot_ms":0}}]}}"#
+    );
+    let mut running = Vec::new();
+    for n in 0..3 {
+        let name = format!("n{}", n + 1);
+        let platform = Platform::start(&record, &format!("platform at {name}"), &list);
+        let zone = if n == 0 { "building-a" } else { "building-b" };
+        let config = folder.write(
+            &format!("{name}.json"),
             &format!(
-                "member = \"{member}\"\ndestination = {dest}\nkind = \"high-volume\"\nconnections = 16\nbuildings = [\"building-a\", \"building-b\"]\n\
-                 [[endpoints]]\nid = \"{member}-1\"\naddress = \"{at}\"\nbuilding = \"building-a\"\n[classes.approval-order]\n\
-                 repeats = \"dropped\"\ndropped-in = \"building\"\ndropped-for = \"20s\"\n[classes.reimbursement]\n\
-                 repeats = \"forbidden\"\n"
+                r#"{{"name":"{name}","listen":"{}","discovery":"{}","state":"{}","seed":"8c1f30d27a5be96{n}",
+"limits":{{"cores":1.0,"memory_mb":192,"sockets":512,"disk_mb":3}},"known":{list},"settings":{}}}"#,
+                resp[n],
+                platform.address,
+                folder.path(&format!("state-{name}")),
+                settings(zone, n)
             ),
         );
-    }
-    let mut configs = Vec::new();
-    for (n, listen, building) in [("n1", resp[0], "building-a"), ("n2", resp[1], "building-b")] {
-        let toml = folder.write(
-            &format!("{n}.toml"),
-            &format!(
-                "application = \"{n}\"\nstate = \"{}\"\nbuilding = \"{building}\"\nnotices = \"{}\"\n[listen]\nresp = \"{listen}\"\n\
-                 [mesh]\nmap = \"map-{n}.toml\"\ndispatcher = \"{n}\"\n[tenants.sotrans]\n[tenants.textile]\n\
-                 [classes.approval-order]\nwanted = \"4s\"\ndeadline = \"20s\"\nordered = true\n\
-                 [classes.reimbursement]\nwanted = \"3s\"\ndeadline = \"20s\"\n\
-                 [[uses]]\nagreement = \"sotrans.toml\"\nconnections = 8\n[[uses]]\nagreement = \"textile.toml\"\nconnections = 8\n\
-                 [work]\nslots = 12\nheld = 200\n[process]\ndescriptors = 512\n",
-                folder.path(&format!("state-{n}")),
-                platform.address
-            ),
+        std::fs::create_dir_all(folder.path(&format!("state-{name}"))).unwrap();
+        let mut together = format!(
+            "[replication]\nenabled = true\ninstallation = \"dakar\"\nlisten = \"{}\"\ncopies = 2\nack = true\n",
+            peer[n]
         );
-        let json = folder.path(&format!("{n}.json"));
-        let (code, text) = tool(&["app", "render", &toml, "-o", &json]);
-        if code != 0 {
-            cannot_run(&text);
+        for m in (0..3).filter(|m| *m != n) {
+            let at = if n == 0 || m == 0 { to[m].address } else { peer[m] };
+            together += &format!("[[replication.peers]]\nname = \"n{}\"\naddress = \"{at}\"\n", m + 1);
         }
-        configs.push(json);
-    }
-    let door = [doors[0].to_string(), doors[1].to_string()];
-    let start = |name: &str, config: usize, door: &str| {
-        Process::start(&folder, name, &[("ROUTER_CONFIG", &configs[config]), ("ROUTER_CONTROL", door)])
-    };
-    let (mut old, other) = (start("n1", 0, &door[0]), start("n2", 1, "127.0.0.1:0"));
-    resp.iter().for_each(|at| wait_for_ping(*at, 10_000));
-    let status = || tool(&["cell", "status", "--map", &map]).1;
-    if !wait_until(10_000, || status().matches("n1 settled").count() == 2) {
-        cannot_run(&format!("n1 does not serve the tenants: {}", status()));
-    }
-    let (code, text) = tool(&["cell", "move", "--map", &map, "sotrans", "--to", "n2", "--wait", "10"]);
-    record.add(format!("operator: cell move sotrans --to n2: {code} {text}"));
-    if code != 0 {
-        cannot_run(&text);
+        let together = folder.write(&format!("{name}.toml"), &together);
+        let variables = [("ROUTER_CONFIG", config.as_str()), ("LILACBANK_TOGETHER", together.as_str())];
+        running.push(Process::start(&folder, &name, &variables));
     }
-    sleep_ms(500);
-    record.add(status().trim());
-
-    // A reimbursement of the other tenant is in flight.
-    slow.store(true, Ordering::SeqCst);
-    let options = "c=reimbursement,t=textile,d=20000,k=pay-1,dest=12";
-    let answer = submit(resp[0], 0, "pay-1", options, "pay");
-    record.add(format!("client: SUBMIT pay-1 (textile) to n1 is answered {answer:?}"));
+    resp.iter().for_each(|at| wait_for_ping(*at, 15_000));
+    sleep_ms(1_500);
 
-    // Approval orders of one key, handed in one after another by a client that begins at n1 each time.
-    let stop = Arc::new(AtomicBool::new(false));
-    let (ends, to, of_client) = (stop.clone(), resp, record.clone());
-    let client = std::thread::spawn(move || {
-        let mut accepted: Vec<String> = Vec::new();
-        for n in 0.. {
-            if ends.load(Ordering::SeqCst) {
-                break;
-            }
-            let id = format!("order-{n}");
-            let options = format!("c=approval-order,t=sotrans,d=15000,k=k{n},dest=7");
-            let mut at = to[0];
-            for _ in 0..20 {
-                let answer = submit(at, 77, &id, &options, "approve").unwrap_or_default();
-                let name = if at == to[0] { "n1" } else { "n2" };
-                of_client.add(format!("client: SUBMIT {id} to {name} is answered {answer:?}"));
-                if answer == "+OK" {
-                    accepted.push(id);
-                    break;
-                }
-                // One that is told where the tenant is goes there; else the front deals out the other one.
-                match moved_to(&answer) {
-                    Some(address) => at = address,
-                    None => {
-                        sleep_ms(20);
-                        at = if at == to[0] { to[1] } else { to[0] };
-                    }
-                }
-            }
-            sleep_ms(90);
-        }
-        accepted
-    });
-    sleep_ms(200);
-    let mut new = None;
+    let begun = record.now();
+    // SIGKILL of the planned restart would come 3.7 s after SIGTERM, which comes after 0.5 s.
+    let stop_at = begun + 500 + 3_700;
+    let clients: Vec<_> = (0..6)
+        .map(|n| {
+            let (record, at) = (record.clone(), resp[0]);
+            std::thread::spawn(move || client(n, at, stop_at, &record))
+        })
+        .collect();
+    sleep_ms(500);
     if trouble() {
-        record.add("operator: the new process of n1 is started beside the old one");
-        new = Some(start("n1-new", 0, &door[1]));
-        let says_yes = || {
-            use std::io::{Read, Write};
-            let Ok(mut s) = std::net::TcpStream::connect(doors[1]) else { return false };
-            let mut text = String::new();
-            s.write_all(b"check\n").is_ok() && s.read_to_string(&mut text).is_ok() && text.starts_with("200")
-        };
-        if !wait_until(6_000, says_yes) {
-            cannot_run("the new process does not say yes");
-        }
-        record.add("the new process says yes; SIGTERM to the old one");
-        old.signal(SIGTERM);
-        sleep_ms(1_400);
-        record.add(status().trim());
-        old.wait_for_end(2_300);
-        record.add(format!("the old process ends: {:?}", old.ended()));
-        old.kill();
-        sleep_ms(1_500);
-    } else {
-        sleep_ms(3_000);
+        record.add("SIGTERM to n1");
+        running[0].signal(SIGTERM);
+        let ended = running[0].wait_for_end(3_700);
+        record.add(format!("n1 has ended by itself: {ended}, {:?}", running[0].ended()));
+        running[0].kill();
+        // The planned restart: SIGKILL 3.7 s after SIGTERM, and the next start 0.6 s later.
+        sleep_ms((stop_at + 600).saturating_sub(record.now()));
+        record.add("n1 is started again, on its folder");
+        let (config, together) = (folder.path("n1.json"), folder.path("n1.toml"));
+        let variables = [("ROUTER_CONFIG", config.as_str()), ("LILACBANK_TOGETHER", together.as_str())];
+        running[0] = Process::start(&folder, "n1-again", &variables);
+        wait_for_ping(resp[0], 10_000);
+        record.add("n1 answers PING");
+        sleep_ms(2_000);
     }
-    stop.store(true, Ordering::SeqCst);
-    let accepted = client.join().unwrap_or_default();
-    sleep_ms(4_000);
-    record.add(status().trim());
-
-    // A key's messages go one at a time, in the order in which they were handed in.
     let mut broken = Vec::new();
-    let calls: Vec<Call> = accepted.iter().flat_map(|id| endpoints.of(id)).collect();
-    for (n, earlier) in calls.iter().enumerate() {
-        for later in calls[n + 1..].iter().filter(|c| c.id != earlier.id) {
-            if later.begun < earlier.ended.unwrap_or(u64::MAX) {
-                broken.push(format!(
-                    "{} of the same key begins at {} ms, before {} has run ({} to {:?} ms)",
-                    later.id, later.begun, earlier.id, earlier.begun, earlier.ended
-                ));
+    let (mut taken, mut silent) = (0, 0);
+    for (n, c) in clients.into_iter().enumerate() {
+        let Ok((requests, by_dispatcher)) = c.join() else { cannot_run("a client has failed") };
+        taken += requests.iter().filter(|r| r.answer.as_deref() == Some("+OK")).count();
+        for r in requests.iter().filter(|r| r.answer.is_none()) {
+            let calls = endpoints.of(&r.id);
+            silent += 1;
+            record.add(format!("client {n}: {} of {} ms has no answer; its calls: {}", r.id, r.sent, calls.len()));
+            // It was read and taken on: n1 has sent it, before its end or after its next start.
+            if by_dispatcher && !calls.is_empty() {
+                let at = calls[0].begun;
+                broken.push(format!("{} was read and taken on (n1 calls it at {at} ms), and its connection was ended with no answer", r.id));
             }
         }
     }
-    drop((new, other));
+    record.add(format!("{taken} requests were answered +OK, {silent} not at all"));
+    if taken == 0 {
+        cannot_run("nothing is taken on");
+    }
+    drop(running);
     record.finish(&broken)
 }
