--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -19,6 +19,9 @@
 "kinds":["high-volume"],"zones":["building-a"],"zone":"building-a",
 "tenants":[{"name":"sotrans-dakar","quota_per_s":100.0,"share":1.0}],"telemetry":{"fields":[],"via":"none"},"weights":"none","over_share_worth":0.2}"#;
 
+/// The body of the reimbursement: the claim that it pays.
+const CLAIM: &[u8] = b"claim-4711";
+
 fn main() {
     main_of(run)
 }
@@ -29,7 +32,6 @@
         ("class", "reimbursement"),
         ("tenant", "sotrans-dakar"),
         ("dest", "7"),
-        ("idempotency-key", "claim-4711"),
     ]
 }
 
@@ -70,7 +72,7 @@
     client.subscribe("answers/gateway-1");
 
     record.add("gateway-1: PUBLISH of pay-1, a reimbursement of claim-4711");
-    client.publish("lilacbank/submit", &reimbursement("pay-1"), 20, "answers/gateway-1", b"pay");
+    let first = client.publish("lilacbank/submit", &reimbursement("pay-1"), 20, "answers/gateway-1", CLAIM);
     let (of_list, pusher) = (record.clone(), platform.clone());
     let change = format!(r#"{{"rev":42,"all":false,"targets":[{}]}}"#, target("s1", 7));
     std::thread::spawn(move || {
@@ -84,7 +86,8 @@
         record.add("gateway-1: a new connection; PUBLISH of pay-1 again, right behind CONNECT");
         client = MqttClient::connect_at_once(free[1], "gateway-1", false, &record)
             .unwrap_or_else(|| cannot_run("the MQTT client cannot connect again"));
-        client.publish("lilacbank/submit", &reimbursement("pay-1"), 20, "answers/gateway-1", b"pay");
+        let again = reimbursement("pay-1");
+        client.publish_again(first, "lilacbank/submit", &again, 19, "answers/gateway-1", CLAIM);
     }
     // The client deals with one answer at a time, and acknowledges it when it has: one that was handed back
     // is handed in again after the wait that it was told, under a new id.
@@ -101,7 +104,7 @@
             let new = format!("pay-{next}");
             next += 1;
             record.add(format!("gateway-1: {id} was handed back; PUBLISH of {new}, the same reimbursement"));
-            client.publish("lilacbank/submit", &reimbursement(&new), 20, "answers/gateway-1", b"pay");
+            client.publish("lilacbank/submit", &reimbursement(&new), 18, "answers/gateway-1", CLAIM);
         }
         client.puback(packet_id);
     }
@@ -109,7 +112,7 @@
 
     let mut broken = Vec::new();
     let runs: Vec<Call> =
-        endpoints.calls.lock().unwrap().iter().filter(|c| c.key == "claim-4711").cloned().collect();
+        endpoints.calls.lock().unwrap().iter().filter(|c| c.body.as_bytes() == CLAIM).cloned().collect();
     if runs.len() > 1 {
         let ids: Vec<&str> = runs.iter().map(|c| c.id.as_str()).collect();
         broken.push(format!("the reimbursement of claim-4711 has taken effect {} times: {ids:?}", runs.len()));
--- a/review/stand-2/lib.rs
+++ b/review/stand-2/lib.rs
@@ -6,7 +6,7 @@
 use std::fs;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::os::unix::process::ExitStatusExt;
+use std::os::unix::process::{CommandExt, ExitStatusExt};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -22,8 +22,13 @@
 
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn listen(socket: i32, backlog: i32) -> i32;
+    fn prctl(option: i32, argument: u64, a: u64, b: u64, c: u64) -> i32;
 }
 
+/// The option of `prctl` by which a process gets a signal when the thread that started it ends.
+const PARENT_ENDS: i32 = 1;
+
 pub fn sleep_ms(ms: u64) {
     thread::sleep(Duration::from_millis(ms));
 }
@@ -36,12 +41,20 @@
 /// The processes that were started and have not been waited for.
 static STARTED: Mutex<Vec<i32>> = Mutex::new(Vec::new());
 
+/// The record of the case.
+static RECORD: Mutex<Option<Record>> = Mutex::new(None);
+
 /// The script ends by itself after so many seconds.
 const LONGEST_S: u64 = 110;
 
 /// Ends the script as one that could not run, with all processes that it started.
 pub fn cannot_run(why: &str) -> ! {
     eprintln!("the case could not run: {why}");
+    let record = RECORD.lock().ok().and_then(|r| r.clone());
+    record.iter().for_each(|r| {
+        r.add(format!("the case could not run: {why}"));
+        r.write();
+    });
     end_all(2)
 }
 
@@ -80,7 +93,9 @@
 
 impl Record {
     pub fn new() -> Record {
-        Record { begun: Instant::now(), lines: Arc::new(Mutex::new(Vec::new())) }
+        let record = Record { begun: Instant::now(), lines: Arc::new(Mutex::new(Vec::new())) };
+        *RECORD.lock().unwrap() = Some(record.clone());
+        record
     }
 
     pub fn now(&self) -> u64 {
@@ -196,6 +211,13 @@
         command.env("TMPDIR", &folder.0);
         command.envs(variables.iter().copied());
         command.current_dir(root()).stdin(Stdio::null()).stdout(log.try_clone().unwrap()).stderr(log);
+        // SAFETY: a single system call; the process ends with the script, however that ends.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PARENT_ENDS, SIGKILL as u64, 0, 0, 0);
+                Ok(())
+            })
+        };
         let child = command.spawn().unwrap_or_else(|e| cannot_run(&format!("{name} does not start: {e}")));
         STARTED.lock().unwrap().push(child.id() as i32);
         Process { child, name: name.into() }
@@ -510,16 +532,22 @@
     }
 }
 
-/// A path on which a cut can be played: while it is cut, nothing passes and nothing is said.
+/// A path on which bytes take a while and a cut can be played. While it is cut, nothing is said: open connections
+/// stay open and silent, and new ones do not come up.
 #[derive(Clone)]
 pub struct Route {
     pub address: SocketAddr,
+    listener: Arc<TcpListener>,
     cut: Arc<AtomicBool>,
-    resets: Arc<AtomicU64>,
+    /// Connections of its own that fill the backlog during a cut, so that no other comes up.
+    fill: Arc<Mutex<Vec<TcpStream>>>,
     /// How long bytes are on their way, in milliseconds.
     delay: u64,
 }
 
+/// The backlog of a path that is not cut.
+const BACKLOG: i32 = 128;
+
 impl Route {
     pub fn start(to: SocketAddr) -> Route {
         Route::start_with_delay(to, 0)
@@ -527,34 +555,55 @@
 
     pub fn start_with_delay(to: SocketAddr, delay: u64) -> Route {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap_or_else(|e| cannot_run(&e.to_string()));
-        let path = Route { address: listener.local_addr().unwrap(), cut: Arc::default(), resets: Arc::default(), delay };
-        let own = path.clone();
-        thread::spawn(move || {
-            for near in listener.incoming().flatten() {
-                let own = own.clone();
-                thread::spawn(move || own.carry(near, to));
+        listener.set_nonblocking(true).unwrap_or_else(|e| cannot_run(&e.to_string()));
+        let address = listener.local_addr().unwrap();
+        let route =
+            Route { address, listener: Arc::new(listener), cut: Arc::default(), fill: Arc::default(), delay };
+        let own = route.clone();
+        thread::spawn(move || loop {
+            own.wait_while_cut();
+            match own.listener.accept() {
+                Ok((near, from)) => {
+                    let fills = own.fill.lock().unwrap().iter().any(|f| f.local_addr().ok() == Some(from));
+                    if !fills {
+                        let own = own.clone();
+                        thread::spawn(move || own.carry(near, to));
+                    }
+                }
+                Err(_) => sleep_ms(1),
             }
         });
-        path
+        route
     }
 
-    pub fn set_cut(&self, cut: bool) {
-        self.cut.store(cut, Ordering::SeqCst);
+    /// Cuts all these paths, or ends the cut.
+    pub fn set_cut(all: &[&Route], cut: bool) {
+        all.iter().for_each(|r| r.cut.store(cut, Ordering::SeqCst));
+        thread::scope(|scope| {
+            all.iter().for_each(|r| drop(scope.spawn(move || r.set_backlog(cut))));
+        });
     }
 
-    /// Ends all connections of this path now.
-    pub fn end_connections(&self) {
-        self.resets.fetch_add(1, Ordering::SeqCst);
+    fn set_backlog(&self, cut: bool) {
+        use std::os::fd::AsRawFd;
+        // SAFETY: the socket is open and listens.
+        unsafe { listen(self.listener.as_raw_fd(), if cut { 0 } else { BACKLOG }) };
+        while cut {
+            match TcpStream::connect_timeout(&self.address, Duration::from_millis(40)) {
+                Ok(filler) => self.fill.lock().unwrap().push(filler),
+                Err(_) => break,
+            }
+        }
     }
 
     fn wait_while_cut(&self) {
         while self.cut.load(Ordering::SeqCst) {
-            sleep_ms(5);
+            sleep_ms(2);
         }
     }
 
     fn carry(&self, near: TcpStream, to: SocketAddr) {
-        self.wait_while_cut();
+        let _ = near.set_nonblocking(false);
         let Ok(far) = TcpStream::connect(to) else { return };
         let (a, b) = (near.try_clone(), far.try_clone());
         let (Ok(near_2), Ok(far_2)) = (a, b) else { return };
@@ -564,39 +613,45 @@
         let _ = up.join();
     }
 
+    /// Carries one direction: what is read is written `delay` later, by a thread of its own.
     fn pump(&self, mut from: TcpStream, mut to: TcpStream) {
         let _ = from.set_nodelay(true);
         let _ = to.set_nodelay(true);
         let _ = from.set_read_timeout(Some(Duration::from_millis(10)));
+        let (sender, receiver) = std::sync::mpsc::channel::<(Instant, Option<Vec<u8>>)>();
+        let (own, Ok(reading)) = (self.clone(), from.try_clone()) else { return };
+        let writer = thread::spawn(move || {
+            for (at, bytes) in receiver {
+                thread::sleep(at.saturating_duration_since(Instant::now()));
+                own.wait_while_cut();
+                let written = bytes.is_some_and(|b| to.write_all(&b).is_ok());
+                if !written {
+                    let _ = to.shutdown(std::net::Shutdown::Write);
+                    break;
+                }
+            }
+            // Nothing more can be delivered: the other side hears of it.
+            let _ = reading.shutdown(std::net::Shutdown::Read);
+        });
         let mut buffer = [0; 16 * 1024];
-        let begun = self.resets.load(Ordering::SeqCst);
         loop {
+            // What was not read before a cut stays with the sender, which may take it back by a reset.
             self.wait_while_cut();
-            if self.resets.load(Ordering::SeqCst) != begun {
-                let _ = from.shutdown(std::net::Shutdown::Both);
-                let _ = to.shutdown(std::net::Shutdown::Both);
-                return;
-            }
+            let due = || Instant::now() + Duration::from_millis(self.delay);
             match from.read(&mut buffer) {
-                Ok(0) => {
-                    self.wait_while_cut();
-                    let _ = to.shutdown(std::net::Shutdown::Write);
-                    return;
-                }
-                Ok(n) => {
-                    sleep_ms(self.delay);
-                    self.wait_while_cut();
-                    if to.write_all(&buffer[..n]).is_err() {
-                        let _ = from.shutdown(std::net::Shutdown::Both);
-                        return;
+                Ok(n) if n > 0 => {
+                    if sender.send((due(), Some(buffer[..n].to_vec()))).is_err() {
+                        break;
                     }
                 }
                 Err(e) if matches!(e.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut) => {}
-                Err(_) => {
-                    let _ = to.shutdown(std::net::Shutdown::Both);
-                    return;
+                _ => {
+                    let _ = sender.send((due(), None));
+                    break;
                 }
             }
         }
+        drop(sender);
+        let _ = writer.join();
     }
 }
--- a/review/stand-2/mqtt.rs
+++ b/review/stand-2/mqtt.rs
@@ -134,6 +134,36 @@
         response: &str,
         payload: &[u8],
     ) -> u16 {
+        let packet_id = self.id();
+        self.publish_as(0x32, packet_id, topic, user, expiry_s, response, payload);
+        packet_id
+    }
+
+    /// Sends a PUBLISH that was not acknowledged on an earlier connection again, with its packet id and DUP.
+    pub fn publish_again(
+        &mut self,
+        packet_id: u16,
+        topic: &str,
+        user: &[(&str, &str)],
+        expiry_s: u32,
+        response: &str,
+        payload: &[u8],
+    ) {
+        self.next_id = self.next_id.max(packet_id);
+        self.publish_as(0x3a, packet_id, topic, user, expiry_s, response, payload);
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn publish_as(
+        &mut self,
+        first: u8,
+        packet_id: u16,
+        topic: &str,
+        user: &[(&str, &str)],
+        expiry_s: u32,
+        response: &str,
+        payload: &[u8],
+    ) {
         let mut properties = vec![2];
         properties.extend(expiry_s.to_be_bytes());
         properties.push(8);
@@ -144,13 +174,11 @@
             properties.extend(string(value));
         }
         let mut body = string(topic);
-        let packet_id = self.id();
         body.extend(packet_id.to_be_bytes());
         body.extend(length(properties.len()));
         body.extend(properties);
         body.extend(payload);
-        let _ = self.stream.write_all(&packet(0x32, &body));
-        packet_id
+        let _ = self.stream.write_all(&packet(first, &body));
     }
 
     pub fn puback(&mut self, packet_id: u16) {
