--- a/review/8/case.rs
+++ b/review/8/case.rs
@@ -99,7 +99,8 @@
     for n in 0..24 {
         for at in resp {
             let id = format!("status-{}-{n}", at.port());
-            submit(at, 0, &id, "c=claim-status,t=sotrans-dakar,d=8000,dest=7", "status");
+            let answer = submit(at, 0, &id, "c=claim-status,t=sotrans-dakar,d=8000,dest=7", "status");
+            record.add(format!("client: SUBMIT {id} is answered {answer:?}"));
         }
         sleep_ms(100);
     }
@@ -131,9 +132,9 @@
     }
     let cut = trouble();
     record.add(if cut { "building-a is cut off from building-b" } else { "no cut" });
-    between.iter().for_each(|p| p.set_cut(cut));
+    Route::set_cut(&between, cut);
     sleep_ms(6_000);
-    between.iter().for_each(|p| p.set_cut(false));
+    Route::set_cut(&between, false);
     record.add("the buildings reach each other");
     sleep_ms(4_000);
 
