--- a/review/9/case.rs
+++ b/review/9/case.rs
@@ -55,7 +55,8 @@
             if stream.get_mut().write_all(bytes.as_bytes()).is_err() {
                 return (requests, true);
             }
-            requests.push(Asked { id, sent: record.now(), answer: None });
+            let sent = record.add(format!("client {number}: SUBMIT {id} to n1"));
+            requests.push(Asked { id, sent, answer: None });
         }
         if answered == requests.len() {
             return (requests, false);
@@ -63,6 +64,7 @@
         let (mut line, begun) = (String::new(), Instant::now());
         match stream.read_line(&mut line) {
             Ok(n) if n > 0 => {
+                record.add(format!("n1: {} is answered {:?}", requests[answered].id, line.trim_end()));
                 requests[answered].answer = Some(line.trim_end().to_string());
                 answered += 1;
             }
