--- a/review/10/case.rs
+++ b/review/10/case.rs
@@ -69,7 +69,6 @@
             ("class", "reimbursement"),
             ("tenant", "sotrans-dakar"),
             ("dest", "7"),
-            ("idempotency-key", id.as_str()),
         ];
         record.add(format!("gateway-1: PUBLISH of {id}"));
         packets.insert(client.publish("lilacbank/submit", &user, VALID_S, topic, b"pay"), id.clone());
