Keep to the rejection of an MQTT message that its client may know of

Callers saw: a reimbursement was rejected, its connection was lost before the client knew, and the client sent it again on the next one, where it was accepted and delivered.

Cause: the front end kept one pending answer for each id. The rejection was sent on the next connection whether or not the message had been accepted meanwhile, and the different final answer was dropped while it was in flight.

Fix: a rejection that was sent and not acknowledged stays the answer to the message when it is sent again under its id; it is not accepted. One that was never sent is dropped. Different outcomes of one id are sent each. Then no client is told that a message may be submitted again that runs, in whichever order its packets come.

--- a/src/net/mqtt/acceptor.rs
+++ b/src/net/mqtt/acceptor.rs
@@ -19,14 +19,18 @@
 };
 use mqtt_protocol_core::mqtt::role::Server;
 use slab::Slab;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::btree_map::{BTreeMap, Entry};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 /// Topic to which clients submit messages.
 pub const SUBMIT_TOPIC: &str = "lilacbank/submit";
-/// Milliseconds for which the answer to a rejected message is kept for its client.
+/// Milliseconds for which the answer to a rejected message is kept for its client, from the rejection or from the end
+/// of the connection on which it was sent.
 const REJECTION_KEPT: Ms = 5_000.0;
+/// The number of no message: a rejected message has none.
+const NO_MESSAGE: MessageNo = 0;
 /// Maximum number of topic filters of one client.
 const FILTERS_MAX: usize = 32;
 /// Maximum number of unacknowledged answers to one client at a time.
@@ -54,6 +58,44 @@
     moved: Option<(String, Option<SocketAddr>)>,
 }
 
+impl PendingAnswer {
+    /// Whether the message was rejected: it is not held, and no other answer to it will come.
+    fn is_rejection(&self) -> bool {
+        self.told.message_no == NO_MESSAGE && self.told.ending != Ending::Delivered
+    }
+
+    /// Takes over the latest form of the same answer, unless it is in flight: it is not sent again on the same
+    /// connection.
+    fn update(&mut self, told: FinalAnswer, moved: Option<(String, Option<SocketAddr>)>) {
+        let message_no = self.told.message_no.max(told.message_no);
+        if self.packet.is_none() {
+            (self.told, self.moved) = (told, moved);
+        }
+        self.told.message_no = message_no;
+    }
+
+    /// Whether the client may have received the answer.
+    fn may_be_known(&self) -> bool {
+        self.packet.is_some() || self.again
+    }
+}
+
+/// Distinguishes the pending answers of a client. A different outcome of the same message is an answer of its own.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+struct AnswerKey {
+    id: String,
+    outcome: &'static str,
+}
+
+/// The outcome that a client reads in an answer.
+fn outcome_name(ending: Ending) -> &'static str {
+    match ending {
+        Ending::Delivered => "delivered",
+        Ending::GivenUp => "given_up",
+        Ending::Returned(_) => "handed_back",
+    }
+}
+
 /// State of a client that outlives its connections.
 #[derive(Debug, Default)]
 struct Client {
@@ -62,7 +104,38 @@
     /// answers: after a restart these are known from the journal before the client connects.
     has_session: bool,
     filters: Vec<String>,
-    answers: BTreeMap<String, PendingAnswer>,
+    answers: BTreeMap<AnswerKey, PendingAnswer>,
+}
+
+impl Client {
+    /// The rejection of the message with this id that the client may know of and has not acknowledged.
+    fn known_rejection(&mut self, id: &str) -> Option<&mut PendingAnswer> {
+        let is_known = |(key, a): &(&AnswerKey, &mut PendingAnswer)| {
+            key.id == id && a.is_rejection() && a.may_be_known()
+        };
+        self.answers.iter_mut().find(is_known).map(|(_, a)| a)
+    }
+
+    /// Drops rejections of the message with this id that were never sent.
+    fn drop_unsent_rejections(&mut self, id: &str) {
+        self.answers.retain(|key, a| key.id != id || !a.is_rejection() || a.may_be_known());
+    }
+
+    /// Ends the session, as its client may have gone on at the sibling process. Rejections end with it: the client may
+    /// have submitted the messages there.
+    fn give_up_session(&mut self) {
+        self.has_session = false;
+        self.answers.retain(|_, a| !a.is_rejection());
+    }
+
+    /// The connection has ended: what was sent on it and not acknowledged is sent again on the next one.
+    fn disconnect(&mut self, now: Ms) {
+        self.conn = None;
+        for answer in self.answers.values_mut().filter(|a| a.packet.is_some()) {
+            (answer.packet, answer.again) = (None, true);
+            answer.told.expires_at = answer.told.expires_at.max(now + REJECTION_KEPT);
+        }
+    }
 }
 
 /// A submission that waits for its verdict.
@@ -176,7 +249,7 @@
     pub fn observe_sibling(&mut self, serves: bool) {
         self.sibling_serves = serves;
         if serves {
-            self.clients.values_mut().filter(|c| c.conn.is_none()).for_each(|c| c.has_session = false);
+            self.clients.values_mut().filter(|c| c.conn.is_none()).for_each(Client::give_up_session);
         }
     }
 
@@ -188,7 +261,7 @@
             let max = self.max;
             let picked = pick_to_close(&mut Served { clients: self, core, acknowledged }, now, max);
             let Some(index) = picked else { return false };
-            self.close(index);
+            self.close(now, index);
         }
         true
     }
@@ -235,20 +308,19 @@
         }
         let Some(c) = self.conns.get_mut(index) else { return };
         if c.session.stream.flush().is_err() || c.session.closing {
-            self.close(index);
+            self.close(now, index);
         }
     }
 
-    fn close(&mut self, index: usize) {
+    fn close(&mut self, now: Ms, index: usize) {
         let Some(c) = self.conns.try_remove(index) else { return };
         c.session.stream.finish();
         let Some(client) = c.client.and_then(|name| self.clients.get_mut(&name)) else { return };
         if client.conn == Some(index) {
-            client.conn = None;
-            client.has_session &= !self.sibling_serves;
-            client.answers.values_mut().for_each(|o| {
-                o.again |= o.packet.take().is_some();
-            });
+            client.disconnect(now);
+            if self.sibling_serves {
+                client.give_up_session();
+            }
         }
         if self.clients.len() > DISCONNECTED_CLIENTS_MAX + self.conns.len() {
             self.clients.retain(|_, c| c.conn.is_some() || !c.answers.is_empty());
@@ -270,9 +342,10 @@
             (Packet::V5_0Publish(p), Some(client)) => self.handle_publish(now, index, &client, &p, core),
             (Packet::V5_0Puback(p), Some(name)) => {
                 let Some(client) = self.clients.get_mut(&name) else { return };
-                let id =
-                    client.answers.iter().find(|o| o.1.packet == Some(p.packet_id())).map(|o| o.0.clone());
-                acknowledged.extend(id.and_then(|id| client.answers.remove(&id)).map(|o| o.told.message_no));
+                let key =
+                    client.answers.iter().find(|a| a.1.packet == Some(p.packet_id())).map(|a| a.0.clone());
+                let answer = key.and_then(|key| client.answers.remove(&key));
+                acknowledged.extend(answer.map(|a| a.told.message_no).filter(|no| *no != NO_MESSAGE));
             }
             (Packet::V5_0Subscribe(p), Some(name)) => {
                 let Some(client) = self.clients.get_mut(&name) else { return };
@@ -319,7 +392,7 @@
                 bye.into_iter().for_each(|p| c.session.send(now, p));
                 let _ = c.session.stream.flush();
             }
-            self.close(old);
+            self.close(now, old);
         }
         let Some(c) = self.conns.get_mut(index) else { return };
         // Without a client id a client could not be recognized after it reconnects.
@@ -359,6 +432,9 @@
             return self.acknowledge(now, index, p.packet_id(), PubackReasonCode::TopicNameInvalid);
         }
         match submission(client, &properties, p.payload().as_slice()) {
+            Ok(s) if self.repeat_rejection(client, &s) => {
+                self.acknowledge(now, index, p.packet_id(), PubackReasonCode::Success);
+            }
             Ok(s) => {
                 let ticket = self.next_ticket * 2 + 1;
                 self.next_ticket += 1;
@@ -377,6 +453,19 @@
         }
     }
 
+    /// Whether the client may know that this message was rejected, and has not acknowledged that: then the rejection
+    /// is the answer to this submission, too. If it were accepted, the client could submit it under another id, as
+    /// the rejection says, and it would take effect twice.
+    fn repeat_rejection(&mut self, name: &str, s: &Submission) -> bool {
+        let Some(client) = self.clients.get_mut(name) else { return false };
+        client.drop_unsent_rejections(&s.identity.1);
+        let Some(rejection) = client.known_rejection(&s.identity.1) else { return false };
+        if rejection.packet.is_none() {
+            rejection.told.reply_to = s.reply_to.clone();
+        }
+        true
+    }
+
     fn acknowledge(&mut self, now: Ms, index: usize, packet: Option<u16>, code: PubackReasonCode) {
         let Some((c, id)) = self.conns.get_mut(index).zip(packet) else { return };
         if let Ok(ack) = Puback::builder().packet_id(id).reason_code(code).build() {
@@ -405,10 +494,12 @@
         if self.conns.get(a.conn).is_some_and(|c| c.serial == a.serial) {
             self.acknowledge(now, a.conn, a.packet, PubackReasonCode::Success);
         }
-        if let Some(ending) = ending {
+        // The client has submitted the message again meanwhile: the verdict on that is the answer.
+        let is_superseded = || self.submissions.values().any(|s| s.client == a.client && s.id == a.id);
+        if let Some(ending) = ending.filter(|_| !is_superseded()) {
             let identity = (a.client, a.id);
             let told = FinalAnswer {
-                message_no: 0,
+                message_no: NO_MESSAGE,
                 identity,
                 ending,
                 reply_to: a.reply,
@@ -427,10 +518,12 @@
     fn queue_answer(&mut self, now: Ms, told: FinalAnswer, moved: Option<(String, Option<SocketAddr>)>) {
         let name = told.identity.0.clone();
         let client = self.clients.entry(name.clone()).or_default();
-        let id = told.identity.1.clone();
-        // An answer in flight is not sent again on the same connection.
-        if client.answers.get(&id).is_none_or(|o| o.packet.is_none()) {
-            client.answers.insert(id, PendingAnswer { told, packet: None, again: false, moved });
+        let key = AnswerKey { id: told.identity.1.clone(), outcome: outcome_name(told.ending) };
+        match client.answers.entry(key) {
+            Entry::Occupied(mut pending) => pending.get_mut().update(told, moved),
+            Entry::Vacant(vacant) => {
+                vacant.insert(PendingAnswer { told, packet: None, again: false, moved });
+            }
         }
         if let Some(index) = client.conn {
             self.send_or_close(now, index);
@@ -451,10 +544,10 @@
             if !client.filters.iter().any(|f| matches(f, &properties.response)) {
                 continue;
             }
-            let (outcome, wait) = match pending.told.ending {
-                Ending::Delivered => ("delivered", None),
-                Ending::GivenUp => ("given_up", None),
-                Ending::Returned(wait) => ("handed_back", Some(wait.ceil() as u64).filter(|w| *w > 0)),
+            let outcome = outcome_name(pending.told.ending);
+            let wait = match pending.told.ending {
+                Ending::Returned(wait) => Some(wait.ceil() as u64).filter(|w| *w > 0),
+                Ending::Delivered | Ending::GivenUp => None,
             };
             let mut user =
                 vec![("id".into(), pending.told.identity.1.clone()), ("outcome".into(), outcome.into())];
--- a/tests/stand/mqtt.rs
+++ b/tests/stand/mqtt.rs
@@ -63,6 +63,60 @@
     }
 }
 
+/// A client that handles one packet at a time: the test decides when it reads, acknowledges and sends again.
+impl MqttConnection<role::Client> {
+    /// Connects without a clean start.
+    pub fn open(to: SocketAddr, name: &str) -> MqttConnection<role::Client> {
+        let mut connection = MqttConnection::new(TcpStream::connect(to).unwrap());
+        connection.send(Connect::builder().client_id(name).unwrap().clean_start(false).build().unwrap());
+        let Some(Packet::V5_0Connack(_)) = connection.next() else { panic!("no CONNACK") };
+        connection
+    }
+
+    pub fn subscribe(&mut self, filter: &str) {
+        let id = self.mqtt.acquire_packet_id().unwrap();
+        let entry = SubEntry::new(filter, SubOpts::new().set_qos(Qos::AtLeastOnce)).unwrap();
+        self.send(Subscribe::builder().packet_id(id).entries(vec![entry]).build().unwrap());
+    }
+
+    /// Submits a message with an answer to `answers`; with `dup` it is sent again.
+    pub fn submit(&mut self, id: &str, user: &[(&str, &str)], dup: bool) {
+        let user = user.iter().copied().chain([("id", id)]);
+        let user = user.map(|(k, v)| UserProperty::new(k, v).unwrap());
+        let mut props: Vec<Property> = user.map(Property::UserProperty).collect();
+        props.push(Property::ResponseTopic(ResponseTopic::new("answers").unwrap()));
+        let packet = self.mqtt.acquire_packet_id().unwrap();
+        let p = Publish::builder().topic_name("lilacbank/submit").unwrap().qos(Qos::AtLeastOnce);
+        let p = p.dup(dup).packet_id(packet).props(props).payload(id.as_bytes());
+        self.send(p.build().unwrap());
+    }
+
+    /// Waits for the next answer: the id of its packet, the message's id and the outcome.
+    pub fn next_answer(&mut self) -> (u16, String, String) {
+        loop {
+            match self.next() {
+                Some(Packet::V5_0Publish(p)) => {
+                    let m = MqttMessage::of(&p);
+                    let property = |name: &str| m.user_property(name).to_string();
+                    return (p.packet_id().unwrap(), property("id"), property("outcome"));
+                }
+                Some(_) => {}
+                None => panic!("the connection ended before an answer"),
+            }
+        }
+    }
+
+    /// Waits until a submission is acknowledged.
+    pub fn wait_for_ack(&mut self) {
+        while !matches!(self.next(), Some(Packet::V5_0Puback(_))) {}
+    }
+
+    pub fn acknowledge(&mut self, packet: u16) {
+        let ack = Puback::builder().packet_id(packet).reason_code(PubackReasonCode::Success);
+        self.send(ack.build().unwrap());
+    }
+}
+
 #[derive(Debug, Clone)]
 pub struct MqttMessage {
     pub topic: String,
