Start a deduplicated message only once its holders know that it may have run

Cause: replication took a deduplicated class for one that may be repeated anywhere. An owner that is cut off goes on with such messages while its lease lasts, and tells the holders of each start at the same time as it sends. That does not reach them; after 3 s they take the messages over as never sent, with no zone and no time of a first attempt.

Fix: a third kind of message. Its owner first tells all holders that it may have run, and sends it when each that does not count as gone has confirmed. A holder that has it as accepted then knows that its owner has not sent it. After a takeover the other holders are heard first. A give-up in the same batch of events as its takeover is no longer lost.

--- a/crates/replica/src/keeper.rs
+++ b/crates/replica/src/keeper.rs
@@ -13,6 +13,9 @@
 //! restarted arbiter has lost its grants and gives none for messages from before the restart: the copy names
 //! the incarnation of the arbiter that may grant.
 //!
+//! **Confirmed starts.** A deduplicated message is started once all holders have confirmed that it may have run
+//! ([`Replicator::prepare_start`]).
+//!
 //! **Anti-entropy.** Two dispatchers compare the copies that both should have through [`crate::digest`], at
 //! first contact and then periodically, and send the copies that differ, a limited number of buckets at a
 //! time.
@@ -20,6 +23,7 @@
 mod comparison;
 mod fences;
 mod received;
+mod starts;
 mod takeover;
 
 use self::comparison::{Comparison, PeerDigest, MAX_HASHES_PER_REQUEST};
@@ -333,7 +337,7 @@
     fn to_wire(&self, now: Ms, replica: &Replica) -> WireCopy {
         let mut wire = WireCopy::from(&replica.copy);
         wire.valid_until = replica.copy.content.valid_until.saturating_sub(now);
-        wire.at_most_once = replica.kind == Repeatability::AtMostOnce;
+        wire.set_repeatability(replica.kind);
         wire
     }
 
@@ -461,16 +465,24 @@
     /// Whether an attempt of this message may begin now. A message without a copy here is not restricted.
     pub fn may_start_attempt(&self, now: Ms, id: &str) -> bool {
         let Some(replica) = self.replicas.get(id) else { return true };
-        let majority = self.has_majority(now);
-        let safe_to_act =
-            |n: &String| self.peers.get(n).is_some_and(|p| p.gone && majority || p.has_lease(now));
-        let lease = self.other_holders(replica).iter().all(safe_to_act);
+        let lease = self.has_leases_of_holders(now, replica);
         if self.unsettled.contains(id) || !lease || !replica.is_owner() {
             return false;
         }
-        // A started at-most-once message needs no further grant: its owner finds out the outcome.
-        replica.copy.stage == Stage::Started && replica.kind == Repeatability::AtMostOnce
-            || replica.next_step(lease) == ReplicaAction::Start
+        match replica.kind {
+            // A started at-most-once message needs no further grant: its owner finds out the outcome.
+            Repeatability::AtMostOnce if replica.copy.stage == Stage::Started => true,
+            Repeatability::Deduplicated if !self.has_confirmed_start(replica) => false,
+            _ => replica.next_step(lease) == ReplicaAction::Start,
+        }
+    }
+
+    /// Whether every other holder has renewed the lease of this dispatcher, or counts as gone.
+    fn has_leases_of_holders(&self, now: Ms, replica: &Replica) -> bool {
+        let majority = self.has_majority(now);
+        let safe_to_act =
+            |n: &String| self.peers.get(n).is_some_and(|p| p.gone && majority || p.has_lease(now));
+        self.other_holders(replica).iter().all(safe_to_act)
     }
 
     /// Whether there are peers without a valid lease that may hold own messages back. If not, running
@@ -795,12 +807,16 @@
                 }
                 if self.replicas.get(&h.id).is_some_and(same) {
                     self.confirm(&h.id, &from);
+                    self.report_confirmed_start(&h.id);
                 }
                 if self.replicas.get(&h.id).is_some_and(Replica::is_owner) {
                     self.events.push(ReplicationEvent::CopyAcknowledged(h.id));
                 }
             }
-            Some(Payload::NotStored(id)) => self.confirm_fence(&from, &id),
+            Some(Payload::NotStored(id)) => {
+                self.confirm_fence(&from, &id);
+                self.on_start_not_stored(&from, &id);
+            }
             Some(Payload::RequestGrant(wire)) => self.on_grant_request(now, &from, wire),
             Some(Payload::Grant(wire)) => {
                 let fence = Fence { epoch: wire.epoch, owner: wire.owner };
--- a/crates/replica/src/keeper/received.rs
+++ b/crates/replica/src/keeper/received.rs
@@ -30,7 +30,7 @@
     }
 
     pub(super) fn on_copy(&mut self, now: Ms, from: &str, wire: WireCopy) {
-        let kind = if wire.at_most_once { Repeatability::AtMostOnce } else { Repeatability::Repeatable };
+        let kind = wire.repeatability();
         let Some(mut copy) = wire.read() else {
             self.counts.invalid_messages += 1;
             return;
@@ -87,13 +87,16 @@
         }
         let state = |r: &Replica| (r.kind, r.copy.stage, r.is_owner());
         let Some((kind, stage_before, owned)) = self.replicas.get(&id).map(state) else { return };
-        // The state folder was restored from an older copy: an attempt begun after that copy was made may
-        // have run.
-        let begun = kind == Repeatability::AtMostOnce
-            && stage_before == Stage::Accepted
+        // An attempt that is unknown here may have run: a former owner's, or one that was begun after the copy was
+        // made from which the state folder was restored.
+        let begun = stage_before == Stage::Accepted
             && copy.stage == Stage::Started
             && owned
-            && unsettled;
+            && match kind {
+                Repeatability::AtMostOnce => unsettled,
+                Repeatability::Deduplicated => true,
+                Repeatability::Repeatable => false,
+            };
         let merged = self.replicas.update(&id, |replica| {
             // After a restart the holders may be unknown here.
             if replica.copy.holders.is_empty() {
@@ -138,7 +141,7 @@
             owner: self.spec.name.clone(),
         };
         let step =
-            if kind == Repeatability::Repeatable { ReplicaAction::Start } else { ReplicaAction::GiveUp };
+            if kind == Repeatability::AtMostOnce { ReplicaAction::GiveUp } else { ReplicaAction::Start };
         let (id, me) = (copy.id.clone(), self.spec.name.clone());
         self.counts.takeovers += 1;
         self.insert(Replica::new(&me, copy.clone(), kind));
--- a/crates/replica/src/owner.rs
+++ b/crates/replica/src/owner.rs
@@ -13,7 +13,11 @@
 //! peer messages are lost, duplicated or late. If the arbiter is gone too, or has already granted, the
 //! message is given up without an attempt: nobody can prove that it was never sent.
 //!
-//! A message that may be repeated needs no grant; its owner acts on it while its lease lasts. The lease
+//! A deduplicated message is started once every other dispatcher that holds a copy, and does not count as gone,
+//! has confirmed that it may have run. A dispatcher that takes it over therefore knows whether it was started; it
+//! does not know where, and so does not send again what was.
+//!
+//! A message that may be repeated needs neither; its owner acts on it while its lease lasts. The lease
 //! expires before any peer may count the owner as gone, so attempts of two owners do not overlap. A
 //! dispatcher whose own lease has expired counts nobody as gone, and the peers that renew its lease send it
 //! their copies first, so that it does not act under a fence that has been replaced.
@@ -53,6 +57,9 @@
 pub enum Repeatability {
     /// It may be repeated.
     Repeatable,
+    /// It may be repeated where the endpoint of its first attempt drops repeats, which only the dispatcher that
+    /// sent it knows (deduplicated).
+    Deduplicated,
     /// It must not be repeated (at-most-once).
     AtMostOnce,
 }
@@ -112,8 +119,8 @@
             return ReplicaAction::NoAction;
         }
         match self.kind {
-            Repeatability::Repeatable if lease => ReplicaAction::Start,
-            Repeatability::Repeatable => ReplicaAction::NoAction,
+            Repeatability::Repeatable | Repeatability::Deduplicated if lease => ReplicaAction::Start,
+            Repeatability::Repeatable | Repeatability::Deduplicated => ReplicaAction::NoAction,
             // A started at-most-once message is not started again: its attempt has an outcome, or the outcome
             // stays unknown.
             Repeatability::AtMostOnce if self.copy.stage == Stage::Started => ReplicaAction::NoAction,
@@ -156,7 +163,7 @@
         self.has_grant = false;
         match (self.copy.stage, self.kind) {
             (Stage::Ended(_), _) => ReplicaAction::NoAction,
-            (_, Repeatability::Repeatable) => ReplicaAction::Start,
+            (_, Repeatability::Repeatable | Repeatability::Deduplicated) => ReplicaAction::Start,
             (Stage::Accepted, Repeatability::AtMostOnce)
                 if self.is_arbiter() && self.granted_fence.is_none() =>
             {
--- a/crates/replica/src/wire.rs
+++ b/crates/replica/src/wire.rs
@@ -6,6 +6,7 @@
 //! after it cannot be trusted to be a frame.
 
 use crate::copies::{CopyEnding, Fence, MessageContent, MessageCopy, Stage};
+use crate::owner::Repeatability;
 use prost::Message as _;
 
 /// The supported protocol version.
@@ -73,6 +74,10 @@
     /// See [`MessageContent::arbiter_incarnation`].
     #[prost(fixed64, tag = "19")]
     pub arbiter_incarnation: u64,
+    /// Whether only some endpoints drop its repeats (deduplicated). A release without this field takes the message
+    /// for one that may be repeated.
+    #[prost(bool, tag = "20")]
+    pub deduplicated: bool,
 }
 
 /// The payload of a peer message.
@@ -376,11 +381,27 @@
             accepted_by: m.accepted_by,
             at_most_once: false,
             arbiter_incarnation: m.arbiter_incarnation,
+            deduplicated: false,
         }
     }
 }
 
 impl WireCopy {
+    /// Whether the message may be repeated.
+    pub fn repeatability(&self) -> Repeatability {
+        match (self.at_most_once, self.deduplicated) {
+            (true, _) => Repeatability::AtMostOnce,
+            (false, true) => Repeatability::Deduplicated,
+            (false, false) => Repeatability::Repeatable,
+        }
+    }
+
+    /// States whether the message may be repeated.
+    pub fn set_repeatability(&mut self, kind: Repeatability) {
+        self.at_most_once = kind == Repeatability::AtMostOnce;
+        self.deduplicated = kind == Repeatability::Deduplicated;
+    }
+
     /// Decodes the copy; `None` if its stage or id is invalid.
     pub fn read(self) -> Option<MessageCopy> {
         let stage = match self.stage {
--- a/crates/replica/tests/keeper.rs
+++ b/crates/replica/tests/keeper.rs
@@ -19,6 +19,8 @@
     stage: Stage,
     /// The running attempt: when it ends, and whether that delivers the message.
     running: Option<(Ms, bool)>,
+    /// Whether a deduplicated message has waited for its turn at the destination.
+    has_turn: bool,
 }
 
 struct Dispatcher {
@@ -35,6 +37,7 @@
     /// Attempts of each message: the dispatcher, the start and the end.
     attempts: BTreeMap<String, Vec<(usize, Ms, Ms)>>,
     unsafe_ids: BTreeSet<String>,
+    deduplicated_ids: BTreeSet<String>,
     taken: BTreeMap<String, usize>,
     ends: BTreeMap<String, BTreeSet<CopyEnding>>,
     taken_over: u64,
@@ -172,11 +175,14 @@
         let content = content_of(&id, now + 60_000);
         keeper.accept(now, &id, content.clone(), kind);
         self.record.contents.insert(id.clone(), content.clone());
-        self.dispatchers[n]
-            .messages
-            .insert(id.clone(), Message { kind, content, stage: Stage::Accepted, running: None });
-        if kind == Repeatability::AtMostOnce {
-            self.record.unsafe_ids.insert(id.clone());
+        self.dispatchers[n].messages.insert(
+            id.clone(),
+            Message { kind, content, stage: Stage::Accepted, running: None, has_turn: false },
+        );
+        match kind {
+            Repeatability::AtMostOnce => drop(self.record.unsafe_ids.insert(id.clone())),
+            Repeatability::Deduplicated => drop(self.record.deduplicated_ids.insert(id.clone())),
+            Repeatability::Repeatable => {}
         }
         self.record.taken.insert(id, n);
     }
@@ -241,15 +247,24 @@
                 ReplicationEvent::OwnershipTaken(copy, step) => {
                     let kind = if self.record.unsafe_ids.contains(&copy.id) {
                         Repeatability::AtMostOnce
+                    } else if self.record.deduplicated_ids.contains(&copy.id) {
+                        Repeatability::Deduplicated
                     } else {
                         Repeatability::Repeatable
                     };
+                    // The send rules allow no repeat where the zone and the time of the first attempt are unknown.
+                    let unknown_attempt = kind == Repeatability::Deduplicated && copy.stage == Stage::Started;
                     self.record.taken_over += 1;
                     self.compare_content(now, n, &copy.id, &copy.content);
-                    let message =
-                        Message { kind, content: copy.content.clone(), stage: copy.stage, running: None };
+                    let message = Message {
+                        kind,
+                        content: copy.content.clone(),
+                        stage: copy.stage,
+                        running: None,
+                        has_turn: false,
+                    };
                     self.dispatchers[n].messages.insert(copy.id.clone(), message);
-                    if step == ReplicaAction::GiveUp {
+                    if step == ReplicaAction::GiveUp || unknown_attempt {
                         self.end(now, n, &copy.id, CopyEnding::GivenUp);
                     }
                 }
@@ -265,6 +280,14 @@
             if matches!(message.stage, Stage::Ended(_)) {
                 continue;
             }
+            if message.kind == Repeatability::Deduplicated && message.running.is_none() {
+                // It waits for its turn at the destination, so that faults find messages that were not started.
+                if !message.has_turn && self.rng.random_bool(0.995) {
+                    continue;
+                }
+                message.has_turn = true;
+                keeper.prepare_start(now, &id);
+            }
             let may = keeper.may_start_attempt(now, &id);
             match message.running {
                 Some((until, delivered)) if until <= now => {
@@ -276,7 +299,7 @@
                     }
                 }
                 // An attempt of a repeatable message is cancelled once its owner may be counted as gone.
-                Some(_) if !may && message.kind == Repeatability::Repeatable => {
+                Some(_) if !may && message.kind != Repeatability::AtMostOnce => {
                     message.running = None;
                     let last = self.record.attempts.get_mut(&id).and_then(|a| a.last_mut());
                     last.into_iter().for_each(|a| a.2 = now);
@@ -350,6 +373,11 @@
                 !once || attempts.len() <= 1,
                 "seed {seed}: {id} is at-most-once and was sent again: {attempts:?}"
             );
+            let senders: BTreeSet<usize> = attempts.iter().map(|a| a.0).collect();
+            assert!(
+                !self.record.deduplicated_ids.contains(id) || senders.len() <= 1,
+                "seed {seed}: {id} is deduplicated and was sent by two dispatchers: {attempts:?}"
+            );
             for (k, a) in attempts.iter().enumerate() {
                 for b in &attempts[k + 1..] {
                     assert!(
@@ -404,8 +432,8 @@
 }
 
 /// Runs a scenario of faults that is drawn from the seed; `queries`: clients submit recent messages again, to any
-/// dispatcher.
-fn history(seed: u64, count: usize, queries: bool) -> Simulation {
+/// dispatcher; `repeatable`: the kind of the messages that are not at-most-once.
+fn history(seed: u64, count: usize, queries: bool, repeatable: Repeatability) -> Simulation {
     let mut w = Simulation::new(count, seed);
     w.loss = [0.0, 0.02, 0.1][(seed % 3) as usize];
     let scenario = seed / 3 % 9;
@@ -416,8 +444,7 @@
     w.run(0, 45_000, |w, now| {
         if now > 1_500 && now < 20_000 && now % 70 == 0 {
             let n = w.rng.random_range(0..count);
-            let kind =
-                if w.rng.random_bool(0.5) { Repeatability::AtMostOnce } else { Repeatability::Repeatable };
+            let kind = if w.rng.random_bool(0.5) { Repeatability::AtMostOnce } else { repeatable };
             taken += 1;
             w.take(now, n, format!("m{taken}"), kind);
         }
@@ -474,7 +501,7 @@
     for seed in first..first + seeds {
         let count = if seed % 2 == 0 { 3 } else { 5 };
         for queries in [false, true] {
-            let w = history(seed, count, queries);
+            let w = history(seed, count, queries, Repeatability::Repeatable);
             w.audit(seed);
             assert!(w.record.without_copies.len() <= 4, "seed {seed}: {:?}", w.record.without_copies);
             without_copies += w.record.without_copies.len();
@@ -489,6 +516,25 @@
     assert!(taken_over > 0 && queried > 0);
 }
 
+/// Guards against a deduplicated message that a dispatcher sends after a former owner of the message has: its endpoints
+/// may be in another zone, or the deduplication window may be over. The same scenarios and seeds.
+#[test]
+fn a_deduplicated_message_is_sent_by_one_dispatcher_only() {
+    let seeds = std::env::var("SEEDS").ok().and_then(|s| s.parse().ok()).unwrap_or(27u64);
+    let first = std::env::var("FIRST").ok().and_then(|s| s.parse().ok()).unwrap_or(0u64);
+    let (mut sent, mut taken_over) = (0, 0);
+    for seed in first..first + seeds {
+        let count = if seed % 2 == 0 { 3 } else { 5 };
+        let w = history(seed, count, seed % 4 < 2, Repeatability::Deduplicated);
+        w.audit(seed);
+        let is_deduplicated = |id: &&String| w.record.deduplicated_ids.contains(*id);
+        sent += w.record.attempts.keys().filter(is_deduplicated).count();
+        taken_over += w.record.taken_over;
+    }
+    println!("{seeds} seeds, {sent} deduplicated messages sent, {taken_over} takeovers");
+    assert!(sent > 0 && taken_over > 0);
+}
+
 /// A keeper that is a majority by itself (installation size 1) and receives peer messages from a dispatcher
 /// `o`.
 fn keeper_of_one(born: u64) -> Replicator {
--- a/src/dispatch/copying.rs
+++ b/src/dispatch/copying.rs
@@ -8,6 +8,7 @@
 use super::{Core, Order, Submission, Verdict};
 use super::{Withheld, NO_ROOM_RETRY_AFTER};
 use crate::api::*;
+use crate::config::index_of;
 use crate::journal::{AcceptedMessage, AttemptSent, Ending, Identity, MessageNo, Record};
 use crate::together::Replication;
 use lilacbank_limits::ramp::{Health, RememberedHealth};
@@ -135,9 +136,11 @@
     }
 
     fn replication_kind(&self, class: &str) -> Repeatability {
-        match self.is_at_most_once_class(class) {
-            true => Repeatability::AtMostOnce,
-            false => Repeatability::Repeatable,
+        let class = index_of(&self.names.classes, class).and_then(|c| self.settings.classes.get(c));
+        match class.map(|c| c.effect) {
+            Some(Effect::AtMostOnce) => Repeatability::AtMostOnce,
+            Some(Effect::Deduplicated { .. }) => Repeatability::Deduplicated,
+            Some(Effect::Idempotent) | None => Repeatability::Repeatable,
         }
     }
 
@@ -211,6 +214,7 @@
     pub(super) fn replication_allows_start(&mut self, now: Ms, no: MessageNo) -> bool {
         let Some(name) = self.messages.get(&no).map(|c| copy_name(&c.taken.identity)) else { return true };
         let Some(c) = &mut self.replication else { return true };
+        c.keeper.prepare_start(whole_ms(now), &name);
         if c.keeper.may_start_attempt(whole_ms(now), &name) {
             c.keeper.record_start(whole_ms(now), &name);
             return true;
@@ -310,7 +314,7 @@
         let late: Vec<MessageNo> = c.awaiting_ack.iter().filter(|a| a.2 <= now).map(|a| a.0).collect();
         c.unacked += late.len() as u64;
         late.into_iter().for_each(|no| self.end_copy_wait(no));
-        let (mut started, mut taken) = (false, Vec::new());
+        let (mut started, mut taken, mut given_up) = (false, Vec::new(), Vec::new());
         for n in events {
             match n {
                 ReplicationEvent::MembershipChanged(text) => log::info!("dispatchers: {text}"),
@@ -319,14 +323,7 @@
                     no.into_iter().for_each(|no| self.end_copy_wait(no));
                 }
                 ReplicationEvent::Start(_) => started = true,
-                ReplicationEvent::GiveUp(id) => {
-                    if let Some(no) = self.find_message(&id) {
-                        log::warn!(id = id.as_str(), outcome = "given_up";
-                            "{id} is given up: no dispatcher can rule out that it was sent");
-                        self.set_suspended(no, false);
-                        self.give_up(now, no);
-                    }
-                }
+                ReplicationEvent::GiveUp(id) => given_up.push(id),
                 ReplicationEvent::OwnershipLost(id) => self.cede_to_peer(now, &id),
                 ReplicationEvent::OwnershipTaken(copy, step) => taken.push((*copy, step)),
                 ReplicationEvent::OperatorBlock(id, down) => {
@@ -364,6 +361,8 @@
         if !taken.is_empty() {
             self.take_over_copies(now, taken);
         }
+        // The message may have been taken over just before.
+        given_up.iter().for_each(|id| self.give_up_unproven(now, id));
         if self.replication.as_ref().is_some_and(|c| c.health_at <= now) {
             let learnt = self.learned_health(now);
             let Some(c) = &mut self.replication else { return };
@@ -388,6 +387,15 @@
         }
     }
 
+    /// Gives up a message that may have been sent.
+    fn give_up_unproven(&mut self, now: Ms, name: &str) {
+        let Some(no) = self.find_message(name) else { return };
+        log::warn!(id = name, outcome = "given_up";
+            "{name} is given up: no dispatcher can rule out that it was sent");
+        self.set_suspended(no, false);
+        self.give_up(now, no);
+    }
+
     /// Orders the pending peer messages to be sent.
     pub(super) fn send_replication(&mut self) {
         let outgoing = self.replication.as_mut().map(|c| c.keeper.take_outgoing()).unwrap_or_default();
@@ -419,8 +427,10 @@
             }
             let (name, key, withheld) =
                 (copy_name(&message.taken.identity), message.taken.key, message.withheld);
-            let may =
-                self.replication.as_ref().is_some_and(|c| c.keeper.may_start_attempt(whole_ms(now), &name));
+            let may = self.replication.as_ref().is_some_and(|c| {
+                c.keeper.may_start_attempt(whole_ms(now), &name)
+                    || c.keeper.may_prepare_start(whole_ms(now), &name)
+            });
             if may && !self.has_earlier_suspended(no, key) {
                 self.set_suspended(no, false);
                 if withheld == Some(Withheld::Suspended) {
--- /dev/null
+++ b/tests/zone_cuts.rs
@@ -0,0 +1,139 @@
+//! Replication over a cut between two zones: what becomes of deduplicated messages, whose repeats only the endpoints of
+//! one zone drop.
+
+mod stand;
+use lilacbank_rig::{Fault, Proxy};
+use stand::*;
+use std::net::SocketAddr;
+use std::thread;
+use std::time::Duration;
+
+const KEYS: usize = 8;
+const ORDERS_OF_KEY: usize = 10;
+/// One way between the zones.
+const PATH: Duration = Duration::from_millis(20);
+
+/// One play: how long the zones are cut off from each other, when, and how long an endpoint takes.
+#[derive(Debug, Clone, Copy)]
+struct Play {
+    cut_ms: u64,
+    cut_after_ms: u64,
+    call_ms: u64,
+    copies: usize,
+}
+
+/// Three dispatchers, of which `n0` and one endpoint are in zone `a`, the others and another endpoint in zone `b`.
+struct Zones {
+    sites: Vec<TestInstallation>,
+    replication: Vec<SocketAddr>,
+    between: Vec<Proxy>,
+}
+
+impl Zones {
+    fn new(a: &EndpointStandIn, b: &EndpointStandIn) -> Zones {
+        let site = |n: usize| {
+            let (endpoint, zone) = if n == 0 { (a, "a") } else { (b, "b") };
+            let listed =
+                list_entry(&format!("w-{zone}"), &endpoint.address.to_string(), zone, 1, "in_service");
+            let mut site = TestInstallation::new(&[listed]);
+            site.dispatchers = 3;
+            site
+        };
+        Zones { sites: (0..3).map(site).collect(), replication: unused_addresses(3), between: Vec::new() }
+    }
+
+    fn start(&mut self, n: usize, copies: usize) -> Dispatcher {
+        let mut text = format!(
+            "[replication]\nenabled = true\ninstallation = \"test\"\nlisten = \"{}\"\ncopies = {copies}\n",
+            self.replication[n]
+        );
+        for m in (0..3).filter(|m| *m != n) {
+            let mut at = self.replication[m];
+            if n == 0 || m == 0 {
+                let path = Proxy::start(at).unwrap();
+                path.set_fault(Fault::Delay(PATH));
+                at = path.address;
+                self.between.push(path);
+            }
+            text += &format!("[[replication.peers]]\nname = \"n{m}\"\naddress = \"{at}\"\n");
+        }
+        let file = self.sites[n].dir.join("together.toml");
+        std::fs::write(&file, text).unwrap();
+        let name = format!("n{n}");
+        let more = [
+            ("LILACBANK_TOGETHER", file.to_str().unwrap()),
+            ("ROUTER_NAME", &name),
+            ("ROUTER_CONTROL", "127.0.0.1:0"),
+        ];
+        self.sites[n].start_with("127.0.0.1:0", &more)
+    }
+
+    fn set_fault(&self, fault: Fault) {
+        self.between.iter().for_each(|path| path.set_fault(fault));
+    }
+}
+
+fn taken_over(d: &Dispatcher) -> u64 {
+    metrics(d)["replication"]["taken_over"].as_u64().unwrap()
+}
+
+/// Plays the cut; returns the orders that ran in one zone and were sent to the other one, and how many were taken over.
+fn play(play: Play) -> (Vec<String>, u64) {
+    let call = Duration::from_millis(play.call_ms);
+    let endpoint = || EndpointStandIn::start(move |_, _| Reply::DelayedAnswer(call, "200 OK"));
+    let (a, b) = (endpoint(), endpoint());
+    let mut zones = Zones::new(&a, &b);
+    let all: Vec<Dispatcher> = (0..3).map(|n| zones.start(n, play.copies)).collect();
+    for d in &all {
+        wait_until("the dispatcher answers clients", || d.client().command(&[b"PING"]) == "+PONG");
+        wait_until("the dispatcher sees all peers as alive", || {
+            let seen = metrics(d)["replication"]["dispatchers"].clone();
+            seen.as_object().is_some_and(|o| o.values().all(|v| v == "alive"))
+        });
+    }
+    let mut client = all[0].client();
+    let mut warm_ups = 0;
+    wait_until("messages are copied", || {
+        warm_ups += 1;
+        assert_eq!(client.submit(&format!("warm-up-{warm_ups}"), "c=safe,t=acme,d=6000,dest=1"), "+OK");
+        thread::sleep(Duration::from_millis(100));
+        let copies = |d: &Dispatcher| metrics(d)["replication"]["copies"].as_u64().unwrap();
+        copies(&all[1]) > 0 && copies(&all[2]) > 0
+    });
+    for n in 0..ORDERS_OF_KEY {
+        for key in 0..KEYS {
+            let options = format!("c=order,k=k-{key}-{n},d=20000,dest=1");
+            assert_eq!(
+                client.submit_with_key(&format!("{:x}", key + 1), &format!("o-{key}-{n}"), &options),
+                "+OK"
+            );
+        }
+    }
+    thread::sleep(Duration::from_millis(play.cut_after_ms));
+    zones.set_fault(Fault::Blackhole);
+    thread::sleep(Duration::from_millis(play.cut_ms));
+    zones.set_fault(Fault::Delay(PATH));
+    thread::sleep(Duration::from_secs(4));
+    let ids = (0..KEYS).flat_map(|key| (0..ORDERS_OF_KEY).map(move |n| format!("o-{key}-{n}")));
+    let in_both = ids.filter(|id| a.calls_of(id) > 0 && b.calls_of(id) > 0).collect();
+    (in_both, taken_over(&all[1]) + taken_over(&all[2]))
+}
+
+/// Guards against deduplicated messages that take effect in two zones: an owner that is cut off starts them while its lease
+/// lasts, and a holder takes them over without knowing that.
+#[test]
+fn a_deduplicated_message_is_sent_in_one_zone_only_over_a_cut() {
+    let plays = [
+        Play { cut_ms: 6_000, cut_after_ms: 300, call_ms: 120, copies: 2 },
+        Play { cut_ms: 3_600, cut_after_ms: 300, call_ms: 120, copies: 2 },
+        Play { cut_ms: 6_000, cut_after_ms: 900, call_ms: 400, copies: 2 },
+        Play { cut_ms: 4_500, cut_after_ms: 500, call_ms: 900, copies: 1 },
+    ];
+    let running: Vec<_> = plays.map(|p| (p, thread::spawn(move || play(p)))).into_iter().collect();
+    let results: Vec<_> = running.into_iter().map(|(p, run)| (p, run.join())).collect();
+    for (p, result) in results {
+        let (in_both, taken_over) = result.expect("the play runs to its end");
+        assert!(in_both.is_empty(), "{p:?}: in both zones: {in_both:?}");
+        assert!(taken_over > 0, "{p:?}: nothing is taken over");
+    }
+}
