Answer the clients that wait for peers before a planned restart ends

Cause: a client that waits for a copy, or for what the peers know of its message, is not in Core::is_due, so it is no pending request for guard::may_end, and the final turns answer the core's own verdicts alone.

Fix: such clients keep the process. At 3.3 s after SIGTERM it refuses what still comes with -BUSY, waits up to 0.2 s for the peers, and then answers whoever is left: accepted where the message is in the state folder, busy where a peer may hold it. So each request that was read has an answer whatever the peers do, and the end is before the earliest SIGKILL.

--- a/src/dispatch/copying.rs
+++ b/src/dispatch/copying.rs
@@ -197,6 +197,25 @@
         true
     }
 
+    /// Whether clients wait for answers that depend on peers.
+    pub fn awaits_peers(&self) -> bool {
+        self.replication.as_ref().is_some_and(|c| !c.awaiting_ack.is_empty() || !c.peer_queries.is_empty())
+    }
+
+    /// The process ends: clients that wait for peers are answered in the next turn. A message that has no copy yet is
+    /// in the state folder and so accepted; one that a peer may hold is to be submitted again.
+    pub fn end_peer_waits(&mut self) {
+        let Some(c) = &mut self.replication else { return };
+        c.unacked += c.awaiting_ack.len() as u64;
+        self.awaiting_verdict.extend(c.awaiting_ack.drain(..).map(|(no, ticket, _)| (no, ticket)));
+        let queries = std::mem::take(&mut c.peer_queries);
+        let verdict = Verdict::Busy(NO_ROOM_RETRY_AFTER.min(self.settings.max_retry_after));
+        for (ticket, _) in queries {
+            self.counters.busy += 1;
+            self.orders.push(Order::AnswerClient { ticket, verdict: verdict.clone() });
+        }
+    }
+
     /// Whether the message's client still waits for a copy.
     pub(super) fn waits_for_copy_ack(&self, no: MessageNo) -> bool {
         self.replication.as_ref().is_some_and(|c| c.awaiting_ack.iter().any(|a| a.0 == no))
--- a/src/guard.rs
+++ b/src/guard.rs
@@ -318,6 +318,8 @@
 pub const SHUTDOWN_TIMEOUT: Ms = 3_300.0;
 /// After SIGTERM, the process accepts clients for this span, and ends after it if it holds no message.
 pub const SHUTDOWN_LINGER: Ms = 700.0;
+/// After [`SHUTDOWN_TIMEOUT`], requests that were read wait for peers for this span; no further ones are accepted.
+pub const PEER_ANSWER_TIMEOUT: Ms = 200.0;
 
 /// A process that was told to end.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -332,25 +334,29 @@
     pub has_sibling: bool,
     /// A request was read that is not decided on or answered.
     pub requests_pending: bool,
+    /// A request was read whose answer depends on peers: on a copy of its message, or on what they know of it.
+    pub peers_pending: bool,
     /// Records of the ends of messages are not all in the state folder.
     pub records_pending: bool,
 }
 
-/// Whether the process may end now. At [`SHUTDOWN_TIMEOUT`] it may in any case: requests that were read get an
-/// answer then, and the next process takes over the rest.
+/// Whether the process may end now. At [`SHUTDOWN_TIMEOUT`] it may unless requests wait for peers, which they do for
+/// [`PEER_ANSWER_TIMEOUT`] at most: all requests that were read get an answer then, and the next process takes over
+/// the rest.
 ///
 /// # Errors
 ///
 /// What it still has to do.
 pub fn may_end(leaving: &Shutdown) -> Result<(), Reason> {
     if leaving.since >= SHUTDOWN_TIMEOUT {
-        return Ok(());
+        let waits = leaving.peers_pending && leaving.since < SHUTDOWN_TIMEOUT + PEER_ANSWER_TIMEOUT;
+        return if waits { Err(Reason::AnswerPending) } else { Ok(()) };
     }
     let done = leaving.held == 0 || (leaving.has_sibling && leaving.outstanding == 0);
     if leaving.since < SHUTDOWN_LINGER || !done {
         return Err(Reason::Unfinished);
     }
-    if leaving.requests_pending {
+    if leaving.requests_pending || leaving.peers_pending {
         return Err(Reason::AnswerPending);
     }
     if leaving.records_pending {
--- a/src/guard/tests.rs
+++ b/src/guard/tests.rs
@@ -107,6 +107,7 @@
         outstanding: 0,
         has_sibling: false,
         requests_pending: false,
+        peers_pending: false,
         records_pending: false,
     };
     assert_eq!(may_end(&idle), Ok(()));
@@ -121,6 +122,12 @@
         assert_eq!(may_end(&leaving), Err(reason));
         assert_eq!(may_end(&Shutdown { since: SHUTDOWN_TIMEOUT, ..leaving }), Ok(()));
     }
+    let last = SHUTDOWN_TIMEOUT + PEER_ANSWER_TIMEOUT;
+    for since in [SHUTDOWN_LINGER, SHUTDOWN_TIMEOUT, last - 1.0] {
+        let waiting = Shutdown { since, held: 1, has_sibling: true, peers_pending: true, ..idle };
+        assert_eq!(may_end(&waiting), Err(Reason::AnswerPending), "{since}");
+        assert_eq!(may_end(&Shutdown { since: last, ..waiting }), Ok(()));
+    }
     assert_eq!(
         may_end(&Shutdown { held: 2, has_sibling: true, ..idle }),
         Ok(()),
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -24,7 +24,7 @@
 use crate::disk;
 use crate::dispatch::control::ControlEffect;
 use crate::dispatch::{Core, EndedJournal, FinalAnswer, Order, ReloadParts};
-use crate::guard::{self, SHUTDOWN_LINGER, SHUTDOWN_TIMEOUT};
+use crate::guard::{self, PEER_ANSWER_TIMEOUT, SHUTDOWN_LINGER, SHUTDOWN_TIMEOUT};
 use crate::journal::{Ending, OrphanedJournal, SiblingFile};
 use crate::kept::{self, CachedList};
 use crate::logging::LogThrottle;
@@ -209,6 +209,9 @@
         let mut events = Events::with_capacity(256);
         loop {
             let now = self.clock.now();
+            if self.shutdown_since.is_some_and(|since| now >= since + SHUTDOWN_TIMEOUT) {
+                self.resp_clients.refuse();
+            }
             if self.may_exit(now) {
                 self.final_turns(now);
                 self.resp_clients.count_unanswered(&mut self.core);
@@ -247,11 +250,8 @@
     /// looping between the end of the linger time and the final deadline.
     fn exit_check_due(&self, now: Ms) -> Option<Ms> {
         self.shutdown_since.map(|t| {
-            if now < t + SHUTDOWN_LINGER {
-                t + SHUTDOWN_LINGER
-            } else {
-                t + SHUTDOWN_TIMEOUT
-            }
+            let spans = [SHUTDOWN_LINGER, SHUTDOWN_TIMEOUT, SHUTDOWN_TIMEOUT + PEER_ANSWER_TIMEOUT];
+            t + spans.into_iter().find(|span| now < t + span).unwrap_or(SHUTDOWN_TIMEOUT)
         })
     }
 
@@ -636,6 +636,7 @@
             // A sibling process takes over the held messages once this one has ended.
             has_sibling: self.core.has_sibling(),
             requests_pending: !self.findings.is_empty() || self.core.is_due(),
+            peers_pending: self.core.awaits_peers(),
             records_pending: self.core.has_deferred_records(),
         };
         guard::may_end(&state).is_ok()
@@ -646,6 +647,7 @@
     /// that is not recorded is lost. Starts no new attempt and reads nothing more.
     fn final_turns(&mut self, now: Ms) {
         self.resp_clients.stop(now, &mut self.core);
+        self.core.end_peer_waits();
         self.core.close_at(now);
         for _ in 0..FINAL_TURNS_MAX {
             if self.findings.is_empty() && !self.core.is_due() {
--- a/src/net/resp.rs
+++ b/src/net/resp.rs
@@ -132,6 +132,8 @@
     unfinished: Vec<usize>,
     max: usize,
     draining: bool,
+    /// The process is about to end: what was accepted is answered, and all else that arrives is refused.
+    refusing: bool,
     /// The process is ending: what was read is answered, and nothing more is read.
     stopped: bool,
 }
@@ -255,6 +257,7 @@
             unfinished,
             max,
             draining: false,
+            refusing: false,
             stopped: false,
         }
     }
@@ -455,6 +458,11 @@
                     }
                 }
             }
+            b"SUBMIT" if self.refusing => {
+                core.counters.busy += 1;
+                c.stream.queue(b"-BUSY\r\n");
+                c.closing = c.stream.read_buf.is_empty();
+            }
             b"SUBMIT" => match submission(parts) {
                 Ok(s) => {
                     let ticket = self.next_ticket * 2;
@@ -503,11 +511,18 @@
         self.ready(now, index, core);
     }
 
-    /// Stops reading because the process is ending. Input that was not read is reset with the connection, so
+    /// Refuses all submissions from now on: the process ends once those that were accepted are answered.
+    pub fn refuse(&mut self) {
+        self.refusing = true;
+    }
+
+    /// Stops reading because the process is ending; what has arrived until now is refused. Input that was not read is reset with the connection, so
     /// that its client submits it elsewhere; commands that were read ahead are refused.
     pub fn stop(&mut self, now: Ms, core: &mut Core) {
-        self.stopped = true;
         let all: Vec<usize> = self.conns.iter().map(|(index, _)| index).collect();
+        self.refusing = true;
+        all.iter().for_each(|index| self.ready(now, *index, core));
+        self.stopped = true;
         all.into_iter().for_each(|index| self.ready(now, index, core));
     }
 
--- a/tests/zone_cuts.rs
+++ b/tests/zone_cuts.rs
@@ -2,9 +2,11 @@
 //! one zone drop.
 
 mod stand;
-use lilacbank_rig::{Fault, Proxy};
+#[path = "stand/peer_group.rs"]
+mod stand_peer_group;
+use lilacbank_rig::Fault;
 use stand::*;
-use std::net::SocketAddr;
+use stand_peer_group::*;
 use std::thread;
 use std::time::Duration;
 
@@ -23,58 +25,17 @@
 }
 
 /// Three dispatchers, of which `n0` and one endpoint are in zone `a`, the others and another endpoint in zone `b`.
-struct Zones {
-    sites: Vec<TestInstallation>,
-    replication: Vec<SocketAddr>,
-    between: Vec<Proxy>,
-}
-
-impl Zones {
-    fn new(a: &EndpointStandIn, b: &EndpointStandIn) -> Zones {
-        let site = |n: usize| {
-            let (endpoint, zone) = if n == 0 { (a, "a") } else { (b, "b") };
-            let listed =
-                list_entry(&format!("w-{zone}"), &endpoint.address.to_string(), zone, 1, "in_service");
-            let mut site = TestInstallation::new(&[listed]);
-            site.dispatchers = 3;
-            site
-        };
-        Zones { sites: (0..3).map(site).collect(), replication: unused_addresses(3), between: Vec::new() }
-    }
-
-    fn start(&mut self, n: usize, copies: usize) -> Dispatcher {
-        let mut text = format!(
-            "[replication]\nenabled = true\ninstallation = \"test\"\nlisten = \"{}\"\ncopies = {copies}\n",
-            self.replication[n]
-        );
-        for m in (0..3).filter(|m| *m != n) {
-            let mut at = self.replication[m];
-            if n == 0 || m == 0 {
-                let path = Proxy::start(at).unwrap();
-                path.set_fault(Fault::Delay(PATH));
-                at = path.address;
-                self.between.push(path);
-            }
-            text += &format!("[[replication.peers]]\nname = \"n{m}\"\naddress = \"{at}\"\n");
-        }
-        let file = self.sites[n].dir.join("together.toml");
-        std::fs::write(&file, text).unwrap();
-        let name = format!("n{n}");
-        let more = [
-            ("LILACBANK_TOGETHER", file.to_str().unwrap()),
-            ("ROUTER_NAME", &name),
-            ("ROUTER_CONTROL", "127.0.0.1:0"),
-        ];
-        self.sites[n].start_with("127.0.0.1:0", &more)
-    }
-
-    fn set_fault(&self, fault: Fault) {
-        self.between.iter().for_each(|path| path.set_fault(fault));
-    }
+fn zones(a: &EndpointStandIn, b: &EndpointStandIn, copies: usize) -> PeerGroup {
+    let site = |n: usize| {
+        let (endpoint, zone) = if n == 0 { (a, "a") } else { (b, "b") };
+        let address = endpoint.address.to_string();
+        TestInstallation::new(&[list_entry(&format!("w-{zone}"), &address, zone, 1, "in_service")])
+    };
+    PeerGroup::of((0..3).map(site).collect(), &format!("copies = {copies}"))
 }
 
 fn taken_over(d: &Dispatcher) -> u64 {
-    metrics(d)["replication"]["taken_over"].as_u64().unwrap()
+    replication_metrics(d)["taken_over"].as_u64().unwrap()
 }
 
 /// Plays the cut; returns the orders that ran in one zone and were sent to the other one, and how many were taken over.
@@ -82,22 +43,16 @@
     let call = Duration::from_millis(play.call_ms);
     let endpoint = || EndpointStandIn::start(move |_, _| Reply::DelayedAnswer(call, "200 OK"));
     let (a, b) = (endpoint(), endpoint());
-    let mut zones = Zones::new(&a, &b);
-    let all: Vec<Dispatcher> = (0..3).map(|n| zones.start(n, play.copies)).collect();
-    for d in &all {
-        wait_until("the dispatcher answers clients", || d.client().command(&[b"PING"]) == "+PONG");
-        wait_until("the dispatcher sees all peers as alive", || {
-            let seen = metrics(d)["replication"]["dispatchers"].clone();
-            seen.as_object().is_some_and(|o| o.values().all(|v| v == "alive"))
-        });
-    }
+    let zones = zones(&a, &b, play.copies);
+    let all = zones.start_all();
+    zones.set_faults_around(0, Fault::Delay(PATH));
     let mut client = all[0].client();
     let mut warm_ups = 0;
     wait_until("messages are copied", || {
         warm_ups += 1;
         assert_eq!(client.submit(&format!("warm-up-{warm_ups}"), "c=safe,t=acme,d=6000,dest=1"), "+OK");
         thread::sleep(Duration::from_millis(100));
-        let copies = |d: &Dispatcher| metrics(d)["replication"]["copies"].as_u64().unwrap();
+        let copies = |d: &Dispatcher| replication_metrics(d)["copies"].as_u64().unwrap();
         copies(&all[1]) > 0 && copies(&all[2]) > 0
     });
     for n in 0..ORDERS_OF_KEY {
@@ -110,9 +65,9 @@
         }
     }
     thread::sleep(Duration::from_millis(play.cut_after_ms));
-    zones.set_fault(Fault::Blackhole);
+    zones.set_faults_around(0, Fault::Blackhole);
     thread::sleep(Duration::from_millis(play.cut_ms));
-    zones.set_fault(Fault::Delay(PATH));
+    zones.set_faults_around(0, Fault::Delay(PATH));
     thread::sleep(Duration::from_secs(4));
     let ids = (0..KEYS).flat_map(|key| (0..ORDERS_OF_KEY).map(move |n| format!("o-{key}-{n}")));
     let in_both = ids.filter(|id| a.calls_of(id) > 0 && b.calls_of(id) > 0).collect();
