Keep pending answers of MQTT clients in a module of their own

What outlasts a connection (the session, and the answers that are not acknowledged) is in src/net/mqtt/pending.rs now, with its two operations as methods of Client.

--- a/src/net/mqtt/acceptor.rs
+++ b/src/net/mqtt/acceptor.rs
@@ -3,6 +3,7 @@
 //! the message already held.
 
 use super::super::reactor::Reactor;
+use super::pending::{outcome_name, Client, NO_MESSAGE, REJECTION_KEPT};
 use super::{matches, publish, PublishProperties, Session};
 use crate::api::Ms;
 use crate::dispatch::{ClientTicket, Core, FinalAnswer, Submission, Verdict};
@@ -19,18 +20,12 @@
 };
 use mqtt_protocol_core::mqtt::role::Server;
 use slab::Slab;
-use std::collections::btree_map::{BTreeMap, Entry};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 /// Topic to which clients submit messages.
 pub const SUBMIT_TOPIC: &str = "lilacbank/submit";
-/// Milliseconds for which the answer to a rejected message is kept for its client, from the rejection or from the end
-/// of the connection on which it was sent.
-const REJECTION_KEPT: Ms = 5_000.0;
-/// The number of no message: a rejected message has none.
-const NO_MESSAGE: MessageNo = 0;
 /// Maximum number of topic filters of one client.
 const FILTERS_MAX: usize = 32;
 /// Maximum number of unacknowledged answers to one client at a time.
@@ -46,98 +41,6 @@
     serial: u64,
 }
 
-/// A final answer that is pending until the client acknowledges it.
-#[derive(Debug)]
-struct PendingAnswer {
-    told: FinalAnswer,
-    /// Id of the packet that carries the answer on the current connection.
-    packet: Option<u16>,
-    /// The answer was sent before on an earlier connection.
-    again: bool,
-    /// Set if another dispatcher serves the tenant: its name and the address for MQTT clients.
-    moved: Option<(String, Option<SocketAddr>)>,
-}
-
-impl PendingAnswer {
-    /// Whether the message was rejected: it is not held, and no other answer to it will come.
-    fn is_rejection(&self) -> bool {
-        self.told.message_no == NO_MESSAGE && self.told.ending != Ending::Delivered
-    }
-
-    /// Takes over the latest form of the same answer, unless it is in flight: it is not sent again on the same
-    /// connection.
-    fn update(&mut self, told: FinalAnswer, moved: Option<(String, Option<SocketAddr>)>) {
-        let message_no = self.told.message_no.max(told.message_no);
-        if self.packet.is_none() {
-            (self.told, self.moved) = (told, moved);
-        }
-        self.told.message_no = message_no;
-    }
-
-    /// Whether the client may have received the answer.
-    fn may_be_known(&self) -> bool {
-        self.packet.is_some() || self.again
-    }
-}
-
-/// Distinguishes the pending answers of a client. A different outcome of the same message is an answer of its own.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
-struct AnswerKey {
-    id: String,
-    outcome: &'static str,
-}
-
-/// The outcome that a client reads in an answer.
-fn outcome_name(ending: Ending) -> &'static str {
-    match ending {
-        Ending::Delivered => "delivered",
-        Ending::GivenUp => "given_up",
-        Ending::Returned(_) => "handed_back",
-    }
-}
-
-/// State of a client that outlives its connections.
-#[derive(Debug, Default)]
-struct Client {
-    conn: Option<usize>,
-    /// This process holds all subscriptions of the client's session. False for a client that only has pending
-    /// answers: after a restart these are known from the journal before the client connects.
-    has_session: bool,
-    filters: Vec<String>,
-    answers: BTreeMap<AnswerKey, PendingAnswer>,
-}
-
-impl Client {
-    /// The rejection of the message with this id that the client may know of and has not acknowledged.
-    fn known_rejection(&mut self, id: &str) -> Option<&mut PendingAnswer> {
-        let is_known = |(key, a): &(&AnswerKey, &mut PendingAnswer)| {
-            key.id == id && a.is_rejection() && a.may_be_known()
-        };
-        self.answers.iter_mut().find(is_known).map(|(_, a)| a)
-    }
-
-    /// Drops rejections of the message with this id that were never sent.
-    fn drop_unsent_rejections(&mut self, id: &str) {
-        self.answers.retain(|key, a| key.id != id || !a.is_rejection() || a.may_be_known());
-    }
-
-    /// Ends the session, as its client may have gone on at the sibling process. Rejections end with it: the client may
-    /// have submitted the messages there.
-    fn give_up_session(&mut self) {
-        self.has_session = false;
-        self.answers.retain(|_, a| !a.is_rejection());
-    }
-
-    /// The connection has ended: what was sent on it and not acknowledged is sent again on the next one.
-    fn disconnect(&mut self, now: Ms) {
-        self.conn = None;
-        for answer in self.answers.values_mut().filter(|a| a.packet.is_some()) {
-            (answer.packet, answer.again) = (None, true);
-            answer.told.expires_at = answer.told.expires_at.max(now + REJECTION_KEPT);
-        }
-    }
-}
-
 /// A submission that waits for its verdict.
 #[derive(Debug)]
 struct PendingSubmission {
@@ -342,10 +245,7 @@
             (Packet::V5_0Publish(p), Some(client)) => self.handle_publish(now, index, &client, &p, core),
             (Packet::V5_0Puback(p), Some(name)) => {
                 let Some(client) = self.clients.get_mut(&name) else { return };
-                let key =
-                    client.answers.iter().find(|a| a.1.packet == Some(p.packet_id())).map(|a| a.0.clone());
-                let answer = key.and_then(|key| client.answers.remove(&key));
-                acknowledged.extend(answer.map(|a| a.told.message_no).filter(|no| *no != NO_MESSAGE));
+                acknowledged.extend(client.acknowledge(p.packet_id()));
             }
             (Packet::V5_0Subscribe(p), Some(name)) => {
                 let Some(client) = self.clients.get_mut(&name) else { return };
@@ -518,13 +418,7 @@
     fn queue_answer(&mut self, now: Ms, told: FinalAnswer, moved: Option<(String, Option<SocketAddr>)>) {
         let name = told.identity.0.clone();
         let client = self.clients.entry(name.clone()).or_default();
-        let key = AnswerKey { id: told.identity.1.clone(), outcome: outcome_name(told.ending) };
-        match client.answers.entry(key) {
-            Entry::Occupied(mut pending) => pending.get_mut().update(told, moved),
-            Entry::Vacant(vacant) => {
-                vacant.insert(PendingAnswer { told, packet: None, again: false, moved });
-            }
-        }
+        client.queue_answer(told, moved);
         if let Some(index) = client.conn {
             self.send_or_close(now, index);
         }
--- a/src/net/mqtt/mod.rs
+++ b/src/net/mqtt/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod acceptor;
 pub mod broker;
+mod pending;
 
 use super::stream::{Fill, Stream};
 use crate::api::Ms;
