Build the fault library before the clocks of two tests start to run

messages_taken_over_between_processes_keep_their_deadline_across_a_step failed once: 12.9 s until a notice, 5.5 s allowed. Its clock ran while start_with_faults built crates/faults, and that build waited for the lock of another cargo build on the same target folder. The library is built first now, here, for a_delivered_id_stays_known_across_a_step_forward and in check_start_under (tests/full_folder.rs). The bounds are the same.

--- a/tests/clock_steps.rs
+++ b/tests/clock_steps.rs
@@ -125,6 +125,8 @@
 /// that is submitted again under its id is answered as accepted and not sent a second time.
 #[test]
 fn a_delivered_id_stays_known_across_a_step_forward() {
+    // Built before the time of the message's identity starts to run.
+    faults::fault_library();
     let worker = EndpointStandIn::start(|_, _| OK);
     let site = TestInstallation::new(&[list_entry("w1", &worker.address.to_string(), "a", 1, "in_service")]);
     let d = site.start();
@@ -142,6 +144,8 @@
 /// newer one ends its messages in time or delivers them.
 #[test]
 fn messages_taken_over_between_processes_keep_their_deadline_across_a_step() {
+    // Built before the messages' time starts to run.
+    faults::fault_library();
     for step in [-HOUR_MS, HOUR_MS] {
         let (worker, open, delivered) = refusing_until_opened();
         let site =
--- a/tests/full_folder.rs
+++ b/tests/full_folder.rs
@@ -12,6 +12,8 @@
 /// under a schedule of faults while the endpoint answers. All messages are delivered, except at-most-once
 /// messages that may have run: these are given up.
 fn check_start_under(schedule: &str) {
+    // Built before the messages' time starts to run.
+    faults::fault_library();
     let (worker, answers) = silent_until_enabled();
     let site = TestInstallation::new(&[list_entry("w1", &worker.address.to_string(), "a", 1, "in_service")]);
     let d = site.start();
