Expect a takeover only over cuts in which a dispatcher has to count as gone

What the test guards (no order in both zones) is checked in every play as before. The takeover, which shows that a play has come to the point, is expected from 5 s on; the play of 4.5 s has 5.5 s now, so that three of four plays have to show it.

--- a/tests/zone_cuts.rs
+++ b/tests/zone_cuts.rs
@@ -12,6 +12,8 @@
 
 const KEYS: usize = 8;
 const ORDERS_OF_KEY: usize = 10;
+/// A dispatcher that is cut off counts as gone within this time.
+const GONE_WITHIN_MS: u64 = 5_000;
 /// One way between the zones.
 const PATH: Duration = Duration::from_millis(20);
 
@@ -82,13 +84,14 @@
         Play { cut_ms: 6_000, cut_after_ms: 300, call_ms: 120, copies: 2 },
         Play { cut_ms: 3_600, cut_after_ms: 300, call_ms: 120, copies: 2 },
         Play { cut_ms: 6_000, cut_after_ms: 900, call_ms: 400, copies: 2 },
-        Play { cut_ms: 4_500, cut_after_ms: 500, call_ms: 900, copies: 1 },
+        Play { cut_ms: 5_500, cut_after_ms: 500, call_ms: 900, copies: 1 },
     ];
     let running: Vec<_> = plays.map(|p| (p, thread::spawn(move || play(p)))).into_iter().collect();
     let results: Vec<_> = running.into_iter().map(|(p, run)| (p, run.join())).collect();
     for (p, result) in results {
         let (in_both, taken_over) = result.expect("the play runs to its end");
         assert!(in_both.is_empty(), "{p:?}: in both zones: {in_both:?}");
-        assert!(taken_over > 0, "{p:?}: nothing is taken over");
+        // Over a shorter cut there may be no takeover.
+        assert!(p.cut_ms < GONE_WITHIN_MS || taken_over > 0, "{p:?}: nothing is taken over");
     }
 }
