Count a deduplicated attempt as outstanding while its start is confirmed

Cause: the start was announced to the holders without an attempt, and the message suspended until they had confirmed. In that round trip the decision module had a free slot and chose the next message, and so on: far more were announced than may be out.

Fix: the attempt is recorded and outstanding first, and goes to the network side once its start is confirmed. A cancel, a retry-after or a drain meanwhile ends it as not sent, like an attempt that waits for a connection.

--- a/crates/replica/src/keeper.rs
+++ b/crates/replica/src/keeper.rs
@@ -13,8 +13,8 @@
 //! restarted arbiter has lost its grants and gives none for messages from before the restart: the copy names
 //! the incarnation of the arbiter that may grant.
 //!
-//! **Confirmed starts.** A deduplicated message is started once all holders have confirmed that it may have run
-//! ([`Replicator::prepare_start`]).
+//! **Confirmed starts.** A deduplicated message is sent once all holders have confirmed that it may have run
+//! ([`Replicator::is_start_confirmed`]).
 //!
 //! **Anti-entropy.** Two dispatchers compare the copies that both should have through [`crate::digest`], at
 //! first contact and then periodically, and send the copies that differ, a limited number of buckets at a
@@ -462,29 +462,25 @@
         self.bytes() + copy.size() <= self.spec.max_bytes
     }
 
-    /// Whether an attempt of this message may begin now. A message without a copy here is not restricted.
+    /// Whether an attempt of this message may begin now. A message without a copy here is not restricted. See also
+    /// [`Replicator::is_start_confirmed`].
     pub fn may_start_attempt(&self, now: Ms, id: &str) -> bool {
         let Some(replica) = self.replicas.get(id) else { return true };
-        let lease = self.has_leases_of_holders(now, replica);
+        let majority = self.has_majority(now);
+        let safe_to_act =
+            |n: &String| self.peers.get(n).is_some_and(|p| p.gone && majority || p.has_lease(now));
+        let lease = self.other_holders(replica).iter().all(safe_to_act);
         if self.unsettled.contains(id) || !lease || !replica.is_owner() {
             return false;
         }
         match replica.kind {
             // A started at-most-once message needs no further grant: its owner finds out the outcome.
             Repeatability::AtMostOnce if replica.copy.stage == Stage::Started => true,
-            Repeatability::Deduplicated if !self.has_confirmed_start(replica) => false,
+            Repeatability::Deduplicated if self.awaits_former_starts(replica) => false,
             _ => replica.next_step(lease) == ReplicaAction::Start,
         }
     }
 
-    /// Whether every other holder has renewed the lease of this dispatcher, or counts as gone.
-    fn has_leases_of_holders(&self, now: Ms, replica: &Replica) -> bool {
-        let majority = self.has_majority(now);
-        let safe_to_act =
-            |n: &String| self.peers.get(n).is_some_and(|p| p.gone && majority || p.has_lease(now));
-        self.other_holders(replica).iter().all(safe_to_act)
-    }
-
     /// Whether there are peers without a valid lease that may hold own messages back. If not, running
     /// attempts need no check.
     pub fn has_lapsed_lease(&self, now: Ms) -> bool {
--- a/crates/replica/tests/keeper.rs
+++ b/crates/replica/tests/keeper.rs
@@ -286,9 +286,11 @@
                     continue;
                 }
                 message.has_turn = true;
-                keeper.prepare_start(now, &id);
+                if keeper.may_start_attempt(now, &id) {
+                    keeper.record_start(now, &id);
+                }
             }
-            let may = keeper.may_start_attempt(now, &id);
+            let may = keeper.may_start_attempt(now, &id) && keeper.is_start_confirmed(&id);
             match message.running {
                 Some((until, delivered)) if until <= now => {
                     message.running = None;
--- a/src/dispatch/copying.rs
+++ b/src/dispatch/copying.rs
@@ -17,7 +17,7 @@
 use lilacbank_replica::owner::{Repeatability, ReplicaAction};
 use lilacbank_replica::wire::Envelope;
 use serde_json::json;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// How often suspended messages are checked again.
 const RECHECK_INTERVAL: Ms = 100.0;
@@ -32,13 +32,15 @@
 
 /// The state of replication in the core.
 pub(super) struct ReplicationState {
-    keeper: Replicator,
+    pub(super) keeper: Replicator,
     spec: Replication,
     /// Clients that wait until another dispatcher holds a copy, and until when.
     awaiting_ack: Vec<(MessageNo, super::ClientTicket, Ms)>,
     /// Suspended messages.
     suspended: BTreeSet<MessageNo>,
     recheck_at: Ms,
+    /// Attempts that are sent once the holders of a copy have confirmed the start: the message and the attempt.
+    pub(super) waiting_starts: BTreeMap<MessageNo, u32>,
     health_at: Ms,
     /// Repeated submissions for which peers are being queried, and the clients that wait for the result.
     peer_queries: Vec<(super::ClientTicket, Submission)>,
@@ -51,11 +53,11 @@
     unacked: u64,
 }
 
-fn whole_ms(t: Ms) -> u64 {
+pub(super) fn whole_ms(t: Ms) -> u64 {
     t.max(0.0) as u64
 }
 
-fn copy_name(identity: &Identity) -> String {
+pub(super) fn copy_name(identity: &Identity) -> String {
     match identity.0.as_str() {
         "" => identity.1.clone(),
         client => format!("{client}{COPY_NAME_SEPARATOR}{}", identity.1),
@@ -102,6 +104,7 @@
             awaiting_ack: Vec::new(),
             suspended: BTreeSet::new(),
             recheck_at: 0.0,
+            waiting_starts: BTreeMap::new(),
             health_at: 0.0,
             peer_queries: Vec::new(),
             catching_up: true,
@@ -230,15 +233,10 @@
     }
 
     /// Whether an attempt may start; else the message and later ones of its key have to be suspended.
-    pub(super) fn replication_allows_start(&mut self, now: Ms, no: MessageNo) -> bool {
-        let Some(name) = self.messages.get(&no).map(|c| copy_name(&c.taken.identity)) else { return true };
-        let Some(c) = &mut self.replication else { return true };
-        c.keeper.prepare_start(whole_ms(now), &name);
-        if c.keeper.may_start_attempt(whole_ms(now), &name) {
-            c.keeper.record_start(whole_ms(now), &name);
-            return true;
-        }
-        false
+    pub(super) fn replication_allows_start(&self, now: Ms, no: MessageNo) -> bool {
+        let Some(c) = &self.replication else { return true };
+        let Some(message) = self.messages.get(&no) else { return true };
+        c.keeper.may_start_attempt(whole_ms(now), &copy_name(&message.taken.identity))
     }
 
     /// Withdraws a message, and later ones of its key without an outstanding attempt, from the decision
@@ -318,8 +316,10 @@
     pub(super) fn replication_due(&self) -> Option<Ms> {
         let c = self.replication.as_ref()?;
         let acks = c.awaiting_ack.iter().map(|a| a.2).min_by(f64::total_cmp);
-        let recheck = (!c.suspended.is_empty() || c.keeper.has_lapsed_lease(whole_ms(self.now)))
-            .then_some(c.recheck_at);
+        let rechecks = !c.suspended.is_empty()
+            || !c.waiting_starts.is_empty()
+            || c.keeper.has_lapsed_lease(whole_ms(self.now));
+        let recheck = rechecks.then_some(c.recheck_at);
         [Some(c.keeper.next_due() as Ms), acks, recheck].into_iter().flatten().min_by(f64::total_cmp)
     }
 
@@ -400,6 +400,7 @@
             c.recheck_at = now + RECHECK_INTERVAL;
             let shaky = c.keeper.has_lapsed_lease(whole_ms(now));
             self.recheck_suspended(now);
+            self.release_confirmed_starts(now);
             if shaky {
                 self.cancel_unleased(now);
             }
@@ -446,10 +447,8 @@
             }
             let (name, key, withheld) =
                 (copy_name(&message.taken.identity), message.taken.key, message.withheld);
-            let may = self.replication.as_ref().is_some_and(|c| {
-                c.keeper.may_start_attempt(whole_ms(now), &name)
-                    || c.keeper.may_prepare_start(whole_ms(now), &name)
-            });
+            let may =
+                self.replication.as_ref().is_some_and(|c| c.keeper.may_start_attempt(whole_ms(now), &name));
             if may && !self.has_earlier_suspended(no, key) {
                 self.set_suspended(no, false);
                 if withheld == Some(Withheld::Suspended) {
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -11,6 +11,7 @@
 pub mod beside;
 mod book;
 mod cells;
+mod confirmed_starts;
 pub mod control;
 mod copying;
 mod counters;
--- a/src/dispatch/route.rs
+++ b/src/dispatch/route.rs
@@ -41,6 +41,7 @@
         self.expire_identities(now);
         self.at_most_once.expire(now);
         self.waits.expire(now);
+        self.withdraw_waiting_starts(now);
         self.journal_turn(now);
         self.send_replication();
         std::mem::take(&mut self.orders)
--- a/src/dispatch/send.rs
+++ b/src/dispatch/send.rs
@@ -1,7 +1,7 @@
 //! Sending: an attempt is written to the journal before its first byte goes out, and has a time at which it
 //! ends.
 
-use super::{Attempt, Core, HeldMessage, Order, OutstandingAttempt};
+use super::{Attempt, Core, HeldMessage, OutstandingAttempt};
 use crate::api::*;
 use crate::config::index_of;
 use crate::guard;
@@ -26,8 +26,7 @@
             Ok(()) => {
                 self.log_attempt_start(now, no, route);
                 self.counters.sent += 1;
-                let delegation = self.attempt_order(no, route);
-                self.orders.extend(delegation.map(Order::StartAttempt));
+                self.start_attempt(now, no);
             }
             Err(SendBlock::Wait(wait)) => self.report_unsent(now, no, attempt, wait),
             Err(SendBlock::Suspended) => {
@@ -103,14 +102,14 @@
     }
 
     /// What the network side needs to carry out the outstanding attempt.
-    fn attempt_order(&self, no: MessageNo, route: EndpointId) -> Option<Attempt> {
+    pub(super) fn attempt_order(&self, no: MessageNo) -> Option<Attempt> {
         let c = self.messages.get(&no)?;
         let out = c.out.as_ref()?;
         Some(Attempt {
             message_no: no,
             attempt: out.attempt,
-            endpoint: route,
-            address: self.address(route),
+            endpoint: out.route,
+            address: self.address(out.route),
             dest: c.taken.destination,
             id: c.taken.identity.1.clone(),
             idempotency_key: c.taken.idempotency_key.clone(),
